--- /dev/null
+++ b/basilcove/__init__.py
@@ -0,0 +1,1 @@
+"""Load balancer for expert-parallel model groups."""
--- /dev/null
+++ b/basilcove/admission/__init__.py
@@ -0,0 +1,1 @@
+"""The queue in front of an upstream."""
--- /dev/null
+++ b/basilcove/admission/models.py
@@ -0,0 +1,29 @@
+"""What enters and leaves an admission queue."""
+
+from dataclasses import dataclass
+
+from basilcove.core.ids import AttemptId, PriorityName, TeamName
+
+
+@dataclass(frozen=True, slots=True)
+class QueueItem:
+    """One attempt that waits; work in tokens, deadline on the monotonic clock."""
+
+    attempt_id: AttemptId
+    team: TeamName
+    priority: PriorityName
+    work: float
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The item waits in the queue."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The item was not queued; a retry may succeed after the given time."""
+
+    reason: str
+    retry_after_s: float
--- /dev/null
+++ b/basilcove/const.py
@@ -0,0 +1,12 @@
+"""Constants that several subsystems share."""
+
+from typing import Final
+
+PROTOCOL_VERSION: Final = 1
+
+TICK_INTERVAL_S: Final = 0.05
+HEARTBEAT_INTERVAL_S: Final = 0.5
+PEER_TIMEOUT_S: Final = 2.0
+
+MICROSECONDS_PER_S: Final = 1_000_000
+MILLISECONDS_PER_S: Final = 1000
--- /dev/null
+++ b/basilcove/core/__init__.py
@@ -0,0 +1,1 @@
+"""Typed core: ids, events, the reducer and its runtime."""
--- /dev/null
+++ b/basilcove/core/events.py
@@ -0,0 +1,98 @@
+"""Events and effects that every subsystem knows."""
+
+from dataclasses import dataclass
+
+from basilcove.core.ids import Incarnation, NodeId, Role, Zone
+
+
+class Event:
+    """Something that happened; the reducer's input."""
+
+    __slots__ = ()
+
+
+class Effect:
+    """Something to be done by a driver; the reducer's output."""
+
+    __slots__ = ()
+
+
+class Message:
+    """Content of an envelope between two nodes."""
+
+    __slots__ = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """One process start of another node."""
+
+    node: NodeId
+    roles: tuple[Role, ...]
+    incarnation: Incarnation
+    zone: Zone
+
+
+@dataclass(frozen=True, slots=True)
+class Tick(Event):
+    """The periodic event by which subsystems keep their deadlines."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerFound(Event):
+    """A link to a peer came up."""
+
+    peer: Peer
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost(Event):
+    """The link to a peer broke or was silent beyond the timeout."""
+
+    peer: Peer
+
+
+@dataclass(frozen=True, slots=True)
+class Received(Event):
+    """A message arrived from a peer; dispatched on the message's type."""
+
+    peer: Peer
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested(Event):
+    """The process was asked to stop gracefully."""
+
+
+@dataclass(frozen=True, slots=True)
+class Emit(Effect):
+    """Feeds an event to the reducer before the next outside event."""
+
+    event: Event
+
+
+@dataclass(frozen=True, slots=True)
+class Send(Effect):
+    """Queues a message on the link to a node; dropped without a link."""
+
+    node: NodeId
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Log(Effect):
+    """Writes one structured log line."""
+
+    level: str
+    text: str
+    fields: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Count(Effect):
+    """Adds to a counter of the metrics registry."""
+
+    name: str
+    labels: tuple[tuple[str, str], ...] = ()
+    amount: float = 1.0
--- /dev/null
+++ b/basilcove/core/ids.py
@@ -0,0 +1,44 @@
+"""Identifiers and states that all subsystems share."""
+
+import enum
+from typing import NewType
+
+NodeId = NewType('NodeId', str)
+Zone = NewType('Zone', str)
+TeamName = NewType('TeamName', str)
+UpstreamName = NewType('UpstreamName', str)
+ModelName = NewType('ModelName', str)
+GroupName = NewType('GroupName', str)
+ServiceName = NewType('ServiceName', str)
+PriorityName = NewType('PriorityName', str)
+EnvironmentName = NewType('EnvironmentName', str)
+RequestId = NewType('RequestId', str)
+AttemptId = NewType('AttemptId', str)
+Incarnation = NewType('Incarnation', int)
+Revision = NewType('Revision', int)
+FencingNumber = NewType('FencingNumber', int)
+Rank = NewType('Rank', int)
+Step = NewType('Step', int)
+
+
+class Role(enum.Enum):
+    """Job that a node runs."""
+
+    CONTROL = 'control'
+    ENTRY = 'entry'
+    AGENT = 'agent'
+    OPERATOR = 'operator'
+
+
+class Stage(enum.Enum):
+    """Stage of an environment's document."""
+
+    TRIAL = 'trial'
+    PRODUCTION = 'production'
+
+
+class Outcome(enum.Enum):
+    """What is known of a request that got no whole answer."""
+
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
--- /dev/null
+++ b/basilcove/core/reducer.py
@@ -0,0 +1,98 @@
+"""The reducer: all decisions of a node, as a function of events."""
+
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from basilcove.core.events import Effect, Emit, Event, Message, Received
+
+StateT = TypeVar('StateT')
+EventT = TypeVar('EventT')
+Handler = Callable[[StateT, EventT, 'Context'], Iterable[Effect]]
+
+_EVENT_HANDLERS: dict[type, list[tuple[type, Handler[Any, Any]]]] = defaultdict(list)
+
+
+class Node:
+    """All states of one node, by type."""
+
+    def __init__(self, *states: object) -> None:
+        """Hold one state of each given type."""
+        self._states: dict[type, object] = {type(state): state for state in states}
+
+    def part(self, kind: type[StateT]) -> StateT:
+        """Return the state of this type; KeyError if the node has none."""
+        return self._states[kind]  # type: ignore[return-value]
+
+    def has(self, kind: type) -> bool:
+        """Tell whether the node has a state of this type."""
+        return kind in self._states
+
+    def add(self, state: object) -> None:
+        """Add a state, replacing one of the same type."""
+        self._states[type(state)] = state
+
+
+@dataclass(frozen=True, slots=True)
+class Context:
+    """What a handler may read besides its own state."""
+
+    now: float
+    wall: float
+    node: Node = field(default_factory=Node)
+
+
+def handles(
+    event_type: type[EventT],
+    state_type: type[StateT],
+) -> Callable[[Handler[StateT, EventT]], Handler[StateT, EventT]]:
+    """Register a handler of an event or, for a Message type, of its receipt.
+
+    A handler of a message gets the whole ``Received`` event. Handlers of one
+    type run in the order of registration.
+    """
+
+    def register(handler: Handler[StateT, EventT]) -> Handler[StateT, EventT]:
+        _EVENT_HANDLERS[event_type].append((state_type, handler))
+        return handler
+
+    return register
+
+
+def handles_message(
+    message_type: type[Message],
+    state_type: type[StateT],
+) -> Callable[[Handler[StateT, Received]], Handler[StateT, Received]]:
+    """Register a handler for the receipt of one type of message."""
+
+    def register(handler: Handler[StateT, Received]) -> Handler[StateT, Received]:
+        _EVENT_HANDLERS[message_type].append((state_type, handler))
+        return handler
+
+    return register
+
+
+def reduce(node: Node, event: Event, now: float, wall: float) -> list[Effect]:
+    """Apply an event and all that it emits; return the other effects in order.
+
+    Times are in seconds: ``now`` on the monotonic clock, ``wall`` since the epoch.
+    """
+    ctx = Context(now, wall, node)
+    effects: list[Effect] = []
+    pending: deque[Event] = deque((event,))
+    while pending:
+        for effect in _apply(node, pending.popleft(), ctx):
+            if isinstance(effect, Emit):
+                pending.append(effect.event)
+                continue
+            effects.append(effect)
+    return effects
+
+
+def _apply(node: Node, event: Event, ctx: Context) -> Iterable[Effect]:
+    key = type(event.message) if isinstance(event, Received) else type(event)
+    for state_type, handler in _EVENT_HANDLERS.get(key, ()):
+        if not node.has(state_type):
+            continue
+        yield from handler(node.part(state_type), event, ctx)
--- /dev/null
+++ b/basilcove/core/runtime.py
@@ -0,0 +1,83 @@
+"""Runs the reducer on an asyncio loop and hands effects to drivers."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from loguru import logger
+
+from basilcove.const import TICK_INTERVAL_S
+from basilcove.core.events import Effect, Event, Tick
+from basilcove.core.reducer import Node, reduce
+
+DriverT = TypeVar('DriverT')
+EffectT = TypeVar('EffectT', bound=Effect)
+Carrier = Callable[[DriverT, EffectT], None]
+
+_EFFECT_CARRIERS: dict[type, tuple[type, Carrier[Any, Any]]] = {}
+
+
+def carries_out(
+    effect_type: type[EffectT],
+    driver_type: type[DriverT],
+) -> Callable[[Carrier[DriverT, EffectT]], Carrier[DriverT, EffectT]]:
+    """Register the function by which a driver carries out an effect.
+
+    The function runs on the loop's thread and must not block.
+    """
+
+    def register(carrier: Carrier[DriverT, EffectT]) -> Carrier[DriverT, EffectT]:
+        _EFFECT_CARRIERS[effect_type] = (driver_type, carrier)
+        return carrier
+
+    return register
+
+
+class Runtime:
+    """Feeds events to the reducer, one at a time, on one thread."""
+
+    def __init__(self, node: Node) -> None:
+        """Run the given states; drivers are added before ``start``."""
+        self.node = node
+        self._drivers: dict[type, object] = {}
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._ticker: asyncio.Task[None] | None = None
+
+    def add_driver(self, driver: object) -> None:
+        """Add a driver, found by its type."""
+        self._drivers[type(driver)] = driver
+
+    async def start(self) -> None:
+        """Start ticking on the running loop."""
+        self._loop = asyncio.get_running_loop()
+        self._ticker = asyncio.create_task(self._tick())
+
+    async def stop(self) -> None:
+        """Stop ticking; posted events are no longer applied."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        self._loop = None
+
+    def post(self, event: Event) -> None:
+        """Apply an event soon; safe from any thread."""
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(self.apply, event)
+
+    def apply(self, event: Event) -> None:
+        """Apply an event now; only on the loop's thread."""
+        for effect in reduce(self.node, event, time.monotonic(), time.time()):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        entry = _EFFECT_CARRIERS.get(type(effect))
+        driver = self._drivers.get(entry[0]) if entry else None
+        if entry is None or driver is None:
+            logger.error('no driver carries out {}', type(effect).__name__)
+            return
+        entry[1](driver, effect)
+
+    async def _tick(self) -> None:
+        while True:
+            self.apply(Tick())
+            await asyncio.sleep(TICK_INTERVAL_S)
--- /dev/null
+++ b/basilcove/environment/__init__.py
@@ -0,0 +1,1 @@
+"""The document that describes an environment."""
--- /dev/null
+++ b/basilcove/environment/models.py
@@ -0,0 +1,123 @@
+"""Typed form of an environment's document."""
+
+import enum
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from basilcove.core.ids import GroupName, ModelName, PriorityName, ServiceName, TeamName, UpstreamName, Zone
+
+Fraction = Annotated[float, Field(ge=0, le=1)]
+PositiveFloat = Annotated[float, Field(gt=0)]
+PositiveInt = Annotated[int, Field(gt=0)]
+Digest = Annotated[str, Field(pattern=r'^sha256:[0-9a-f]{64}$')]
+Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9._-]{0,62}$')]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class UpstreamKind(enum.Enum):
+    """What an upstream runs."""
+
+    ENGINE = 'engine'
+    SERVICE = 'service'
+
+
+class Priority(_Section):
+    """Class of work; level 1 is served first."""
+
+    level: PositiveInt
+    target_first_token_s: PositiveFloat
+    weight: PositiveFloat = 1
+    floor: Fraction = 0
+
+
+class Team(_Section):
+    """A customer; ``rate`` is in requests a second, ``share`` is a relative weight."""
+
+    key_digests: tuple[Digest, ...]
+    priorities: tuple[PriorityName, ...]
+    share: PositiveFloat = 1
+    max_concurrent: PositiveInt = 256
+    rate: PositiveFloat = 1000
+
+
+class Group(_Section):
+    """Upstreams whose ranks advance in lock-step."""
+
+    ranks: PositiveInt
+    experts: PositiveInt
+    layers: PositiveInt
+    upstreams: tuple[UpstreamName, ...]
+
+
+class Model(_Section):
+    """A model that a group serves."""
+
+    group: GroupName
+    version: str = '1'
+    adapters: tuple[str, ...] = ()
+
+
+class Upstream(_Section):
+    """An upstream that may join; ``slots`` is how many attempts it runs at once."""
+
+    kind: UpstreamKind
+    zone: Zone
+    credential_digest: Digest
+    models: tuple[ModelName, ...] = ()
+    services: tuple[ServiceName, ...] = ()
+    slots: PositiveInt = 16
+    checks_fencing: bool = False
+
+
+class Call(_Section):
+    """Calls of a service by method and path prefix."""
+
+    method: Annotated[str, Field(pattern='^[A-Z]+$')]
+    path: Annotated[str, Field(pattern='^/')]
+    repeatable: bool = False
+    deduplicates: bool = False
+
+
+class Service(_Section):
+    """A plain service; a call that no entry matches is not repeatable."""
+
+    calls: tuple[Call, ...] = ()
+
+
+class Limits(_Section):
+    """Bounds that hold in the whole environment."""
+
+    max_body_bytes: PositiveInt = 1024 * 1024
+    max_timeout_s: PositiveFloat = 600
+    default_timeout_s: PositiveFloat = 60
+    retry_budget: Fraction = 0.1
+    claim_retention_s: PositiveFloat = 86_400
+    max_claims: PositiveInt = 100_000
+    max_queued_work: PositiveInt = 2_000_000
+    max_queued_attempts: PositiveInt = 2_000
+
+
+class Evidence(_Section):
+    """What trial must show before a document may be promoted."""
+
+    min_time_s: Annotated[float, Field(ge=0)] = 600
+    min_requests: Annotated[int, Field(ge=0)] = 100
+    max_failure_fraction: Fraction = 0.01
+
+
+class Environment(_Section):
+    """One environment: who is served, by what, and in which order."""
+
+    name: Name
+    priorities: dict[PriorityName, Priority]
+    teams: dict[TeamName, Team]
+    groups: dict[GroupName, Group] = {}
+    models: dict[ModelName, Model] = {}
+    services: dict[ServiceName, Service] = {}
+    upstreams: dict[UpstreamName, Upstream] = {}
+    limits: Limits = Limits()
+    evidence: Evidence = Evidence()
--- /dev/null
+++ b/basilcove/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several subsystems share."""
--- /dev/null
+++ b/basilcove/helpers/hashing.py
@@ -0,0 +1,19 @@
+"""Stable hashes, for jitter and placement without a random number generator."""
+
+import hashlib
+from typing import Final
+
+_DIGEST_BYTES: Final = 8
+_HASH_RANGE: Final = 1 << (8 * _DIGEST_BYTES)
+
+
+def stable_hash(*parts: object) -> int:
+    """Hash the parts' texts to an unsigned 64-bit number, equal in every process."""
+    text = '\x1f'.join(str(part) for part in parts)
+    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
+    return int.from_bytes(digest)
+
+
+def stable_fraction(*parts: object) -> float:
+    """Hash the parts' texts to a number in [0, 1)."""
+    return stable_hash(*parts) / _HASH_RANGE
--- /dev/null
+++ b/basilcove/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of an upstream for each attempt."""
--- /dev/null
+++ b/basilcove/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Links between nodes over gRPC."""
--- /dev/null
+++ b/basilcove/rpc/events.py
@@ -0,0 +1,24 @@
+"""Events and effects of calls by operators."""
+
+from dataclasses import dataclass
+from typing import NewType
+
+from basilcove.core.events import Effect, Event, Message
+
+CallId = NewType('CallId', str)
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorCalled(Event):
+    """An operator's tool asked this node for something."""
+
+    call_id: CallId
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Reply(Effect):
+    """Answers an operator's call; ignored if the call has ended."""
+
+    call_id: CallId
+    message: Message
