Assign the resolved field hints in one target

Cause: flake8 (WPS429) fails on a double assignment. Ruled out: ignoring the rule, as the code reads better without it. Change: two statements.

--- a/basilcove/helpers/codec.py
+++ b/basilcove/helpers/codec.py
@@ -82,7 +82,8 @@
 def _hints(cls: type) -> tuple[tuple[str, Any], ...]:
     known = _HINTS.get(cls)
     if known is None:
-        known = _HINTS[cls] = _resolve_hints(cls)
+        known = _resolve_hints(cls)
+        _HINTS[cls] = known
     return known
 
 
