Allow late imports in benchmarks

Cause: the plotting library is slow to import and is needed only at the end; flake8 (WPS433) refuses the late import and ruff refuses unknown noqa codes. Ruled out: importing it at the top, as every run would pay for it.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -66,10 +66,10 @@
 
 
 def _plot(tables: dict[str, list[Figure]], path: Path) -> None:
-    import matplotlib as mpl  # noqa: PLC0415, WPS433 (slow to import)
+    import matplotlib as mpl
 
     mpl.use('Agg')
-    import matplotlib.pyplot as plt  # noqa: PLC0415, WPS433
+    from matplotlib import pyplot as plt
 
     rows = [(name, figure) for name, figures in tables.items() for figure in figures if _bound(figure)]
     if not rows:
