Add the events, effects and messages of a request's path

The drivers and the reducer need one vocabulary. Load reports are not part of the answers: the generated stubs of nested messages fail the strict type check.

WriteAnswer is added for stored answers, which the reducer holds.

--- /dev/null
+++ b/basilcove/agents/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts at an agent, in front of its upstream."""
--- /dev/null
+++ b/basilcove/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and attempts at an entry."""
--- /dev/null
+++ b/basilcove/requests/events.py
@@ -0,0 +1,154 @@
+"""Events and effects of requests at an entry."""
+
+from dataclasses import dataclass
+
+from basilcove.core.events import Effect, Event
+from basilcove.core.ids import (
+    Incarnation,
+    ModelName,
+    NodeId,
+    Outcome,
+    PriorityName,
+    RequestId,
+    Role,
+    ServiceName,
+    TeamName,
+    UpstreamName,
+    Zone,
+)
+from basilcove.routing.models import UpstreamLoad
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's request, authenticated and within the HTTP limits.
+
+    Exactly one of ``model`` and ``service`` is set. ``path`` is the path at the upstream.
+    ``timeout_s`` is the time until the deadline, ``work`` the estimate in tokens (prompt and
+    generated). Header names are in lower case. ``prefix`` holds the hashes of the prompt's blocks.
+    """
+
+    request_id: RequestId
+    team: TeamName
+    priority: PriorityName
+    model: ModelName | None
+    service: ServiceName | None
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    timeout_s: float
+    work: float = 1
+    stream: bool = False
+    idempotency_key: str | None = None
+    traceparent: str = ''
+    prefix: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request got no answer, as the caller is told.
+
+    ``outcome`` is ``NOT_RUN`` only if no attempt of the request ran or can still run.
+    """
+
+    status: int
+    outcome: Outcome
+    reason: str
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived(Event):
+    """A caller sent a request."""
+
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone(Event):
+    """The caller closed the connection before the answer's end."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamJoined(Event):
+    """An upstream was admitted, or its agent restarted, or what it serves changed."""
+
+    upstream: UpstreamName
+    agent: NodeId
+    incarnation: Incarnation
+    zone: Zone
+    models: frozenset[ModelName]
+    services: frozenset[ServiceName]
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaving(Event):
+    """An upstream gets no new attempts; those in flight go on."""
+
+    upstream: UpstreamName
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLost(Event):
+    """An upstream is no longer known."""
+
+    upstream: UpstreamName
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamReported(Event):
+    """An upstream's load report arrived outside of an answer."""
+
+    upstream: UpstreamName
+    load: UpstreamLoad
+
+
+@dataclass(frozen=True, slots=True)
+class StartAnswer(Effect):
+    """Sends status and headers to the caller."""
+
+    request_id: RequestId
+    status: int
+    headers: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class WriteAnswer(Effect):
+    """Sends a part of the body that the reducer held, such as a stored answer."""
+
+    request_id: RequestId
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class EndAnswer(Effect):
+    """Ends the caller's answer, which is complete."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class BreakAnswer(Effect):
+    """Ends an answer that has begun and can't be completed."""
+
+    request_id: RequestId
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseRequest(Effect):
+    """Answers a request of which the caller has no byte yet with a refusal."""
+
+    request_id: RequestId
+    refusal: Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class StopCompleted(Effect):
+    """The role has ended all its work after ``StopRequested``."""
+
+    role: Role
