--- /dev/null
+++ b/basilcove/helpers/metrics.py
@@ -0,0 +1,53 @@
+"""Metrics of a process, kept by prometheus_client."""
+
+from collections.abc import Callable
+from typing import Final
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from basilcove.core.events import Count
+from basilcove.core.runtime import carries_out
+
+_LATENCY_BUCKETS_S: Final = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.45, 1, 2.5, 5, 10, 30, 60)
+
+
+class Metrics:
+    """Counters by name and labels; the driver of ``Count``."""
+
+    def __init__(self) -> None:
+        """Start with an empty registry of its own."""
+        self.registry = CollectorRegistry()
+        self._counters: dict[str, Counter] = {}
+        self.first_byte_s = Histogram(
+            'basilcove_first_byte_seconds',
+            'Time from a request to the first byte of its answer.',
+            ('priority',),
+            registry=self.registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
+
+    def count(self, name: str, labels: tuple[tuple[str, str], ...], amount: float) -> None:
+        """Add to a counter; its label names are those of the first call."""
+        counter = self._counters.get(name)
+        if counter is None:
+            names = [label for label, _ in labels]
+            counter = Counter(f'basilcove_{name}', name.replace('_', ' '), names, registry=self.registry)
+            self._counters[name] = counter
+        if labels:
+            counter.labels(**dict(labels)).inc(amount)
+        else:
+            counter.inc(amount)
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Register a gauge that is read at each scrape."""
+        Gauge(f'basilcove_{name}', text, registry=self.registry).set_function(read)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
+
+
+@carries_out(Count, Metrics)
+def count(metrics: Metrics, effect: Count) -> None:
+    """Add to a counter."""
+    metrics.count(effect.name, effect.labels, effect.amount)
--- /dev/null
+++ b/basilcove/helpers/traces.py
@@ -0,0 +1,107 @@
+"""Trace spans for each hop of a request."""
+
+import enum
+import json
+import sys
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Final, TextIO
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import BatchSpanProcessor, SpanExporter, SpanExportResult
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+from pydantic import BaseModel, ConfigDict
+
+_PROPAGATOR: Final = TraceContextTextMapPropagator()
+
+
+class Exporter(enum.Enum):
+    """Where spans go."""
+
+    NONE = 'none'
+    FILE = 'file'
+    STDERR = 'stderr'
+
+
+class TraceConfig(BaseModel):
+    """Which exporter takes the spans; ``path`` is for the exporter ``file``."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    exporter: Exporter = Exporter.NONE
+    path: Path | None = None
+
+
+class JsonLinesExporter(SpanExporter):
+    """Writes each span as one JSON object a line."""
+
+    def __init__(self, output: TextIO) -> None:
+        """Write to an open text file."""
+        self._output = output
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write the spans."""
+        for span in spans:
+            self._output.write(json.dumps(json.loads(span.to_json()), separators=(',', ':')))
+            self._output.write('\n')
+        self._output.flush()
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file unless it is standard error."""
+        if self._output is not sys.stderr:
+            self._output.close()
+
+
+class Tracing:
+    """The tracer of one process."""
+
+    def __init__(self, cfg: TraceConfig, node: str) -> None:
+        """Open the exporter's output; without an exporter spans are not recorded."""
+        self._provider: TracerProvider | None = None
+        output = _open_output(cfg)
+        if output is not None:
+            resource = Resource.create({'service.name': 'basilcove', 'service.instance.id': node})
+            self._provider = TracerProvider(resource=resource, shutdown_on_exit=False)
+            self._provider.add_span_processor(BatchSpanProcessor(JsonLinesExporter(output)))
+
+    @property
+    def is_recording(self) -> bool:
+        """Tell whether spans go anywhere."""
+        return self._provider is not None
+
+    def start(self, name: str, traceparent: str, fields: Mapping[str, str]) -> trace.Span:
+        """Start a span below the given W3C trace context (empty: a new trace)."""
+        if self._provider is None:
+            return trace.INVALID_SPAN
+        parent = _PROPAGATOR.extract({'traceparent': traceparent}) if traceparent else None
+        tracer = self._provider.get_tracer('basilcove')
+        return tracer.start_span(name, context=parent, attributes=dict(fields))
+
+    def unload(self) -> None:
+        """Export what is buffered and close the output."""
+        if self._provider is not None:
+            self._provider.shutdown()
+
+
+def traceparent_of(span: trace.Span, otherwise: str) -> str:
+    """Return the W3C header of a span's context, or the other text if it isn't recorded."""
+    carrier: dict[str, str] = {}
+    _PROPAGATOR.inject(carrier, trace.set_span_in_context(span))
+    return carrier.get('traceparent', otherwise)
+
+
+def trace_id_of(traceparent: str) -> str:
+    """Return the trace id of a W3C header; empty if there is none."""
+    fields = traceparent.split('-')
+    return fields[1] if len(fields) > 2 else ''
+
+
+def _open_output(cfg: TraceConfig) -> TextIO | None:
+    if cfg.exporter is Exporter.STDERR:
+        return sys.stderr
+    if cfg.exporter is Exporter.FILE and cfg.path is not None:
+        return cfg.path.open('a', encoding='utf-8')
+    return None
--- /dev/null
+++ b/basilcove/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and upstreams."""
--- /dev/null
+++ b/basilcove/http/callers.py
@@ -0,0 +1,277 @@
+"""HTTP server for callers, on cheroot."""
+
+import queue
+import threading
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, replace
+from http import HTTPStatus
+from typing import Any, Final, Self
+
+from cheroot import wsgi
+from loguru import logger
+
+from basilcove.core.events import Event
+from basilcove.core.ids import Outcome, TeamName
+from basilcove.environment.models import Environment
+from basilcove.helpers.metrics import Metrics
+from basilcove.helpers.traces import Tracing, trace_id_of, traceparent_of
+from basilcove.http.answers import AnswerTable, Body, Broken, Complete, Head, Part, Refused
+from basilcove.http.config import HttpConfig
+from basilcove.http.const import (
+    ANSWER_GRACE_S,
+    EVENT_STREAM,
+    MAX_HEADER_BYTES,
+    SOCKET_TIMEOUT_S,
+    SPARE_THREADS,
+)
+from basilcove.http.parsing import HttpCall, parse_call
+from basilcove.http.problems import ClientFault, error_event, refusal_of
+from basilcove.http.replies import Start, refuse, reply, reply_json, status_line
+from basilcove.http.sse import DONE_EVENT
+from basilcove.requests.events import CallerGone, Refusal, Request, RequestArrived
+
+_BEARER: Final = 'Bearer '
+_RETRY_WHEN_FULL_S: Final = 1.0
+
+
+@dataclass(frozen=True)
+class Gate:
+    """What is needed to check a request: the document and the teams of its keys."""
+
+    environment: Environment
+    find_team: Callable[[str], TeamName | None]
+
+
+class CallerServer:
+    """Serves callers; each open answer holds one thread."""
+
+    def __init__(self, cfg: HttpConfig, answers: AnswerTable, metrics: Metrics, tracing: Tracing) -> None:
+        """Bind once set up; requests are refused until a document is in effect."""
+        self._cfg = cfg
+        self._answers = answers
+        self._metrics = metrics
+        self._tracing = tracing
+        self._gate: Gate | None = None
+        self._slots = threading.BoundedSemaphore(cfg.max_streams)
+        self._post: Callable[[Event], None] | None = None
+        self._not_ready: Callable[[], list[str]] = list
+        self._server: wsgi.Server | None = None
+        self._thread: threading.Thread | None = None
+
+    @classmethod
+    def from_config(cls, cfg: HttpConfig, answers: AnswerTable, metrics: Metrics, tracing: Tracing) -> Self:
+        """Build the server of an entry."""
+        return cls(cfg, answers, metrics, tracing)
+
+    def setup(self, post: Callable[[Event], None], not_ready: Callable[[], list[str]]) -> None:
+        """Bind and serve; ``not_ready`` returns the reasons for which the node is not ready."""
+        self._post = post
+        self._not_ready = not_ready
+        host, _, port = self._cfg.listen.rpartition(':')
+        threads = self._cfg.max_streams + SPARE_THREADS
+        server = wsgi.Server((host, int(port)), self._serve, numthreads=threads, max=threads)
+        server.timeout = SOCKET_TIMEOUT_S
+        server.max_request_header_size = MAX_HEADER_BYTES
+        server.max_request_body_size = self._cfg.max_body_bytes
+        server.prepare()
+        self._server = server
+        self._thread = threading.Thread(target=server.serve, name='callers', daemon=True)
+        self._thread.start()
+
+    def unload(self) -> None:
+        """Stop serving; answers in progress are cut off, so stop only when none is open."""
+        if self._server is not None:
+            self._server.stop()
+
+    def change_gate(self, gate: Gate) -> None:
+        """Check requests against another document from now on."""
+        self._gate = gate
+
+    @property
+    def open_answers(self) -> int:
+        """Return how many requests have not been answered to their end."""
+        return len(self._answers)
+
+    def _serve(self, environ: dict[str, Any], start: Start) -> Iterable[bytes]:
+        path = environ['PATH_INFO']
+        if path == '/healthz':
+            return reply(start, HTTPStatus.OK, b'ok\n', 'text/plain')
+        if path == '/readyz':
+            return self._serve_readiness(start)
+        if path == '/metrics':
+            return reply(start, HTTPStatus.OK, self._metrics.render(), 'text/plain; version=0.0.4')
+        if not self._slots.acquire(blocking=False):
+            reason = f'all {self._cfg.max_streams} answers of this entry are taken'
+            self._metrics.count('requests_refused', (('reason', 'streams'),), 1)
+            return refuse(
+                start, Refusal(HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN, reason, _RETRY_WHEN_FULL_S)
+            )
+        try:
+            answer = self._answer(environ, start)
+        except BaseException:
+            self._slots.release()
+            raise
+        if isinstance(answer, _AnswerStream):
+            return answer
+        self._slots.release()
+        return answer
+
+    def _serve_readiness(self, start: Start) -> Iterable[bytes]:
+        reasons = self._not_ready()
+        status = HTTPStatus.SERVICE_UNAVAILABLE if reasons else HTTPStatus.OK
+        return reply_json(start, status, {'ready': not reasons, 'reasons': reasons})
+
+    def _answer(self, environ: dict[str, Any], start: Start) -> 'Iterable[bytes] | _AnswerStream':
+        gate = self._gate
+        if gate is None:
+            return refuse(
+                start,
+                Refusal(HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN, 'no document is in effect yet', 1),
+            )
+        call = _read_call(environ)
+        team = _find_team(call, gate)
+        req = parse_call(call, gate.environment, team)
+        if isinstance(req, ClientFault):
+            self._metrics.count('requests_refused', (('reason', 'client'),), 1)
+            return refuse(start, refusal_of(req))
+        return self._exchange(req, start)
+
+    def _exchange(self, req: Request, start: Start) -> 'Iterable[bytes] | _AnswerStream':
+        fields = {'request_id': req.request_id, 'team': req.team, 'priority': req.priority}
+        span = self._tracing.start('entry', req.traceparent, fields)
+        req = replace(req, traceparent=traceparent_of(span, req.traceparent))
+        exchange = _Exchange(req, self._answers, self._post_event)
+        started = time.monotonic()
+        first = exchange.next_part()
+        self._metrics.first_byte_s.labels(req.priority).observe(time.monotonic() - started)
+        try:
+            return self._relay(exchange, first, start)
+        finally:
+            span.end()
+
+    def _relay(self, exchange: '_Exchange', first: Part, start: Start) -> 'Iterable[bytes] | _AnswerStream':
+        request_id = exchange.req.request_id
+        if isinstance(first, Head) and first.headers.get('Content-Type', '').startswith(EVENT_STREAM):
+            headers = [('Content-Type', EVENT_STREAM), ('Cache-Control', 'no-store')]
+            start(status_line(first.status), [*headers, ('X-Basilcove-Request-Id', request_id)])
+            return _AnswerStream(exchange, self._slots.release)
+        content, last = exchange.collect()
+        exchange.close()
+        trace_id = trace_id_of(exchange.req.traceparent)
+        logger.bind(request_id=request_id, trace_id=trace_id).debug('request ended')
+        if isinstance(first, Refused):
+            return refuse(start, first.refusal, request_id)
+        if not isinstance(first, Head) or not isinstance(last, Complete):
+            reason = last.reason if isinstance(last, Broken) else 'the answer has no end'
+            return refuse(start, Refusal(HTTPStatus.BAD_GATEWAY, Outcome.UNKNOWN, reason), request_id)
+        headers = [(name, text) for name, text in first.headers.items() if name.lower() != 'content-length']
+        headers += [('Content-Length', str(len(content))), ('X-Basilcove-Request-Id', request_id)]
+        start(status_line(first.status), headers)
+        return [content]
+
+    def _post_event(self, event: Event) -> None:
+        if self._post is not None:
+            self._post(event)
+
+
+class _Exchange:
+    """One request that was posted and the parts of its answer."""
+
+    def __init__(self, req: Request, answers: AnswerTable, post: Callable[[Event], None]) -> None:
+        self.req = req
+        self._answers = answers
+        self._post = post
+        self._give_up_at = time.monotonic() + req.timeout_s + ANSWER_GRACE_S
+        self._is_ended = False
+        self._parts = answers.open(req.request_id)
+        post(RequestArrived(req))
+
+    def next_part(self) -> Part:
+        """Wait for the next part; past the deadline and its grace the outcome is unknown."""
+        try:
+            part = self._parts.get(timeout=max(0, self._give_up_at - time.monotonic()))
+        except queue.Empty:
+            part = Refused(
+                Refusal(HTTPStatus.GATEWAY_TIMEOUT, Outcome.UNKNOWN, 'no decision within the deadline')
+            )
+            self._post(CallerGone(self.req.request_id))
+        self._is_ended = isinstance(part, Complete | Broken | Refused)
+        return part
+
+    def collect(self) -> tuple[bytes, Part | None]:
+        """Return the whole body that follows and the part that ended it."""
+        content = bytearray()
+        last: Part | None = None
+        while not self._is_ended:
+            last = self.next_part()
+            if isinstance(last, Body):
+                content += last.content
+        return bytes(content), last
+
+    def close(self) -> None:
+        """Forget the request; the reducer is told if the answer had not ended."""
+        self._answers.close(self.req.request_id)
+        if not self._is_ended:
+            self._is_ended = True
+            self._post(CallerGone(self.req.request_id))
+
+
+class _AnswerStream:
+    """A streamed answer, as cheroot iterates and closes it."""
+
+    def __init__(self, exchange: _Exchange, release: Callable[[], None]) -> None:
+        self._exchange = exchange
+        self._release: Callable[[], None] | None = release
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield whole events; the stream ends in ``[DONE]`` only if it is complete."""
+        while True:
+            part = self._exchange.next_part()
+            if isinstance(part, Body):
+                yield part.content
+                continue
+            if isinstance(part, Complete):
+                yield DONE_EVENT
+            else:
+                yield error_event(_reason_of(part), self._exchange.req.request_id)
+            return
+
+    def close(self) -> None:
+        """End the exchange and free its slot."""
+        self._exchange.close()
+        release = self._release
+        self._release = None
+        if release is not None:
+            release()
+
+
+def _reason_of(part: Part) -> str:
+    if isinstance(part, Broken):
+        return part.reason
+    return part.refusal.reason if isinstance(part, Refused) else 'the answer has no end'
+
+
+def _read_call(environ: dict[str, Any]) -> HttpCall:
+    headers = {
+        name.removeprefix('HTTP_').replace('_', '-').lower(): text
+        for name, text in environ.items()
+        if name.startswith('HTTP_')
+    }
+    if environ.get('CONTENT_TYPE'):
+        headers['content-type'] = environ['CONTENT_TYPE']
+    path = environ.get('REQUEST_URI', environ['PATH_INFO']).partition('?')[0]
+    return HttpCall(
+        method=environ['REQUEST_METHOD'],
+        path=path,
+        query=environ.get('QUERY_STRING', ''),
+        headers=headers,
+        body=environ['wsgi.input'].read(),
+    )
+
+
+def _find_team(call: HttpCall, gate: Gate) -> TeamName | None:
+    authorization = call.headers.get('authorization', '')
+    if not authorization.startswith(_BEARER):
+        return None
+    return gate.find_team(authorization.removeprefix(_BEARER).strip())
--- /dev/null
+++ b/basilcove/http/config.py
@@ -0,0 +1,25 @@
+"""Settings of the HTTP interfaces."""
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from basilcove.http.const import MAX_BODY_BYTES
+
+
+class HttpConfig(BaseModel):
+    """Where an entry listens for callers and how many answers it streams at once."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    listen: str
+    max_streams: int = Field(64, gt=0, le=4096)
+    max_body_bytes: int = Field(MAX_BODY_BYTES, gt=0)
+
+
+class AnnounceConfig(BaseModel):
+    """Where an agent listens for the upstream on its host."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    listen: str
+    max_calls: int = Field(64, gt=0, le=4096)
+    progress_timeout_s: float = Field(30, gt=0)
--- /dev/null
+++ b/basilcove/http/problems.py
@@ -0,0 +1,47 @@
+"""Refusals as problem+json (RFC 9457)."""
+
+import json
+import math
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from basilcove.core.ids import Outcome
+from basilcove.requests.events import Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class ClientFault:
+    """A request that the caller must change; it was not run."""
+
+    status: int
+    reason: str
+
+
+def problem_of(refusal: Refusal) -> dict[str, object]:
+    """Return the problem object of a refusal."""
+    return {
+        'type': f'urn:basilcove:{refusal.outcome.value}',
+        'title': HTTPStatus(refusal.status).phrase,
+        'status': refusal.status,
+        'detail': refusal.reason,
+        'outcome': refusal.outcome.value,
+    }
+
+
+def headers_of(refusal: Refusal) -> list[tuple[str, str]]:
+    """Return Retry-After, in whole seconds rounded up, where a retry may help."""
+    if refusal.retry_after_s is None:
+        return []
+    return [('Retry-After', str(max(1, math.ceil(refusal.retry_after_s))))]
+
+
+def refusal_of(fault: ClientFault) -> Refusal:
+    """Return the refusal that tells a caller of their fault."""
+    return Refusal(fault.status, Outcome.NOT_RUN, fault.reason)
+
+
+def error_event(reason: str, request_id: str) -> bytes:
+    """Return the event that ends a stream which can't be completed."""
+    refusal = Refusal(HTTPStatus.BAD_GATEWAY, Outcome.UNKNOWN, reason)
+    content = {'error': problem_of(refusal) | {'instance': request_id}}
+    return f'event: error\ndata: {json.dumps(content)}\n\n'.encode()
--- /dev/null
+++ b/basilcove/http/upstreams.py
@@ -0,0 +1,218 @@
+"""Calls upstreams by urllib3, each on a thread of a bounded pool."""
+
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from typing import Final
+
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.response import BaseHTTPResponse
+
+from basilcove.agents.events import (
+    CallUpstream,
+    UpstreamAnswered,
+    UpstreamFailed,
+    UpstreamFinished,
+    UpstreamProgressed,
+)
+from basilcove.core.events import Event
+from basilcove.core.ids import AttemptId, NodeId
+from basilcove.http.const import CONNECT_TIMEOUT_S, EVENT_STREAM, READ_CHUNK_BYTES
+from basilcove.http.sse import EventSplitter
+from basilcove.requests.messages import AnswerChunk, StartAttempt
+
+_PROGRESS_INTERVAL_S: Final = 0.25
+_HOP_HEADERS: Final = frozenset(
+    ('connection', 'keep-alive', 'transfer-encoding', 'content-length', 'te', 'trailer', 'upgrade'),
+)
+_NEVER_SENT: Final = (NewConnectionError, ConnectTimeoutError)
+
+SendChunk = Callable[[NodeId, AnswerChunk], None]
+Post = Callable[[Event], None]
+OnLoop = Callable[[Callable[[], None]], None]
+
+
+@dataclass
+class _Call:
+    """One call in progress; the loop's thread takes what the reading thread buffers."""
+
+    effect: CallUpstream
+    is_cancelled: bool = False
+    response: BaseHTTPResponse | None = None
+    buffered: list[tuple[bytes, int]] = field(default_factory=list)
+    chunks: int = 0
+    length: int = 0
+    tokens: int = 0
+    progressed_at: float = 0.0
+
+
+class UpstreamClient:
+    """Carries out calls to the upstream of this host."""
+
+    def __init__(self, max_calls: int, progress_timeout_s: float) -> None:
+        """Bound the calls at once and the silence of the upstream, in seconds."""
+        self._pool = ThreadPoolExecutor(max_calls, thread_name_prefix='upstream')
+        self._progress_timeout_s = progress_timeout_s
+        self._connections = urllib3.PoolManager(maxsize=max_calls, retries=False)
+        self._base_url = ''
+        self._calls: dict[AttemptId, _Call] = {}
+        self._lock = threading.Lock()
+        self._post: Post | None = None
+        self._on_loop: OnLoop | None = None
+        self._send_chunk: SendChunk | None = None
+
+    def setup(self, post: Post, on_loop: OnLoop, send_chunk: SendChunk) -> None:
+        """Take the ways to the reducer, to the loop's thread and to the link."""
+        self._post = post
+        self._on_loop = on_loop
+        self._send_chunk = send_chunk
+
+    def unload(self) -> None:
+        """Cancel all calls and end the threads."""
+        for attempt_id in tuple(self._calls):
+            self.cancel(attempt_id)
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def target(self, base_url: str) -> None:
+        """Call the upstream at this URL from now on."""
+        self._base_url = base_url
+
+    def call(self, effect: CallUpstream) -> None:
+        """Start a call; its events follow."""
+        call = _Call(effect)
+        self._calls[effect.attempt.attempt_id] = call
+        self._pool.submit(self._run, call)
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Break off a call; it ends with ``UpstreamFailed`` unless it already ended."""
+        call = self._calls.get(attempt_id)
+        if call is None:
+            return
+        with self._lock:
+            call.is_cancelled = True
+            response = call.response
+        if response is not None:
+            response.shutdown()
+
+    def _run(self, call: _Call) -> None:
+        try:
+            self._exchange(call)
+        except _NEVER_SENT as exc:
+            self._fail(call, str(exc), sent=False)
+        except (HTTPError, OSError, ValueError) as exc:
+            self._fail(call, str(exc), sent=True)
+
+    def _exchange(self, call: _Call) -> None:
+        if call.is_cancelled:
+            self._fail(call, 'cancelled', sent=False)
+            return
+        response = self._open(call.effect.attempt)
+        with self._lock:
+            call.response = response
+        try:
+            self._read(call, response)
+        finally:
+            response.release_conn()
+
+    def _open(self, attempt: StartAttempt) -> BaseHTTPResponse:
+        # A kept connection may be closed by the upstream while the call is being sent, which leaves the
+        # outcome unknown; a call that may not repeat therefore gets a new connection.
+        manager = self._connections if attempt.repeatable else urllib3.PoolManager(retries=False)
+        return manager.urlopen(
+            attempt.method,
+            f'{self._base_url}{attempt.path}',
+            body=attempt.body or None,
+            headers=_headers_of(attempt),
+            preload_content=False,
+            redirect=False,
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=self._progress_timeout_s),
+        )
+
+    def _read(self, call: _Call, response: BaseHTTPResponse) -> None:
+        attempt_id = call.effect.attempt.attempt_id
+        headers = {name: text for name, text in response.headers.items() if name.lower() not in _HOP_HEADERS}
+        is_stream = response.headers.get('Content-Type', '').startswith(EVENT_STREAM)
+        splitter = EventSplitter() if is_stream else None
+        self._post_event(UpstreamAnswered(attempt_id, response.status, headers))
+        while received := response.read1(READ_CHUNK_BYTES):
+            if call.is_cancelled:
+                break
+            body, tokens = splitter.feed(received) if splitter else (received, 0)
+            if body:
+                self._buffer(call, body, tokens)
+        fault = _fault_of_end(call, response, splitter)
+        if fault:
+            self._fail(call, fault, sent=True)
+        else:
+            self._run_on_loop(lambda: self._finish(call))
+
+    def _buffer(self, call: _Call, body: bytes, tokens: int) -> None:
+        with self._lock:
+            is_scheduled = bool(call.buffered)
+            call.buffered.append((body, tokens))
+        if not is_scheduled:
+            self._run_on_loop(lambda: self._flush(call))
+
+    def _flush(self, call: _Call) -> None:
+        with self._lock:
+            parts = call.buffered
+            call.buffered = []
+        if not parts or self._send_chunk is None:
+            return
+        body = b''.join(part for part, _ in parts)
+        tokens = sum(count for _, count in parts)
+        chunk = AnswerChunk(call.effect.attempt.attempt_id, call.chunks, body, tokens)
+        self._send_chunk(call.effect.entry, chunk)
+        call.chunks += 1
+        call.length += len(body)
+        call.tokens += tokens
+        now = time.monotonic()
+        if now - call.progressed_at > _PROGRESS_INTERVAL_S:
+            call.progressed_at = now
+            self._post_event(UpstreamProgressed(call.effect.attempt.attempt_id, call.chunks, call.tokens))
+
+    def _finish(self, call: _Call) -> None:
+        self._flush(call)
+        self._calls.pop(call.effect.attempt.attempt_id, None)
+        self._post_event(UpstreamFinished(call.effect.attempt.attempt_id, call.chunks, call.length))
+
+    def _fail(self, call: _Call, reason: str, *, sent: bool) -> None:
+        self._run_on_loop(lambda: self._end_failed(call, reason, sent))
+
+    def _end_failed(self, call: _Call, reason: str, sent: bool) -> None:
+        self._flush(call)
+        self._calls.pop(call.effect.attempt.attempt_id, None)
+        self._post_event(UpstreamFailed(call.effect.attempt.attempt_id, reason, sent))
+
+    def _post_event(self, event: Event) -> None:
+        if self._post is not None:
+            self._post(event)
+
+    def _run_on_loop(self, action: Callable[[], None]) -> None:
+        if self._on_loop is not None:
+            self._on_loop(action)
+
+
+def _headers_of(attempt: StartAttempt) -> dict[str, str]:
+    headers = {name: text for name, text in attempt.headers.items() if name not in _HOP_HEADERS}
+    headers['x-basilcove-request-id'] = attempt.request_id
+    if attempt.token_offset:
+        headers['x-resume-token-offset'] = str(attempt.token_offset)
+    if attempt.traceparent:
+        headers['traceparent'] = attempt.traceparent
+    return headers
+
+
+def _fault_of_end(call: _Call, response: BaseHTTPResponse, splitter: EventSplitter | None) -> str:
+    """Say why an answer that ended is not whole; empty if it is."""
+    if call.is_cancelled:
+        return 'cancelled'
+    if splitter is not None:
+        return '' if splitter.is_done and splitter.is_clean else 'the stream ended without its end mark'
+    if 'Content-Length' in response.headers or response.headers.get('Transfer-Encoding') == 'chunked':
+        return ''
+    return 'the answer has neither a length nor an end mark'
--- /dev/null
+++ b/basilcove/rpc/dialer.py
@@ -0,0 +1,71 @@
+"""Keeps a link open to each seed."""
+
+import asyncio
+from typing import Self
+
+import grpc
+from loguru import logger
+
+from basilcove.exceptions import BasilcoveError
+from basilcove.rpc import rpc_pb2 as pb
+from basilcove.rpc import rpc_pb2_grpc
+from basilcove.rpc.config import RpcConfig
+from basilcove.rpc.const import CONNECT_TIMEOUT_S, RECONNECT_MAX_S, RECONNECT_MIN_S
+from basilcove.rpc.envelopes import introduce
+from basilcove.rpc.exceptions import LinkError
+from basilcove.rpc.links import LinkTable
+from basilcove.rpc.messages import Heartbeat
+from basilcove.rpc.seeds import Seed
+from basilcove.rpc.tls import open_channel
+
+
+class Dialer:
+    """Dials every seed and dials again, on a new connection, when a link ends."""
+
+    def __init__(self, cfg: RpcConfig, table: LinkTable) -> None:
+        """Take addresses and credentials from settings."""
+        self._cfg = cfg
+        self._table = table
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @classmethod
+    def from_config(cls, cfg: RpcConfig, table: LinkTable) -> Self:
+        """Build the dialer of a node."""
+        return cls(cfg, table)
+
+    async def setup(self) -> None:
+        """Start dialing."""
+        for text in self._cfg.seeds:
+            self._tasks.append(asyncio.create_task(self._keep(Seed.from_config(text))))
+
+    async def unload(self) -> None:
+        """Stop dialing and end the links."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+
+    async def _keep(self, seed: Seed) -> None:
+        delay = RECONNECT_MIN_S
+        while True:
+            try:
+                await self._dial(seed)
+            except (BasilcoveError, grpc.RpcError, OSError) as exc:
+                logger.debug('link to {} ended: {}', seed.address, exc)
+                delay = min(delay * 2, RECONNECT_MAX_S)
+            else:
+                delay = RECONNECT_MIN_S
+            await asyncio.sleep(delay)
+
+    async def _dial(self, seed: Seed) -> None:
+        channel = open_channel(self._cfg, seed)
+        try:
+            await asyncio.wait_for(channel.channel_ready(), CONNECT_TIMEOUT_S)
+            call = rpc_pb2_grpc.NodeStub(channel).Link()
+            await call.write(self._table.identity.wrap(Heartbeat(self._table.identity.zone)))
+            first = await asyncio.wait_for(call.read(), CONNECT_TIMEOUT_S)
+            if not isinstance(first, pb.Envelope):
+                raise LinkError(f'{seed.address} closed the link at once')
+            await self._table.run(introduce(first, seed.common_name), call)
+        finally:
+            await channel.close()
--- /dev/null
+++ b/basilcove/rpc/driver.py
@@ -0,0 +1,19 @@
+"""Carries out the effects that leave through links and operator calls."""
+
+from basilcove.core.events import Send
+from basilcove.core.runtime import carries_out
+from basilcove.rpc.events import Reply
+from basilcove.rpc.links import LinkTable
+from basilcove.rpc.server import OperatorServicer
+
+
+@carries_out(Send, LinkTable)
+def send(table: LinkTable, effect: Send) -> None:
+    """Queue a message on a link."""
+    table.send(effect.node, effect.message)
+
+
+@carries_out(Reply, OperatorServicer)
+def reply(operators: OperatorServicer, effect: Reply) -> None:
+    """Answer an operator's call."""
+    operators.reply(effect.call_id, effect.message)
--- /dev/null
+++ b/basilcove/settings.py
@@ -0,0 +1,117 @@
+"""Settings of one process, read from YAML."""
+
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from basilcove.core.ids import EnvironmentName, NodeId, Role, Stage, Zone
+from basilcove.exceptions import BasilcoveError
+from basilcove.helpers.traces import TraceConfig
+from basilcove.http.config import AnnounceConfig, HttpConfig
+from basilcove.rpc.config import RpcConfig
+
+
+class SettingsError(BasilcoveError):
+    """The settings file can't be used; the text names every fault with its line."""
+
+
+class ControlConfig(BaseModel):
+    """Settings of the role ``control``."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    data_folder: Path
+    cluster: str
+    bootstrap: tuple[NodeId, ...] = ()
+
+
+class Settings(BaseModel):
+    """Settings of one process; ``stop_timeout_s`` bounds a graceful stop."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    node: NodeId = Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')
+    zone: Zone
+    roles: tuple[Role, ...] = Field(min_length=1)
+    environment: EnvironmentName
+    stage: Stage
+    rpc: RpcConfig
+    control: ControlConfig | None = None
+    http: HttpConfig | None = None
+    agent: AnnounceConfig | None = None
+    traces: TraceConfig = TraceConfig()
+    log_level: str = Field('INFO', pattern='^(DEBUG|INFO|WARNING|ERROR)$')
+    stop_timeout_s: float = Field(600, gt=0)
+    control_hosts: int = Field(3, ge=1, le=7)
+
+    @model_validator(mode='after')
+    def _check_roles(self) -> 'Settings':
+        sections = {Role.CONTROL: self.control, Role.ENTRY: self.http, Role.AGENT: self.agent}
+        names = {Role.CONTROL: 'control', Role.ENTRY: 'http', Role.AGENT: 'agent'}
+        for role in self.roles:
+            if role not in sections:
+                raise ValueError(f'{role.value} is no role of a daemon')
+            if sections[role] is None:
+                raise ValueError(f'role {role.value} needs the section {names[role]}')
+        return self
+
+
+@dataclass(frozen=True)
+class _Lines:
+    by_path: dict[tuple[Any, ...], int]
+
+    def of(self, path: tuple[Any, ...]) -> int:
+        """Return the line of a path or of its nearest parent."""
+        while path and path not in self.by_path:
+            path = path[:-1]
+        return self.by_path.get(path, 1)
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and validate settings; SettingsError lists every fault as ``line: path: fault``."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as exc:
+        raise SettingsError(f'{path}: {exc.strerror}') from exc
+    try:
+        content = yaml.safe_load(text)
+        lines = _Lines(_lines_of(yaml.compose(text, yaml.SafeLoader)))
+    except yaml.YAMLError as exc:
+        raise SettingsError(f'{path}: {exc}') from exc
+    try:
+        return Settings.model_validate(content)
+    except ValidationError as exc:
+        raise SettingsError(_describe(path, exc, lines)) from exc
+
+
+def new_incarnation() -> int:
+    """Return the number of this process start: microseconds since the epoch."""
+    return time.time_ns() // 1000
+
+
+def _describe(path: Path, exc: ValidationError, lines: _Lines) -> str:
+    faults = []
+    for fault in exc.errors():
+        location = fault['loc']
+        key = '.'.join(str(part) for part in location) or 'settings'
+        faults.append(f'{path}:{lines.of(location)}: {key}: {fault["msg"]}')
+    return '\n'.join(faults)
+
+
+def _lines_of(node: yaml.Node | None, path: tuple[Any, ...] = ()) -> dict[tuple[Any, ...], int]:
+    found: dict[tuple[Any, ...], int] = {}
+    if isinstance(node, yaml.MappingNode):
+        for key, child in node.value:
+            child_path = (*path, key.value)
+            found[child_path] = key.start_mark.line + 1
+            found.update(_lines_of(child, child_path))
+    if isinstance(node, yaml.SequenceNode):
+        for index, child in enumerate(node.value):
+            child_path = (*path, index)
+            found[child_path] = child.start_mark.line + 1
+            found.update(_lines_of(child, child_path))
+    return found
--- /dev/null
+++ b/tests/harness/cluster.py
@@ -0,0 +1,210 @@
+"""A whole deployment as plain processes on loopback."""
+
+import json
+import subprocess
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import urllib3
+import yaml
+
+from tests.harness.processes import ROOT, Process, free_address, wait_for
+
+ZONES = ('collie-depot', 'donnybrook-depot', 'bunbury-office')
+ENVIRONMENT = 'demo'
+
+
+@dataclass(frozen=True)
+class UpstreamSpec:
+    """A stand-in and what it serves."""
+
+    name: str
+    module: str
+    zone: str
+    models: str = ''
+    services: str = ''
+
+
+DEMO_UPSTREAMS = (
+    UpstreamSpec('engine-1', 'tests.standins.engine', ZONES[0], models='rider-assistant'),
+    UpstreamSpec('hire-1', 'tests.standins.service', ZONES[1], services='hire'),
+)
+
+
+@dataclass
+class Addresses:
+    """Where one node or stand-in listens."""
+
+    rpc: str = field(default_factory=free_address)
+    http: str = field(default_factory=free_address)
+
+
+class Cluster:
+    """Control hosts, entries, agents and stand-ins of one environment."""
+
+    def __init__(
+        self,
+        folder: Path,
+        control: int = 3,
+        entries: int = 2,
+        upstreams: Sequence[UpstreamSpec] = DEMO_UPSTREAMS,
+        first_entry: str | None = None,
+    ) -> None:
+        """Choose addresses and write settings; nothing is started yet."""
+        self.folder = folder
+        self.upstreams = {spec.name: spec for spec in upstreams}
+        self.control = [f'control-{number}' for number in range(1, control + 1)]
+        self.entries = [f'entry-{number}' for number in range(1, entries + 1)]
+        self.agents = {f'agent-{spec.name}': spec for spec in upstreams}
+        names = [*self.control, *self.entries, *self.agents, *self.upstreams]
+        self.addresses = {name: Addresses() for name in names}
+        if first_entry is not None:
+            self.addresses[self.entries[0]].http = first_entry
+        self.processes: dict[str, Process] = {}
+        self.http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=2, read=30))
+        for name in (*self.control, *self.entries, *self.agents):
+            self._write_settings(name)
+
+    def __enter__(self) -> 'Cluster':
+        """Return the cluster itself."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """End every process that was started."""
+        for process in self.processes.values():
+            process.kill()
+
+    def start_all(self, document: Path) -> None:
+        """Start everything, apply the document and wait until all is ready."""
+        for name in (*self.control, *self.agents, *self.entries):
+            self.start(name)
+        for name in self.upstreams:
+            self.start_standin(name)
+        wait_for(lambda: self.cli('status', check=False)['exit'] == 0, 'a control leader')
+        self.cli('apply', str(document), '--expected-revision', '0', '--request-id', 'first')
+        self.wait_ready()
+
+    def wait_ready(self) -> None:
+        """Wait until every entry is ready and knows every upstream."""
+        wait_for(lambda: all(self.is_ready(name) for name in self.entries), 'all entries to be ready')
+        wait_for(self._all_joined, 'all upstreams to join')
+
+    def start(self, name: str) -> Process:
+        """Start a daemon, again if it ran before."""
+        settings = self.folder / f'{name}.yaml'
+        return self._start(name, ['basilcove', '--settings', str(settings)])
+
+    def start_standin(self, name: str, credential: str | None = None) -> Process:
+        """Start a stand-in that announces itself to its agent."""
+        spec = self.upstreams[name]
+        arguments = [spec.module, '--name', name, '--listen', self.addresses[name].http]
+        arguments += ['--agent', self.addresses[f'agent-{name}'].http]
+        arguments += ['--credential', credential or f'demo-{name}-credential']
+        arguments += ['--models', spec.models, '--services', spec.services]
+        return self._start(name, arguments)
+
+    def is_ready(self, name: str) -> bool:
+        """Ask a node's readiness endpoint."""
+        try:
+            return self.get(name, '/readyz').status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def get(self, name: str, path: str) -> urllib3.BaseHTTPResponse:
+        """Send GET to a node or stand-in."""
+        return self.http.request('GET', f'http://{self.addresses[name].http}{path}')
+
+    def state_of(self, standin: str) -> dict[str, Any]:
+        """Return what a stand-in recorded."""
+        return dict(self.get(standin, '/standin/state').json())
+
+    def behave(self, standin: str, **behaviour: object) -> None:
+        """Change how a stand-in behaves."""
+        self.http.request('POST', f'http://{self.addresses[standin].http}/standin/behaviour', json=behaviour)
+
+    def call(
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        body: object = None,
+        key: str = 'demo-kiosk-key',
+        headers: dict[str, str] | None = None,
+        **options: Any,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a caller's request to an entry."""
+        all_headers = {'Authorization': f'Bearer {key}', **(headers or {})}
+        url = f'http://{self.addresses[entry].http}{path}'
+        return self.http.request(method, url, json=body, headers=all_headers, **options)
+
+    def cli(self, *arguments: str, check: bool = True, node: str | None = None) -> dict[str, Any]:
+        """Run the operators' tool; return its exit status and JSON output."""
+        nodes = [node] if node else [*self.entries, *self.control]
+        target = ','.join(self.addresses[name].rpc for name in nodes)
+        command = [
+            sys.executable,
+            '-m',
+            'basilcove.cli',
+            *arguments,
+            '--node',
+            target,
+            '--json',
+            '--insecure',
+        ]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
+        if check and done.returncode:
+            raise AssertionError(f'{arguments}: {done.stdout}{done.stderr}')
+        try:
+            content = json.loads(done.stdout)
+        except ValueError:
+            content = {'text': done.stdout + done.stderr}
+        return {'exit': done.returncode, 'content': content}
+
+    def _all_joined(self) -> bool:
+        for name in self.entries:
+            text = self.get(name, '/metrics').data.decode()
+            if f'basilcove_upstreams {float(len(self.upstreams))}' not in text:
+                return False
+        return True
+
+    def _start(self, name: str, arguments: list[str]) -> Process:
+        process = Process(name, arguments, self.folder / f'{name}.log')
+        self.processes[name] = process
+        return process
+
+    def _write_settings(self, name: str) -> None:
+        content: dict[str, Any] = {
+            'node': name,
+            'zone': self._zone_of(name),
+            'environment': ENVIRONMENT,
+            'stage': 'trial',
+            'control_hosts': len(self.control),
+            'rpc': {'listen': self.addresses[name].rpc, 'insecure': True, 'seeds': self._seeds_of(name)},
+            'stop_timeout_s': 20,
+        }
+        if name in self.control:
+            content['roles'] = ['control']
+            data = str(self.folder / name)
+            content['control'] = {'data_folder': data, 'cluster': 'demo', 'bootstrap': self.control}
+        elif name in self.entries:
+            content['roles'] = ['entry']
+            content['http'] = {'listen': self.addresses[name].http}
+        else:
+            content['roles'] = ['agent']
+            content['agent'] = {'listen': self.addresses[name].http}
+        (self.folder / f'{name}.yaml').write_text(yaml.safe_dump(content))
+
+    def _zone_of(self, name: str) -> str:
+        spec = self.agents.get(name)
+        if spec is not None:
+            return spec.zone
+        return ZONES[(int(name.rpartition('-')[2]) - 1) % len(ZONES)]
+
+    def _seeds_of(self, name: str) -> list[str]:
+        peers = list(self.control)
+        if name in self.agents:
+            peers += self.entries
+        return [self.addresses[peer].rpc for peer in peers if peer != name]
--- /dev/null
+++ b/tests/harness/demo.py
@@ -0,0 +1,102 @@
+"""Demonstration: a whole deployment that serves three requests and takes a changed document."""
+
+import argparse
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import yaml
+
+from tests.harness.cluster import Cluster
+from tests.harness.processes import ROOT, wait_for
+
+DOCUMENT = ROOT / 'examples' / 'demo.yaml'
+SERVE_ADDRESS = '127.0.0.1:8080'
+
+
+def main() -> int:
+    """Run the demonstration, or serve until interrupted."""
+    options = argparse.ArgumentParser(description=__doc__)
+    options.add_argument('--serve', action='store_true', help='keep running until Ctrl-C')
+    args = options.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        first_entry = SERVE_ADDRESS if args.serve else None
+        with Cluster(Path(folder), first_entry=first_entry) as cluster:
+            print('starting 3 control, 2 entry and 2 agent processes and 2 stand-ins')
+            cluster.start_all(DOCUMENT)
+            if args.serve:
+                _serve(cluster)
+            else:
+                _demonstrate(cluster, Path(folder))
+    print('all processes ended')
+    return 0
+
+
+def _demonstrate(cluster: Cluster, folder: Path) -> None:
+    body = {'model': 'rider-assistant', 'stream': True, 'max_tokens': 8, 'messages': [_message()]}
+    urgent = {'X-Basilcove-Priority': 'urgent'}
+    answer = cluster.call('entry-1', 'POST', '/v1/chat/completions', body, headers=urgent)
+    events = answer.data.decode().strip().split('\n\n')
+    print(f'streamed model request: {answer.status}, {len(events)} events, last: {events[-1]}')
+    _expect(answer.status == 200 and events[-1] == 'data: [DONE]')
+    answer = cluster.call('entry-2', 'GET', '/services/hire/stock')
+    print(f'stock lookup: {answer.status} {answer.data.decode()}')
+    _expect(answer.status == 200)
+    keyed = {'Idempotency-Key': 'demo-booking-1'}
+    for entry in ('entry-1', 'entry-2'):
+        answer = cluster.call(entry, 'POST', '/services/hire/bookings', {'cart': 'A7'}, headers=keyed)
+        print(f'booking charge through {entry}, same key: {answer.status} {answer.data.decode()}')
+        _expect(answer.status == 201)
+    runs = len(cluster.state_of('hire-1')['bookings'])
+    print(f'booking runs at the service: {runs}')
+    _expect(runs == 1)
+    _change_document(cluster, folder)
+
+
+def _change_document(cluster: Cluster, folder: Path) -> None:
+    content = yaml.safe_load(DOCUMENT.read_text())
+    content['teams']['kiosk']['priorities'] = ['booking']
+    changed = folder / 'changed.yaml'
+    changed.write_text(yaml.safe_dump(content))
+    reply = cluster.cli('apply', str(changed), '--expected-revision', '1', '--request-id', 'second')
+    print(f'changed document applied: {reply["content"]}')
+    started = time.monotonic()
+    body = {'model': 'rider-assistant', 'messages': [_message()]}
+    wait_for(
+        lambda: all(_status(cluster, entry, body) == 403 for entry in cluster.entries),
+        'the changed document at both entries',
+    )
+    print(f'in effect at both entries after {time.monotonic() - started:.2f} s')
+    refused = cluster.cli('promote', 'demo', '--expected-revision', '2', '--request-id', 'third', check=False)
+    print(f'promotion without evidence: exit {refused["exit"]}, {refused["content"]}')
+    _expect(refused['exit'] == 1)
+
+
+def _status(cluster: Cluster, entry: str, body: dict[str, object]) -> int:
+    urgent = {'X-Basilcove-Priority': 'urgent'}
+    return cluster.call(entry, 'POST', '/v1/chat/completions', body, headers=urgent).status
+
+
+def _serve(cluster: Cluster) -> None:
+    for name, address in cluster.addresses.items():
+        print(f'{name:<16} http {address.http:<18} rpc {address.rpc}')
+    print('keys: demo-kiosk-key, demo-workshop-key. Ctrl-C ends all processes.')
+    try:
+        while all(process.is_running for process in cluster.processes.values()):
+            time.sleep(1)
+    except KeyboardInterrupt:
+        print('stopping')
+
+
+def _message() -> dict[str, str]:
+    return {'role': 'user', 'content': 'Is the track past the mill open?'}
+
+
+def _expect(met: bool) -> None:
+    if not met:
+        sys.exit('the demonstration failed: the result above is not the expected one')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/harness/processes.py
@@ -0,0 +1,95 @@
+"""Child processes of a test, ports of the operating system, and waiting on conditions."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+ResultT = TypeVar('ResultT')
+
+ROOT = Path(__file__).resolve().parents[2]
+WAIT_S = 30.0
+POLL_S = 0.02
+
+
+def free_address() -> str:
+    """Return a loopback address whose port was free just now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def wait_for(condition: Callable[[], ResultT], what: str, timeout_s: float = WAIT_S) -> ResultT:
+    """Poll until the condition is truthy and return it; AssertionError after the timeout."""
+    give_up_at = time.monotonic() + timeout_s
+    while True:
+        found = condition()
+        if found:
+            return found
+        if time.monotonic() > give_up_at:
+            raise AssertionError(f'waited {timeout_s:g} s for {what}')
+        time.sleep(POLL_S)
+
+
+class Process:
+    """One child process with its log in a file."""
+
+    def __init__(self, name: str, arguments: list[str], log: Path) -> None:
+        """Start ``python -m`` with the arguments."""
+        self.name = name
+        self.log = log
+        environment = {**os.environ, 'PYTHONPATH': str(ROOT), 'PYTHONUNBUFFERED': '1'}
+        with log.open('ab') as output:
+            self._child = subprocess.Popen(
+                [sys.executable, '-m', *arguments],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._child.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self._child.poll() is None
+
+    @property
+    def exit_status(self) -> int | None:
+        """Return the exit status of an ended process."""
+        return self._child.poll()
+
+    def stop(self) -> None:
+        """Ask the process to stop gracefully."""
+        self._signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """End the process at once and wait for its end."""
+        self._signal(signal.SIGKILL)
+        self._child.wait()
+
+    def freeze(self) -> None:
+        """Suspend the process."""
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a suspended process go on."""
+        self._signal(signal.SIGCONT)
+
+    def wait(self, timeout_s: float = WAIT_S) -> int:
+        """Wait for the end and return the exit status."""
+        return self._child.wait(timeout_s)
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.is_running:
+            self._child.send_signal(number)
--- /dev/null
+++ b/tests/http/test_parsing.py
@@ -0,0 +1,93 @@
+import json
+from typing import Any
+
+import pytest
+
+from basilcove.core.ids import PriorityName, TeamName
+from basilcove.environment.models import Environment, Group, Model, Priority, Service, Team
+from basilcove.http.parsing import HttpCall, parse_call
+from basilcove.http.problems import ClientFault
+from basilcove.requests.events import Request
+
+ENVIRONMENT = Environment(
+    name='demo',
+    priorities={
+        PriorityName('urgent'): Priority(level=1, target_first_token_s=1),
+        PriorityName('booking'): Priority(level=2, target_first_token_s=2),
+        PriorityName('drafting'): Priority(level=3, target_first_token_s=9),
+    },
+    teams={TeamName('kiosk'): Team(key_digests=(), priorities=('urgent', 'booking'))},
+    groups={'g': Group(ranks=1, experts=1, layers=1, upstreams=())},
+    models={'m': Model(group='g')},
+    services={'hire': Service()},
+)
+
+
+def _parse(path: str = '/v1/chat/completions', **changes: Any) -> Request | ClientFault:
+    content = {'model': 'm', 'messages': [{'role': 'user', 'content': 'x'}], **changes.pop('content', {})}
+    call = HttpCall(
+        method=changes.pop('method', 'POST'),
+        path=path,
+        query=changes.pop('query', ''),
+        headers=changes.pop('headers', {}),
+        body=changes.pop('body', json.dumps(content).encode()),
+    )
+    return parse_call(call, ENVIRONMENT, changes.pop('team', TeamName('kiosk')))
+
+
+class TestFaults:
+    @pytest.mark.parametrize(
+        ('status', 'changes'),
+        [
+            (400, {'body': b'{'}),
+            (400, {'body': b'[]'}),
+            (400, {'body': b'[' * 100_000}),
+            (400, {'content': {'messages': []}}),
+            (400, {'content': {'max_tokens': 0}}),
+            (400, {'content': {'max_tokens': True}}),
+            (400, {'content': {'stream': 1}}),
+            (400, {'headers': {'x-basilcove-priority': 'none'}}),
+            (400, {'headers': {'x-request-timeout': 'nan'}}),
+            (400, {'headers': {'x-request-timeout': '-1'}}),
+            (400, {'headers': {'x-request-timeout': '1e9'}}),
+            (400, {'headers': {'idempotency-key': ''}}),
+            (400, {'path': '/services/hire/%2e%2e/stock'}),
+            (400, {'path': '/services/hire/a%2fb'}),
+            (401, {'team': None}),
+            (403, {'headers': {'x-basilcove-priority': 'drafting'}}),
+            (404, {'content': {'model': 'other'}}),
+            (404, {'content': {'model': 7}}),
+            (404, {'path': '/v1/other'}),
+            (404, {'path': '/services/other/x'}),
+            (405, {'method': 'GET'}),
+            (413, {'body': b' ' * 2_000_000}),
+        ],
+    )
+    def test_fault_has_its_status(self, status: int, changes: dict[str, Any]) -> None:
+        """Guards against malformed input that reaches the reducer or ends the daemon."""
+        fault = _parse(**changes)
+        assert isinstance(fault, ClientFault)
+        assert fault.status == status
+
+
+class TestRequest:
+    def test_priority_defaults_to_the_least_urgent_of_the_team(self) -> None:
+        """Guards against callers that become urgent by leaving the header out."""
+        req = _parse()
+        assert isinstance(req, Request)
+        assert req.priority == 'booking'
+
+    def test_private_headers_stay_at_the_entry(self) -> None:
+        """Guards against keys of callers that leak to upstreams."""
+        req = _parse(headers={'authorization': 'Bearer k', 'accept': 'a'})
+        assert isinstance(req, Request)
+        assert req.headers == {'accept': 'a'}
+
+    def test_equal_beginnings_have_equal_prefix_hashes(self) -> None:
+        """Guards against prefix affinity that never finds a cached prompt."""
+        long = 'y' * 1200
+        first, second = (_parse('/v1/completions', content={'prompt': long + end}) for end in ('a', 'b'))
+        assert isinstance(first, Request)
+        assert isinstance(second, Request)
+        assert len(first.prefix) == 2
+        assert first.prefix == second.prefix
--- /dev/null
+++ b/tests/rpc/test_links.py
@@ -0,0 +1,164 @@
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import trustme
+
+from basilcove.core.events import Event, PeerFound, PeerLost, Received
+from basilcove.core.ids import Incarnation, NodeId, Role, Zone
+from basilcove.requests.messages import CancelAttempt
+from basilcove.rpc.config import RpcConfig, TlsConfig
+from basilcove.rpc.dialer import Dialer
+from basilcove.rpc.envelopes import Identity
+from basilcove.rpc.links import LinkTable
+from basilcove.rpc.server import OperatorServicer, RpcServer
+from tests.harness.forwarder import Forwarder
+from tests.harness.processes import free_address
+
+SAMPLE = CancelAttempt('a', 1, 2, only_if_waiting=True)
+
+
+class _Node:
+    def __init__(self, name: str, role: Role, incarnation: int = 1) -> None:
+        self.events: list[Event] = []
+        identity = Identity(NodeId(name), (role,), Incarnation(incarnation), Zone('nobsa'))
+        self.table = LinkTable(identity, self.events.append)
+
+    def seen(self, kind: type[Event]) -> list[Event]:
+        return [event for event in self.events if isinstance(event, kind)]
+
+
+@asynccontextmanager
+async def _serve(node: _Node, cfg: RpcConfig) -> AsyncIterator[None]:
+    server = RpcServer.from_config(cfg, node.table, OperatorServicer(node.table, node.events.append))
+    await server.setup()
+    try:
+        yield
+    finally:
+        await server.unload()
+
+
+@asynccontextmanager
+async def _dial(node: _Node, cfg: RpcConfig) -> AsyncIterator[None]:
+    dialer = Dialer.from_config(cfg, node.table)
+    await dialer.setup()
+    try:
+        yield
+    finally:
+        await dialer.unload()
+
+
+async def _until(condition: Callable[[], object]) -> None:
+    async with asyncio.timeout(20):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def _plain(listen: str, *seeds: str) -> RpcConfig:
+    return RpcConfig(listen=listen, seeds=seeds, insecure=True)
+
+
+def _run(scenario: Callable[[], Awaitable[None]]) -> None:
+    asyncio.run(scenario())
+
+
+class TestLink:
+    def test_messages_travel_both_ways(self) -> None:
+        """Guards against a link that only the dialing side can use."""
+
+        async def scenario() -> None:
+            address = free_address()
+            entry, agent = _Node('entry-1', Role.ENTRY), _Node('agent-1', Role.AGENT)
+            async with _serve(entry, _plain(address)), _dial(agent, _plain('', address)):
+                await _until(lambda: entry.seen(PeerFound) and agent.seen(PeerFound))
+                entry.table.send(NodeId('agent-1'), SAMPLE)
+                agent.table.send(NodeId('entry-1'), SAMPLE)
+                await _until(lambda: entry.seen(Received) and agent.seen(Received))
+
+        _run(scenario)
+
+    def test_silent_connection_is_replaced_by_a_new_one(self) -> None:
+        """Guards against waiting for TCP timeouts when something between the ends lost the connection."""
+
+        async def scenario() -> None:
+            target, between = free_address(), free_address()
+            entry, agent = _Node('entry-1', Role.ENTRY), _Node('agent-1', Role.AGENT)
+            with Forwarder(between, target) as forwarder:
+                async with _serve(entry, _plain(target)), _dial(agent, _plain('', between)):
+                    await _until(lambda: agent.seen(PeerFound))
+                    forwarder.silence(keep_new=True)
+                    await _until(lambda: agent.seen(PeerLost) and len(agent.seen(PeerFound)) == 2)
+                    agent.table.send(NodeId('entry-1'), SAMPLE)
+                    await _until(lambda: entry.seen(Received))
+
+        _run(scenario)
+
+    def test_older_incarnation_is_refused(self) -> None:
+        """Guards against a process that was replaced and still speaks for its node."""
+
+        async def scenario() -> None:
+            address = free_address()
+            entry = _Node('entry-1', Role.ENTRY)
+            newer, older = _Node('agent-1', Role.AGENT, 5), _Node('agent-1', Role.AGENT, 4)
+            async with _serve(entry, _plain(address)), _dial(newer, _plain('', address)):
+                await _until(lambda: entry.seen(PeerFound))
+                async with _dial(older, _plain('', address)):
+                    await _until(lambda: older.seen(PeerLost))
+                assert [event.peer.incarnation for event in entry.seen(PeerFound)] == [5]
+
+        _run(scenario)
+
+
+class TestTls:
+    def test_certificate_of_another_role_is_refused(self, tmp_path: Path) -> None:
+        """Guards against an agent that speaks as a control host."""
+
+        async def scenario() -> None:
+            address = free_address()
+            authority = trustme.CA()
+            control = _Node('control-1', Role.CONTROL)
+            honest, false = _Node('agent-1', Role.AGENT), _Node('control-2', Role.CONTROL)
+            seed = f'control:control-1@{address}'
+            async with (
+                _serve(control, _secure(tmp_path, authority, 'control:control-1', address)),
+                _dial(false, _secure(tmp_path, authority, 'agent:agent-2', '', seed)),
+                _dial(honest, _secure(tmp_path, authority, 'agent:agent-1', '', seed)),
+            ):
+                await _until(lambda: control.seen(PeerFound))
+            assert [event.peer.node for event in control.seen(PeerFound)] == ['agent-1']
+
+        _run(scenario)
+
+    def test_server_with_another_name_is_refused(self, tmp_path: Path) -> None:
+        """Guards against an agent's host that answers in place of a control host."""
+
+        async def scenario() -> None:
+            real, false = free_address(), free_address()
+            authority = trustme.CA()
+            control, impostor = _Node('control-1', Role.CONTROL), _Node('control-1', Role.CONTROL)
+            agent = _Node('agent-1', Role.AGENT)
+            seeds = [f'control:control-1@{address}' for address in (false, real)]
+            async with (
+                _serve(control, _secure(tmp_path, authority, 'control:control-1', real)),
+                _serve(impostor, _secure(tmp_path, authority, 'agent:agent-9', false)),
+                _dial(agent, _secure(tmp_path, authority, 'agent:agent-1', '', *seeds)),
+            ):
+                await _until(lambda: control.seen(PeerFound))
+                assert not impostor.seen(PeerFound)
+
+        _run(scenario)
+
+
+def _secure(folder: Path, authority: trustme.CA, name: str, listen: str, *seeds: str) -> RpcConfig:
+    cert = authority.issue_cert(name.replace(':', '.').replace('+', '-'), common_name=name)
+    stem = folder / name.replace(':', '-')
+    cert.private_key_pem.write_to_path(stem.with_suffix('.key'))
+    cert.cert_chain_pems[0].write_to_path(stem.with_suffix('.pem'))
+    authority.cert_pem.write_to_path(folder / 'authority.pem')
+    tls = TlsConfig(
+        certificate=stem.with_suffix('.pem'),
+        key=stem.with_suffix('.key'),
+        authority=folder / 'authority.pem',
+    )
+    return RpcConfig(listen=listen, seeds=seeds, tls=tls)
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the systems beside basilcove, run as plain processes."""
