Decide on requests at an entry and on attempts at an agent

The drivers need a working path from a caller's request to an upstream and back. The entry's reducer chooses an upstream, matches answers, retries within a budget, bars attempts at the deadline and claims keyed calls through a narrow port. The agent's reducer queues, starts, bars and cancels attempts.

An agent can't remember every attempt for ever. Wall-clock age was ruled out because clocks differ between hosts; instead each attempt has a number that rises within the entry's process start, and forgetting an attempt raises a mark up to which numbers are refused. Resending StartAttempt was ruled out because a link is ordered and a broken one is reported, so an attempt is either in flight on a live link or lost.

--- /dev/null
+++ b/basilcove/agents/attempts.py
@@ -0,0 +1,85 @@
+"""Starts and ends attempts at an agent."""
+
+from basilcove.agents.const import DEFAULT_RETRY_AFTER_S
+from basilcove.agents.events import CallUpstream, CancelCall
+from basilcove.agents.memory import make_ended
+from basilcove.agents.models import AgentAttempt, AgentState
+from basilcove.core.events import Count, Effect, Log, Message, Peer, Send
+from basilcove.core.ids import AttemptId
+from basilcove.requests.messages import AttemptFailed, AttemptRefused, AttemptStarted
+
+
+def start_waiting(state: AgentState, now: float) -> list[Effect]:
+    """Call the upstream for as many waiting attempts as it has slots.
+
+    Attempts whose deadline passed while they waited are refused first, so that an agent
+    that was frozen starts none of them.
+    """
+    effects: list[Effect] = []
+    for expired in state.queue.expire(now):
+        attempt = state.attempts.get(expired.attempt_id)
+        if attempt is not None:
+            effects.extend(refuse_waiting(state, attempt, now, 'the deadline passed while waiting'))
+    item = state.queue.take(now)
+    while item is not None:
+        effects.extend(_call(state, item.attempt_id, now))
+        item = state.queue.take(now)
+    return effects
+
+
+def bar(state: AgentState, peer: Peer, attempt_id: AttemptId, number: int, now: float) -> None:
+    """Make sure that an attempt never starts."""
+    state.memory.add(attempt_id, make_ended(peer, number, now, has_started=False))
+
+
+def refuse_waiting(state: AgentState, attempt: AgentAttempt, now: float, reason: str) -> list[Effect]:
+    """End an attempt that waits, confirmed not run."""
+    attempt_id = attempt.start.attempt_id
+    state.queue.cancel(attempt_id)
+    state.attempts.pop(attempt_id, None)
+    bar(state, attempt.entry, attempt_id, attempt.start.number, now)
+    return answer(attempt, AttemptRefused(attempt_id, reason, DEFAULT_RETRY_AFTER_S))
+
+
+def end_running(state: AgentState, attempt: AgentAttempt, now: float, *, has_started: bool = True) -> None:
+    """Free the slot of an attempt; it never starts again."""
+    start = attempt.start
+    state.attempts.pop(start.attempt_id, None)
+    state.running.pop(start.attempt_id, None)
+    state.queue.finish(start.attempt_id, attempt.work, now)
+    ended = make_ended(attempt.entry, start.number, now, has_started=has_started)
+    state.memory.add(start.attempt_id, ended)
+
+
+def abort(state: AgentState, attempt: AgentAttempt, now: float, reason: str) -> list[Effect]:
+    """End a running attempt before its answer is complete; whether it took effect is unknown."""
+    attempt_id = attempt.start.attempt_id
+    end_running(state, attempt, now)
+    fields = (('request_id', attempt.start.request_id), ('attempt_id', attempt_id))
+    return [
+        CancelCall(attempt_id),
+        Log('info', f'call ended: {reason}', fields),
+        *answer(attempt, AttemptFailed(attempt_id, reason)),
+    ]
+
+
+def answer(attempt: AgentAttempt, msg: Message) -> list[Effect]:
+    """Send a message about an attempt to its entry, if that still waits."""
+    if attempt.is_orphaned:
+        return []
+    return [Send(attempt.entry.node, msg)]
+
+
+def _call(state: AgentState, attempt_id: AttemptId, now: float) -> list[Effect]:
+    attempt = state.attempts.get(attempt_id)
+    if attempt is None:
+        state.queue.finish(attempt_id, 0, now)
+        return []
+    attempt.is_running = True
+    attempt.progressed_at = now
+    state.running[attempt_id] = attempt
+    return [
+        CallUpstream(attempt.entry.node, attempt.start, attempt.deadline - now),
+        *answer(attempt, AttemptStarted(attempt_id)),
+        Count('calls_started'),
+    ]
--- /dev/null
+++ b/basilcove/agents/calls.py
@@ -0,0 +1,62 @@
+"""Passes what happens to calls on to their entries."""
+
+from basilcove.agents.attempts import answer, end_running, start_waiting
+from basilcove.agents.const import DEFAULT_RETRY_AFTER_S
+from basilcove.agents.events import UpstreamAnswered, UpstreamFailed, UpstreamFinished, UpstreamProgressed
+from basilcove.agents.models import AgentState
+from basilcove.core.events import Count, Effect
+from basilcove.core.reducer import Context, handles
+from basilcove.requests.messages import AnswerEnd, AnswerHead, AttemptFailed, AttemptRefused
+
+
+@handles(UpstreamAnswered, AgentState)
+def on_answered(state: AgentState, event: UpstreamAnswered, ctx: Context) -> list[Effect]:
+    """Pass on status and headers."""
+    attempt = state.running.get(event.attempt_id)
+    if attempt is None:
+        return [_drop(event)]
+    attempt.progressed_at = ctx.now
+    return answer(attempt, AnswerHead(event.attempt_id, event.status, event.headers))
+
+
+@handles(UpstreamProgressed, AgentState)
+def on_progressed(state: AgentState, event: UpstreamProgressed, ctx: Context) -> list[Effect]:
+    """Note progress, and correct the work if it exceeds the estimate."""
+    attempt = state.running.get(event.attempt_id)
+    if attempt is None:
+        return [_drop(event)]
+    attempt.progressed_at = ctx.now
+    state.speed.tokens += max(0, event.tokens - attempt.tokens)
+    attempt.tokens = max(attempt.tokens, event.tokens)
+    if attempt.work > attempt.start.work:
+        state.queue.correct(event.attempt_id, attempt.work)
+    return []
+
+
+@handles(UpstreamFinished, AgentState)
+def on_finished(state: AgentState, event: UpstreamFinished, ctx: Context) -> list[Effect]:
+    """Pass on the end mark, and start the next attempt."""
+    attempt = state.running.get(event.attempt_id)
+    if attempt is None:
+        return [_drop(event)]
+    end_running(state, attempt, ctx.now)
+    end = AnswerEnd(event.attempt_id, event.chunks, event.length)
+    return [*answer(attempt, end), *start_waiting(state, ctx.now)]
+
+
+@handles(UpstreamFailed, AgentState)
+def on_failed(state: AgentState, event: UpstreamFailed, ctx: Context) -> list[Effect]:
+    """Pass on whether the attempt is confirmed not run, and start the next one."""
+    attempt = state.running.get(event.attempt_id)
+    if attempt is None:
+        return [_drop(event)]
+    end_running(state, attempt, ctx.now, has_started=event.sent)
+    if event.sent:
+        told = answer(attempt, AttemptFailed(event.attempt_id, event.reason))
+    else:
+        told = answer(attempt, AttemptRefused(event.attempt_id, event.reason, DEFAULT_RETRY_AFTER_S))
+    return [*told, *start_waiting(state, ctx.now)]
+
+
+def _drop(event: UpstreamAnswered | UpstreamProgressed | UpstreamFinished | UpstreamFailed) -> Count:
+    return Count('call_events_dropped', (('kind', type(event).__name__),))
--- /dev/null
+++ b/basilcove/agents/coordinator.py
@@ -0,0 +1,219 @@
+"""Decides on attempts at an agent: start, bar, cancel, leaving and the planned stop.
+
+``AgentState.leaving``, ``AgentState.incarnation`` and ``current_load`` are what an agent announces.
+"""
+
+from basilcove.admission.models import QueueItem, Refused
+from basilcove.agents import calls  # noqa: F401 (registers its handlers)
+from basilcove.agents.attempts import abort, bar, end_running, refuse_waiting, start_waiting
+from basilcove.agents.const import DEFAULT_RETRY_AFTER_S, LEAVING_GRACE_S
+from basilcove.agents.events import CancelCall, LeaveRequested, ReturnRequested
+from basilcove.agents.models import AgentAttempt, AgentState
+from basilcove.core.events import Count, Effect, PeerFound, PeerLost, Received, Send, StopRequested, Tick
+from basilcove.core.ids import Role
+from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.environment.events import EnvironmentChanged
+from basilcove.requests.events import StopCompleted
+from basilcove.requests.messages import AttemptFailed, AttemptRefused, CancelAttempt, StartAttempt
+from basilcove.routing.models import UpstreamLoad
+
+
+def current_load(state: AgentState) -> UpstreamLoad:
+    """Return the load to announce: work that waits or runs, running attempts and speed."""
+    return UpstreamLoad(state.queue.queued_work, len(state.running), state.speed.tokens_per_s)
+
+
+@handles(EnvironmentChanged, AgentState)
+def on_environment(state: AgentState, event: EnvironmentChanged, ctx: Context) -> list[Effect]:
+    """Take over slots and limits of a newer document."""
+    if state.revision is not None and event.revision <= state.revision:
+        return []
+    state.revision = event.revision
+    upstream = event.environment.upstreams.get(state.upstream)
+    state.is_allowed = upstream is not None
+    if upstream is None:
+        return []
+    state.queue.configure(event.environment, upstream.slots)
+    return start_waiting(state, ctx.now)
+
+
+@handles_message(StartAttempt, AgentState)
+def on_start(state: AgentState, event: Received, ctx: Context) -> list[Effect]:
+    """Queue an attempt that has never been here, or say why not."""
+    msg = event.message
+    if not isinstance(msg, StartAttempt) or not state.memory.note_sender(event.peer, ctx.now):
+        return [_drop('former_entry')]
+    if msg.attempt_id in state.attempts:
+        return [_drop('duplicate_attempt')]
+    known = _answer_known(state, event, msg)
+    if known is not None:
+        return known
+    reason = _find_refusal(state, msg)
+    deadline = ctx.now + msg.timeout_s
+    retry_after_s = DEFAULT_RETRY_AFTER_S
+    if reason is None:
+        offer = QueueItem(msg.attempt_id, msg.team, msg.priority, msg.work, deadline)
+        verdict = state.queue.offer(offer, ctx.now)
+        if not isinstance(verdict, Refused):
+            state.attempts[msg.attempt_id] = AgentAttempt(msg, event.peer, deadline)
+            return start_waiting(state, ctx.now)
+        reason, retry_after_s = verdict.reason, verdict.retry_after_s
+    bar(state, event.peer, msg.attempt_id, msg.number, ctx.now)
+    return [
+        Send(event.peer.node, AttemptRefused(msg.attempt_id, reason, retry_after_s)),
+        Count('attempts_refused'),
+    ]
+
+
+@handles_message(CancelAttempt, AgentState)
+def on_cancel(state: AgentState, event: Received, ctx: Context) -> list[Effect]:
+    """Bar an attempt that has not started; end a running one if asked to."""
+    msg = event.message
+    if not isinstance(msg, CancelAttempt) or not state.memory.note_sender(event.peer, ctx.now):
+        return [_drop('former_entry')]
+    attempt = state.attempts.get(msg.attempt_id)
+    if attempt is None:
+        known = _answer_known(state, event, msg)
+        if known is not None:
+            return known
+        bar(state, event.peer, msg.attempt_id, msg.number, ctx.now)
+        return [Send(event.peer.node, AttemptRefused(msg.attempt_id, 'cancelled', DEFAULT_RETRY_AFTER_S))]
+    if attempt.entry != event.peer:
+        return [_drop('other_sender')]
+    if not attempt.is_running:
+        return refuse_waiting(state, attempt, ctx.now, 'cancelled')
+    if msg.only_if_waiting:
+        return []
+    end_running(state, attempt, ctx.now)
+    return [CancelCall(msg.attempt_id), *start_waiting(state, ctx.now)]
+
+
+@handles(PeerFound, AgentState)
+def on_peer_found(state: AgentState, event: PeerFound, ctx: Context) -> list[Effect]:
+    """Use a new link; an entry gives up what was in flight on a former one."""
+    former = state.links.get(event.peer.node)
+    state.links[event.peer.node] = event.peer
+    return _lose_entry(state, former, ctx.now) if former is not None else []
+
+
+@handles(PeerLost, AgentState)
+def on_peer_lost(state: AgentState, event: PeerLost, ctx: Context) -> list[Effect]:
+    """End what a lost entry no longer waits for; calls that may run only once run to their end."""
+    if state.links.get(event.peer.node) == event.peer:
+        state.links.pop(event.peer.node)
+    return _lose_entry(state, event.peer, ctx.now)
+
+
+@handles(LeaveRequested, AgentState)
+def on_leave(state: AgentState, event: LeaveRequested, ctx: Context) -> list[Effect]:
+    """Take no new work from now on; attempts in flight go on."""
+    _leave(state, event.reason, ctx.now)
+    return []
+
+
+@handles(ReturnRequested, AgentState)
+def on_return(state: AgentState, event: ReturnRequested, ctx: Context) -> list[Effect]:
+    """Take new work again, unless the process stops."""
+    if state.stop_by is None:
+        state.leaving = None
+        state.drain_by = None
+    return []
+
+
+@handles(StopRequested, AgentState)
+def on_stop(state: AgentState, event: StopRequested, ctx: Context) -> list[Effect]:
+    """Leave, and stop once the attempts in flight have ended or the timeout has passed."""
+    _leave(state, 'the agent is stopping', ctx.now)
+    if state.stop_by is None:
+        state.stop_by = ctx.now + state.config.stop_timeout_s
+    return _check_stop(state)
+
+
+@handles(Tick, AgentState)
+def on_tick(state: AgentState, event: Tick, ctx: Context) -> list[Effect]:
+    """Keep deadlines and progress timeouts, drain, and end a planned stop in time."""
+    effects: list[Effect] = []
+    for attempt in tuple(state.running.values()):
+        reason = _find_abort(state, attempt, ctx.now)
+        if reason is not None:
+            effects.extend(abort(state, attempt, ctx.now, reason))
+    if state.drain_by is not None and ctx.now >= state.drain_by:
+        for waiting in tuple(state.attempts.values()):
+            if not waiting.is_running:
+                effects.extend(refuse_waiting(state, waiting, ctx.now, state.leaving or 'leaving'))
+    effects.extend(start_waiting(state, ctx.now))
+    state.memory.expire(ctx.now)
+    state.speed.note(ctx.now)
+    return [*effects, *_check_stop(state)]
+
+
+def _answer_known(
+    state: AgentState,
+    event: Received,
+    msg: StartAttempt | CancelAttempt,
+) -> list[Effect] | None:
+    """Answer about an attempt that is not in flight here; None if it has never been here."""
+    if msg.incarnation != state.incarnation:
+        # The former process may have run the attempt.
+        reason = 'addressed to another process start of the agent'
+        return [Send(event.peer.node, AttemptFailed(msg.attempt_id, reason))]
+    ended = state.memory.find(msg.attempt_id)
+    if ended is not None:
+        if ended.has_started:
+            return [_drop('ended_attempt')]
+        refusal = AttemptRefused(msg.attempt_id, 'barred before', DEFAULT_RETRY_AFTER_S)
+        return [Send(event.peer.node, refusal)]
+    if state.memory.is_forgotten(event.peer, msg.number):
+        return [Send(event.peer.node, AttemptFailed(msg.attempt_id, 'older than the memory of attempts'))]
+    return None
+
+
+def _find_refusal(state: AgentState, msg: StartAttempt) -> str | None:
+    if state.leaving is not None:
+        return state.leaving
+    if msg.upstream != state.upstream:
+        return f'this agent serves {state.upstream}'
+    if not state.is_allowed:
+        return 'the document does not allow the upstream'
+    return None
+
+
+def _leave(state: AgentState, reason: str, now: float) -> None:
+    if state.leaving is None:
+        state.leaving = reason
+        state.drain_by = now + LEAVING_GRACE_S
+
+
+def _find_abort(state: AgentState, attempt: AgentAttempt, now: float) -> str | None:
+    if state.stop_by is not None and now >= state.stop_by:
+        return 'the agent stopped'
+    if now - attempt.progressed_at >= state.config.progress_timeout_s:
+        return 'the upstream made no progress'
+    if now >= attempt.deadline and attempt.start.repeatable:
+        return 'the deadline has passed'
+    return None
+
+
+def _lose_entry(state: AgentState, entry: object, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    for attempt in tuple(state.attempts.values()):
+        if attempt.entry != entry:
+            continue
+        attempt.is_orphaned = True
+        if not attempt.is_running:
+            refuse_waiting(state, attempt, now, 'the entry was lost')
+        elif attempt.start.repeatable:
+            end_running(state, attempt, now)
+            effects.append(CancelCall(attempt.start.attempt_id))
+    return [*effects, *start_waiting(state, now)]
+
+
+def _check_stop(state: AgentState) -> list[Effect]:
+    if state.stop_by is None or state.stop_completed or state.attempts:
+        return []
+    state.stop_completed = True
+    return [StopCompleted(Role.AGENT)]
+
+
+def _drop(reason: str) -> Count:
+    return Count('messages_dropped', (('reason', reason),))
--- /dev/null
+++ b/basilcove/agents/models.py
@@ -0,0 +1,80 @@
+"""State of attempts at an agent."""
+
+from dataclasses import dataclass, field
+from typing import Self
+
+from basilcove.admission.queue import AdmissionQueue
+from basilcove.agents.config import AgentsConfig
+from basilcove.agents.const import SPEED_INTERVAL_S, SPEED_WEIGHT
+from basilcove.agents.memory import AttemptMemory
+from basilcove.core.events import Peer
+from basilcove.core.ids import AttemptId, Incarnation, NodeId, Revision, UpstreamName
+from basilcove.requests.messages import StartAttempt
+
+
+@dataclass(slots=True)
+class AgentAttempt:
+    """An attempt that waits or runs; times in monotonic seconds.
+
+    ``tokens`` is how many the upstream has generated. ``entry`` is the entry's process
+    start, to which no answer is sent once ``is_orphaned``.
+    """
+
+    start: StartAttempt
+    entry: Peer
+    deadline: float
+    is_running: bool = False
+    is_orphaned: bool = False
+    progressed_at: float = 0
+    tokens: int = 0
+
+    @property
+    def work(self) -> float:
+        """Work done so far in tokens; the estimate if the upstream reported none."""
+        if self.tokens == 0:
+            return self.start.work
+        return self.start.prompt_work + self.tokens
+
+
+@dataclass(slots=True)
+class Speed:
+    """Moving average of generated tokens per second."""
+
+    tokens_per_s: float = 0
+    since: float = 0
+    tokens: int = 0
+
+    def note(self, now: float) -> None:
+        """Take the tokens counted since the last interval into the average."""
+        elapsed = now - self.since
+        if elapsed < SPEED_INTERVAL_S:
+            return
+        self.tokens_per_s += SPEED_WEIGHT * (self.tokens / elapsed - self.tokens_per_s)
+        self.tokens = 0
+        self.since = now
+
+
+@dataclass
+class AgentState:
+    """All attempts at one agent; ``leaving`` says why no new work is taken, if so."""
+
+    upstream: UpstreamName
+    incarnation: Incarnation
+    queue: AdmissionQueue
+    config: AgentsConfig = field(default_factory=AgentsConfig)
+    revision: Revision | None = None
+    is_allowed: bool = False
+    leaving: str | None = None
+    drain_by: float | None = None
+    stop_by: float | None = None
+    stop_completed: bool = False
+    links: dict[NodeId, Peer] = field(default_factory=dict)
+    attempts: dict[AttemptId, AgentAttempt] = field(default_factory=dict)
+    running: dict[AttemptId, AgentAttempt] = field(default_factory=dict)
+    memory: AttemptMemory = field(default_factory=AttemptMemory)
+    speed: Speed = field(default_factory=Speed)
+
+    @classmethod
+    def from_config(cls, cfg: AgentsConfig, upstream: UpstreamName, incarnation: Incarnation) -> Self:
+        """Return the state of an agent that has just started; the document sets the slots."""
+        return cls(upstream, incarnation, AdmissionQueue(1), cfg)
--- /dev/null
+++ b/basilcove/requests/const.py
@@ -0,0 +1,34 @@
+"""Constants of requests at an entry."""
+
+from typing import Final
+
+# An attempt that has not started at the deadline is barred; its agent has this long to confirm it.
+CONFIRM_TIMEOUT_S: Final = 0.25
+
+# The answer of a keyed call is held until it is recorded, but not longer than this.
+RECORD_TIMEOUT_S: Final = 1.0
+
+# Each attempt goes to another upstream, so this also bounds how many upstreams one request visits.
+MAX_ATTEMPTS: Final = 4
+
+# Retries that an idle entry may make before its first attempts have paid for them. The advance is
+# paid back, so retries never exceed the budget's share of more than RETRY_ADVANCE / share attempts.
+RETRY_ADVANCE: Final = 3.0
+# Bounds the burst of retries after a long time without any.
+MAX_SAVED_RETRIES: Final = 20.0
+
+# Retry-After where nothing better is known.
+DEFAULT_RETRY_AFTER_S: Final = 1.0
+
+# An answer is stored with its claim in the replicated state, which holds many of them.
+MAX_STORED_ANSWER_BYTES: Final = 64 * 1024
+# A keyed call's answer is held in memory until it is recorded.
+MAX_HELD_ANSWER_BYTES: Final = 1024 * 1024
+
+# Defaults of the settings.
+MAX_WAIT_S: Final = 5.0
+STOP_TIMEOUT_S: Final = 30.0
+
+TEAM_SWEEP_INTERVAL_S: Final = 1.0
+
+SERVER_ERROR: Final = 500
--- /dev/null
+++ b/basilcove/requests/coordinator.py
@@ -0,0 +1,229 @@
+"""Decides on requests: arrival, answers, deadlines and the planned stop."""
+
+from http import HTTPStatus
+
+from basilcove.core.events import Count, Effect, Received, StopRequested, Tick
+from basilcove.core.ids import AttemptId, Outcome, Role
+from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.environment.events import EnvironmentChanged
+from basilcove.requests import links  # noqa: F401 (registers its handlers)
+from basilcove.requests.attempts import cancel, expire, fail_attempt, move_if_waiting, start_attempt
+from basilcove.requests.claims import ReleaseClaim
+from basilcove.requests.const import DEFAULT_RETRY_AFTER_S, TEAM_SWEEP_INTERVAL_S
+from basilcove.requests.events import CallerGone, Refusal, RequestArrived, StartAnswer, StopCompleted
+from basilcove.requests.keyed import deliver_answer, record_answer, request_claim
+from basilcove.requests.messages import (
+    AnswerEnd,
+    AnswerHead,
+    AttemptFailed,
+    AttemptRefused,
+    AttemptStarted,
+)
+from basilcove.requests.models import Attempt, AttemptPhase, ClaimPhase, RequestRecord, RequestsState
+from basilcove.requests.outcomes import complete, drop_attempt, forget, give_up, refuse
+from basilcove.requests.validation import find_fault, is_repeatable
+
+
+@handles(EnvironmentChanged, RequestsState)
+def on_environment(state: RequestsState, event: EnvironmentChanged, ctx: Context) -> list[Effect]:
+    """Take over a newer document."""
+    if state.revision is None or event.revision > state.revision:
+        state.revision = event.revision
+        state.environment = event.environment
+        state.budget.share = event.environment.limits.retry_budget
+    return []
+
+
+@handles(RequestArrived, RequestsState)
+def on_arrived(state: RequestsState, event: RequestArrived, ctx: Context) -> list[Effect]:
+    """Refuse a request, claim its key, or send its first attempt."""
+    req = event.request
+    environment = state.environment
+    if environment is None or state.stop_by is not None:
+        reason = 'the entry has no document yet' if environment is None else 'the entry is stopping'
+        return refuse(
+            req, Refusal(HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN, reason, DEFAULT_RETRY_AFTER_S)
+        )
+    if req.request_id in state.requests:
+        return [Count('events_dropped', (('reason', 'duplicate_request'),))]
+    refusal = find_fault(environment, req)
+    refusal = refusal or state.limits.admit(req.team, environment.teams[req.team], ctx.now)
+    if refusal is not None:
+        return refuse(req, refusal)
+    record = RequestRecord(req, ctx.now + req.timeout_s, is_repeatable(environment, req))
+    state.requests[req.request_id] = record
+    if req.idempotency_key is not None and not record.repeatable:
+        return request_claim(state, record, req.idempotency_key)
+    return start_attempt(state, record, ctx.now)
+
+
+@handles(CallerGone, RequestsState)
+def on_caller_gone(state: RequestsState, event: CallerGone, ctx: Context) -> list[Effect]:
+    """Cancel what a caller no longer waits for; a call that may run only once runs to its end."""
+    record = state.requests.get(event.request_id)
+    if record is None:
+        return []
+    record.caller_gone = True
+    effects = cancel(record, only_if_waiting=not record.repeatable)
+    if record.claim is not None and record.claim.phase is not ClaimPhase.ASKED:
+        return effects
+    if record.claim is not None:
+        effects.append(ReleaseClaim(record.claim.key, record.claim.attempt_id))
+    drop_attempt(state, record, ctx.now, is_failure=False)
+    forget(state, record)
+    return [*effects, Count('requests_ended', (('outcome', 'caller_gone'),))]
+
+
+@handles_message(AttemptStarted, RequestsState)
+def on_started(state: RequestsState, event: Received, ctx: Context) -> list[Effect]:
+    """Note that an attempt runs."""
+    record, attempt = _match(state, event)
+    if record is None or attempt is None or attempt.phase is not AttemptPhase.SENT:
+        return [_drop(event)]
+    attempt.phase = AttemptPhase.STARTED
+    if record.confirm_by is not None:
+        return fail_attempt(state, record, ctx.now, 'the deadline has passed')
+    return []
+
+
+@handles_message(AnswerHead, RequestsState)
+def on_head(state: RequestsState, event: Received, ctx: Context) -> list[Effect]:
+    """Begin the caller's answer; a resumed stream must go on with the same status."""
+    record, attempt = _match(state, event)
+    msg = event.message
+    if not isinstance(msg, AnswerHead) or record is None or attempt is None:
+        return [_drop(event)]
+    if attempt.phase is AttemptPhase.ANSWERING:
+        return [_drop(event)]
+    attempt.phase = AttemptPhase.ANSWERING
+    is_held = record.claim is not None
+    state.assemblies.open(attempt.attempt_id, record.request.request_id, event.peer, is_held=is_held)
+    if record.head_sent:
+        if msg.status == record.status:
+            return []
+        cause = f'the stream could not be resumed, status {msg.status}'
+        return [*cancel(record, only_if_waiting=False), *fail_attempt(state, record, ctx.now, cause)]
+    record.status = msg.status
+    record.headers = msg.headers
+    if is_held:
+        return []
+    record.head_sent = True
+    return [StartAnswer(record.request.request_id, msg.status, msg.headers)]
+
+
+@handles_message(AnswerEnd, RequestsState)
+def on_end(state: RequestsState, event: Received, ctx: Context) -> list[Effect]:
+    """End the caller's answer if it is whole."""
+    record, attempt = _match(state, event)
+    msg = event.message
+    if not isinstance(msg, AnswerEnd) or record is None or attempt is None:
+        return [_drop(event)]
+    if not state.assemblies.is_whole(attempt.attempt_id, msg.chunks, msg.length):
+        return fail_attempt(state, record, ctx.now, 'the answer is not whole')
+    if record.claim is not None:
+        return record_answer(state, record, record.claim, ctx.now)
+    return complete(state, record, ctx.now)
+
+
+@handles_message(AttemptRefused, RequestsState)
+def on_refused(state: RequestsState, event: Received, ctx: Context) -> list[Effect]:
+    """Go on elsewhere: this attempt is confirmed not to have run."""
+    record, attempt = _match(state, event)
+    msg = event.message
+    if not isinstance(msg, AttemptRefused) or record is None or attempt is None:
+        return [_drop(event)]
+    if attempt.phase is AttemptPhase.ANSWERING:
+        return fail_attempt(state, record, ctx.now, 'refused after its answer began')
+    record.retry_after_s = msg.retry_after_s
+    drop_attempt(state, record, ctx.now, is_failure=True)
+    return start_attempt(state, record, ctx.now, msg.reason)
+
+
+@handles_message(AttemptFailed, RequestsState)
+def on_failed(state: RequestsState, event: Received, ctx: Context) -> list[Effect]:
+    """Go on elsewhere where that is allowed: this attempt may have run."""
+    record, attempt = _match(state, event)
+    msg = event.message
+    if not isinstance(msg, AttemptFailed) or record is None or attempt is None:
+        return [_drop(event)]
+    return fail_attempt(state, record, ctx.now, msg.reason)
+
+
+@handles(StopRequested, RequestsState)
+def on_stop(state: RequestsState, event: StopRequested, ctx: Context) -> list[Effect]:
+    """Take no new requests; those in flight have until the timeout to end."""
+    if state.stop_by is None:
+        state.stop_by = ctx.now + state.config.stop_timeout_s
+    return _check_stop(state)
+
+
+@handles(Tick, RequestsState)
+def on_tick(state: RequestsState, event: Tick, ctx: Context) -> list[Effect]:
+    """Keep deadlines, move attempts that wait too long, and end a planned stop in time."""
+    effects = _fail_broken(state, ctx.now)
+    is_stop_due = state.stop_by is not None and ctx.now >= state.stop_by
+    for record in tuple(state.requests.values()):
+        if is_stop_due:
+            effects.extend(_stop_request(state, record, ctx.now))
+        else:
+            effects.extend(_check(state, record, ctx.now))
+    if ctx.now - state.swept_at >= TEAM_SWEEP_INTERVAL_S and state.environment is not None:
+        state.swept_at = ctx.now
+        state.limits.sweep(state.environment.teams, ctx.now)
+    for reason, dropped in state.assemblies.take_dropped().items():
+        effects.append(Count('chunks_dropped', (('reason', reason),), dropped))
+    return [*effects, *_check_stop(state)]
+
+
+def _check(state: RequestsState, record: RequestRecord, now: float) -> list[Effect]:
+    claim = record.claim
+    if claim is not None and claim.phase is ClaimPhase.RECORDING:
+        if claim.answer is None or now < claim.answer_by:
+            return []
+        return deliver_answer(state, record, claim.answer)
+    if now >= record.deadline:
+        return expire(state, record, now)
+    return move_if_waiting(state, record, now)
+
+
+def _stop_request(state: RequestsState, record: RequestRecord, now: float) -> list[Effect]:
+    if record.claim is not None and record.claim.answer is not None:
+        return deliver_answer(state, record, record.claim.answer)
+    effects = cancel(record, only_if_waiting=not record.repeatable)
+    record.may_have_run |= record.attempt is not None
+    drop_attempt(state, record, now, is_failure=False)
+    return [*effects, *give_up(state, record, now, 'the entry stopped')]
+
+
+def _fail_broken(state: RequestsState, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    for attempt_id in state.assemblies.take_broken():
+        record = state.attempts.get(attempt_id)
+        if record is None:
+            continue
+        effects.extend(cancel(record, only_if_waiting=not record.repeatable))
+        effects.extend(fail_attempt(state, record, now, 'a part of the answer is missing or too large'))
+    return effects
+
+
+def _check_stop(state: RequestsState) -> list[Effect]:
+    if state.stop_by is None or state.stop_completed or state.requests:
+        return []
+    state.stop_completed = True
+    return [StopCompleted(Role.ENTRY)]
+
+
+def _match(state: RequestsState, event: Received) -> tuple[RequestRecord | None, Attempt | None]:
+    """Return the request and attempt that a message is about, if its sender runs the attempt."""
+    record = state.attempts.get(getattr(event.message, 'attempt_id', AttemptId('')))
+    attempt = record.attempt if record is not None else None
+    if attempt is None or attempt.agent != event.peer.node:
+        return None, None
+    if attempt.incarnation != event.peer.incarnation:
+        return None, None
+    return record, attempt
+
+
+def _drop(event: Received) -> Count:
+    kind = type(event.message).__name__
+    return Count('messages_dropped', (('kind', kind),))
--- a/basilcove/requests/events.py
+++ b/basilcove/requests/events.py
@@ -24,8 +24,9 @@
     """A caller's request, authenticated and within the HTTP limits.
 
     Exactly one of ``model`` and ``service`` is set. ``path`` is the path at the upstream.
-    ``timeout_s`` is the time until the deadline, ``work`` the estimate in tokens (prompt and
-    generated). Header names are in lower case. ``prefix`` holds the hashes of the prompt's blocks.
+    ``timeout_s`` is the time until the deadline. ``work`` is the estimate in tokens, prompt and
+    generated, of which ``prompt_work`` are the prompt's. Header names are in lower case.
+    ``prefix`` holds the hashes of the prompt's blocks.
     """
 
     request_id: RequestId
@@ -39,6 +40,7 @@
     body: bytes
     timeout_s: float
     work: float = 1
+    prompt_work: float = 0
     stream: bool = False
     idempotency_key: str | None = None
     traceparent: str = ''
--- a/basilcove/requests/messages.py
+++ b/basilcove/requests/messages.py
@@ -23,7 +23,8 @@
     """Asks an agent to run an attempt.
 
     ``incarnation`` is the agent's. ``number`` rises with every attempt of the entry's
-    process start. ``timeout_s`` is the time that remains until the request's deadline.
+    process start. ``timeout_s`` is the time that remains until the request's deadline. ``work`` is the
+    estimate in tokens, of which ``prompt_work`` are the prompt's.
     ``token_offset`` is how many tokens the caller already has. Header names are in lower case.
     """
 
@@ -42,7 +43,9 @@
     body: bytes
     timeout_s: float
     work: float
+    prompt_work: float
     repeatable: bool
+    stream: bool = False
     token_offset: int = 0
     traceparent: str = ''
 
--- /dev/null
+++ b/basilcove/requests/models.py
@@ -0,0 +1,170 @@
+"""State of requests and attempts at an entry."""
+
+import enum
+from dataclasses import dataclass, field
+from typing import Self
+
+from basilcove.core.events import Peer
+from basilcove.core.ids import AttemptId, Incarnation, NodeId, RequestId, Revision, UpstreamName, Zone
+from basilcove.environment.models import Environment
+from basilcove.requests.assembly import Assemblies
+from basilcove.requests.budget import RetryBudget
+from basilcove.requests.claims import ClaimKey, StoredAnswer
+from basilcove.requests.config import RequestsConfig
+from basilcove.requests.events import Request, UpstreamJoined
+from basilcove.requests.limits import TeamLimits
+from basilcove.routing.models import Candidate, RouteRequest
+from basilcove.routing.router import Router
+
+
+class AttemptPhase(enum.Enum):
+    """What the entry knows of an attempt."""
+
+    SENT = 'sent'
+    STARTED = 'started'
+    ANSWERING = 'answering'
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt in flight; ``is_moving`` once it was asked to end if it still waits."""
+
+    attempt_id: AttemptId
+    number: int
+    upstream: UpstreamName
+    agent: NodeId
+    incarnation: Incarnation
+    sent_at: float
+    phase: AttemptPhase = AttemptPhase.SENT
+    is_moving: bool = False
+
+
+class ClaimPhase(enum.Enum):
+    """Where a keyed call stands with its claim."""
+
+    ASKED = 'asked'
+    GRANTED = 'granted'
+    RECORDING = 'recording'
+
+
+@dataclass(slots=True)
+class KeyClaim:
+    """Claim of a keyed call; the answer is held until it is recorded or ``answer_by``."""
+
+    key: ClaimKey
+    attempt_id: AttemptId
+    phase: ClaimPhase = ClaimPhase.ASKED
+    answer: StoredAnswer | None = None
+    answer_by: float = 0
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """One request that has not ended; times in monotonic seconds.
+
+    ``may_have_run`` holds once an attempt was lost without a confirmation that it did
+    not run. ``status`` and ``headers`` are those of the answer's head, ``tokens`` those
+    delivered by earlier attempts. ``confirm_by`` is set once an attempt was barred at the deadline.
+    ``has_paid_retry`` holds while a retry is taken from the budget but not sent.
+    """
+
+    request: Request
+    deadline: float
+    repeatable: bool
+    claim: KeyClaim | None = None
+    attempt: Attempt | None = None
+    tried: set[UpstreamName] = field(default_factory=set)
+    may_have_run: bool = False
+    head_sent: bool = False
+    caller_gone: bool = False
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    tokens: int = 0
+    retry_after_s: float | None = None
+    confirm_by: float | None = None
+    has_paid_retry: bool = False
+
+    @property
+    def route(self) -> RouteRequest:
+        """What the router needs to know of the request."""
+        req = self.request
+        return RouteRequest(req.model, req.service, req.work, req.prefix)
+
+    @property
+    def can_resume(self) -> bool:
+        """Tell whether another upstream can go on at a token offset."""
+        return self.request.model is not None and self.request.stream
+
+
+@dataclass(slots=True)
+class KnownUpstream:
+    """An upstream that joined."""
+
+    joined: UpstreamJoined
+    is_leaving: bool = False
+
+
+@dataclass
+class RequestsState:
+    """All requests of one entry.
+
+    ``requests`` holds each by its id, ``attempts`` by the id of its attempt in flight and
+    ``claims`` by the attempt id of its claim.
+    """
+
+    node: NodeId
+    incarnation: Incarnation
+    router: Router
+    config: RequestsConfig = field(default_factory=RequestsConfig)
+    environment: Environment | None = None
+    revision: Revision | None = None
+    upstreams: dict[UpstreamName, KnownUpstream] = field(default_factory=dict)
+    links: dict[NodeId, Peer] = field(default_factory=dict)
+    requests: dict[RequestId, RequestRecord] = field(default_factory=dict)
+    attempts: dict[AttemptId, RequestRecord] = field(default_factory=dict)
+    claims: dict[AttemptId, RequestRecord] = field(default_factory=dict)
+    assemblies: Assemblies = field(default_factory=Assemblies)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    limits: TeamLimits = field(default_factory=TeamLimits)
+    last_number: int = 0
+    swept_at: float = 0
+    candidates_changed: bool = False
+    stop_by: float | None = None
+    stop_completed: bool = False
+
+    @classmethod
+    def from_config(cls, cfg: RequestsConfig, node: NodeId, incarnation: Incarnation, zone: Zone) -> Self:
+        """Return the state of an entry that has just started."""
+        return cls(node, incarnation, Router(zone), cfg)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the entry takes new requests."""
+        return self.environment is not None and self.stop_by is None
+
+    def next_attempt_id(self) -> tuple[AttemptId, int]:
+        """Return a new attempt id and its number."""
+        self.last_number += 1
+        return AttemptId(f'{self.node}-{self.incarnation}-{self.last_number}'), self.last_number
+
+    def choose(self, record: RequestRecord, now: float) -> UpstreamName | None:
+        """Return an upstream for the next attempt that has a link and was not tried."""
+        if self.candidates_changed:
+            self.router.update(self._candidates(), now)
+            self.candidates_changed = False
+        return self.router.choose(record.route, now, record.tried)
+
+    def _candidates(self) -> list[Candidate]:
+        return [
+            _to_candidate(known.joined)
+            for known in self.upstreams.values()
+            if not known.is_leaving and self._has_link(known.joined)
+        ]
+
+    def _has_link(self, joined: UpstreamJoined) -> bool:
+        link = self.links.get(joined.agent)
+        return link is not None and link.incarnation == joined.incarnation
+
+
+def _to_candidate(joined: UpstreamJoined) -> Candidate:
+    return Candidate(joined.upstream, joined.zone, joined.models, joined.services, joined.slots)
--- /dev/null
+++ b/basilcove/requests/outcomes.py
@@ -0,0 +1,83 @@
+"""How requests end."""
+
+from http import HTTPStatus
+
+from basilcove.core.events import Count, Effect, Log
+from basilcove.core.ids import Outcome
+from basilcove.requests.claims import AbandonClaim, ReleaseClaim
+from basilcove.requests.const import DEFAULT_RETRY_AFTER_S, SERVER_ERROR
+from basilcove.requests.events import BreakAnswer, EndAnswer, Refusal, RefuseRequest, Request
+from basilcove.requests.models import RequestRecord, RequestsState
+
+
+def refuse(req: Request, refusal: Refusal) -> list[Effect]:
+    """Refuse a request of which the caller has no byte yet."""
+    return [RefuseRequest(req.request_id, refusal), _count(refusal.outcome.value)]
+
+
+def drop_attempt(state: RequestsState, record: RequestRecord, now: float, *, is_failure: bool) -> bytes:
+    """Forget the attempt in flight; what arrives of it later is dropped.
+
+    Adds the delivered tokens to the record and returns the body that was held.
+    """
+    attempt = record.attempt
+    if attempt is None:
+        return b''
+    record.attempt = None
+    state.attempts.pop(attempt.attempt_id, None)
+    tokens, held = state.assemblies.close(attempt.attempt_id)
+    record.tokens += tokens
+    if is_failure:
+        state.router.failed(attempt.attempt_id, now)
+    else:
+        state.router.finished(attempt.attempt_id, now - attempt.sent_at, now)
+    return held
+
+
+def forget(state: RequestsState, record: RequestRecord) -> None:
+    """Remove a request that has ended and has no attempt in flight."""
+    state.requests.pop(record.request.request_id, None)
+    state.limits.end(record.request.team)
+    if record.claim is not None:
+        state.claims.pop(record.claim.attempt_id, None)
+
+
+def give_up(state: RequestsState, record: RequestRecord, now: float, reason: str) -> list[Effect]:
+    """End a request that has no attempt in flight and gets no complete answer."""
+    forget(state, record)
+    effects = _close_claim(record)
+    if record.caller_gone:
+        return [*effects, _count('caller_gone')]
+    if record.head_sent:
+        return [*effects, BreakAnswer(record.request.request_id, reason), _count('broken')]
+    is_late = now >= record.deadline
+    log = Log('info', f'request refused: {reason}', (('request_id', record.request.request_id),))
+    return [*effects, log, *refuse(record.request, _find_refusal(record, reason, is_late=is_late))]
+
+
+def complete(state: RequestsState, record: RequestRecord, now: float) -> list[Effect]:
+    """End a request whose whole answer went to the caller."""
+    drop_attempt(state, record, now, is_failure=record.status >= SERVER_ERROR)
+    forget(state, record)
+    return [EndAnswer(record.request.request_id), _count('answered')]
+
+
+def _find_refusal(record: RequestRecord, reason: str, *, is_late: bool) -> Refusal:
+    if record.may_have_run:
+        status = HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY
+        return Refusal(status, Outcome.UNKNOWN, reason)
+    retry_after_s = record.retry_after_s or DEFAULT_RETRY_AFTER_S
+    return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN, reason, retry_after_s)
+
+
+def _close_claim(record: RequestRecord) -> list[Effect]:
+    claim = record.claim
+    if claim is None:
+        return []
+    if record.may_have_run:
+        return [AbandonClaim(claim.key, claim.attempt_id)]
+    return [ReleaseClaim(claim.key, claim.attempt_id)]
+
+
+def _count(outcome: str) -> Count:
+    return Count('requests_ended', (('outcome', outcome),))
--- /dev/null
+++ b/basilcove/requests/validation.py
@@ -0,0 +1,85 @@
+"""What a caller may ask for, according to the document."""
+
+import math
+import re
+from http import HTTPStatus
+
+from basilcove.core.ids import Outcome, PriorityName, TeamName
+from basilcove.environment.models import Environment, Service
+from basilcove.requests.events import Refusal, Request
+
+# An upstream may resolve such a path to another call than the one that the document describes.
+_AMBIGUOUS_PATH = re.compile(r'//|\\|%|(^|/)\.{1,2}(/|$)')
+
+
+def choose_priority(environment: Environment, team: TeamName, wanted: str | None) -> PriorityName | Refusal:
+    """Return the priority of a request; the team's least urgent one if none is named."""
+    allowed = environment.teams[team].priorities
+    if wanted is None:
+        return max(allowed, key=lambda name: environment.priorities[name].level)
+    name = PriorityName(wanted)
+    if name not in environment.priorities:
+        return _refuse(HTTPStatus.BAD_REQUEST, f'unknown priority {wanted}')
+    if name not in allowed:
+        return _refuse(HTTPStatus.FORBIDDEN, f'the team may not use priority {wanted}')
+    return name
+
+
+def choose_timeout(environment: Environment, wanted: str | None) -> float | Refusal:
+    """Return the timeout of a request in seconds, at most the document's ``max_timeout_s``."""
+    if wanted is None:
+        return environment.limits.default_timeout_s
+    try:
+        timeout_s = float(wanted)
+    except ValueError:
+        return _refuse(HTTPStatus.BAD_REQUEST, 'the timeout is not a number')
+    if not math.isfinite(timeout_s) or timeout_s <= 0:
+        return _refuse(HTTPStatus.BAD_REQUEST, 'the timeout is not a positive number')
+    return min(timeout_s, environment.limits.max_timeout_s)
+
+
+def find_fault(environment: Environment, req: Request) -> Refusal | None:
+    """Say why the document does not allow a request; None if it does."""
+    team = environment.teams.get(req.team)
+    if team is None:
+        return _refuse(HTTPStatus.UNAUTHORIZED, 'unknown team')
+    priority = choose_priority(environment, req.team, req.priority)
+    if isinstance(priority, Refusal):
+        return priority
+    if req.model is not None and req.model not in environment.models:
+        return _refuse(HTTPStatus.NOT_FOUND, f'unknown model {req.model}')
+    if req.model is None and req.service not in environment.services:
+        return _refuse(HTTPStatus.NOT_FOUND, f'unknown service {req.service}')
+    return None
+
+
+def is_repeatable(environment: Environment, req: Request) -> bool:
+    """Tell whether a request may run more than once.
+
+    Of the calls that match by method and path, the one with the longest path decides. A
+    path that an upstream could resolve differently is not repeatable.
+    """
+    if req.model is not None:
+        return True
+    service = environment.services.get(req.service) if req.service else None
+    path = req.path.partition('?')[0]
+    if service is None or _AMBIGUOUS_PATH.search(path):
+        return False
+    return _matches_repeatable(service, req.method, path)
+
+
+def _matches_repeatable(service: Service, method: str, path: str) -> bool:
+    longest = 0
+    repeatable = False
+    for call in service.calls:
+        prefix = call.path.rstrip('/')
+        if call.method != method or not f'{path}/'.startswith(f'{prefix}/'):
+            continue
+        if len(call.path) > longest:
+            longest = len(call.path)
+            repeatable = call.repeatable
+    return repeatable
+
+
+def _refuse(status: HTTPStatus, reason: str) -> Refusal:
+    return Refusal(status, Outcome.NOT_RUN, reason)
