Queue attempts by priority, floors and fair shares

Cause: the first in first out queue lets any flood delay or push out all other work. Ruled out: weighted priorities without strict order (urgent work would wait behind batch work) and counting in requests (long attempts would take more than their share). Change: strict order by level with floors of served work, slots held free by measured demand, start-time fair queueing among teams in work, limits of teams, early refusal from measured speed, bounds with eviction of the longest team's newest attempt; floods under a virtual clock at today's size.

--- /dev/null
+++ b/basilcove/admission/fair.py
@@ -0,0 +1,199 @@
+"""Start-time fair queueing among the teams of one priority, measured in work."""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from basilcove.admission.const import HEAP_SLACK
+from basilcove.admission.models import QueueItem
+from basilcove.core.ids import AttemptId, TeamName
+
+
+@dataclass(slots=True)
+class TeamQueue:
+    """Attempts of one team; the tag is the virtual time at which its next attempt starts."""
+
+    name: TeamName
+    share: float
+    tag: float = 0
+    work: float = 0
+    running: int = 0
+    parked: bool = False
+    idle_tag: float = -1
+    waiting: OrderedDict[AttemptId, QueueItem] = field(default_factory=OrderedDict)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing of the team waits or runs."""
+        return not self.waiting and not self.running
+
+    @property
+    def usage(self) -> float:
+        """Queued work in relation to the team's share."""
+        return self.work / self.share
+
+
+class FairQueue:
+    """Waiting attempts of one priority; each operation takes O(log teams) amortized."""
+
+    def __init__(self) -> None:
+        """Start without teams."""
+        self.work = 0.0
+        self.count = 0
+        self.shares = 0.0
+        self._virtual = 0.0
+        self._last_tag = 0.0
+        self._teams: dict[TeamName, TeamQueue] = {}
+        # Entries are out of date when the team's tag or usage has changed since; they are dropped when met.
+        self._ready: list[tuple[float, TeamName]] = []
+        self._longest: list[tuple[float, TeamName]] = []
+        self._idle: list[tuple[float, TeamName]] = []
+
+    def __len__(self) -> int:
+        """Return the number of teams that are remembered."""
+        return len(self._teams)
+
+    def add(self, entry: QueueItem, share: float) -> None:
+        """Queue an attempt behind those of its team."""
+        team = self._teams.get(entry.team)
+        if team is None:
+            team = TeamQueue(entry.team, share)
+            self._teams[entry.team] = team
+        if not team.waiting:
+            team.share = share
+            team.tag = max(team.tag, self._virtual)
+            team.parked = False
+            self.shares += team.share
+            self._push_ready(team)
+        team.waiting[entry.attempt_id] = entry
+        self._change_work(team, entry.work)
+        self.count += 1
+        self._push_longest(team)
+
+    def peek(self, is_allowed: Callable[[TeamName], bool]) -> QueueItem | None:
+        """Return the next attempt of the team that is served next; teams not allowed are set aside."""
+        while self._ready:
+            tag, name = self._ready[0]
+            team = self._teams.get(name)
+            if team is None or not team.waiting or team.parked or team.tag != tag:
+                heapq.heappop(self._ready)
+                continue
+            if is_allowed(name):
+                return next(iter(team.waiting.values()))
+            team.parked = True
+        return None
+
+    def start(self, entry: QueueItem) -> None:
+        """Remove an attempt that starts and charge its team."""
+        team = self._teams[entry.team]
+        self._virtual = max(self._virtual, team.tag)
+        team.running += 1
+        self.charge(entry.team, entry.work)
+        self.remove(entry)
+
+    def unpark(self, name: TeamName) -> None:
+        """Let a team that was set aside take part again."""
+        team = self._teams.get(name)
+        if team is not None and team.parked:
+            team.parked = False
+            team.tag = max(team.tag, self._virtual)
+            self._push_ready(team)
+
+    def remove(self, entry: QueueItem) -> None:
+        """Remove a waiting attempt."""
+        team = self._teams[entry.team]
+        team.waiting.pop(entry.attempt_id)
+        self._change_work(team, -entry.work)
+        self.count -= 1
+        if team.waiting:
+            return
+        self.work -= team.work
+        team.work = 0
+        self.shares -= team.share
+        self._forget_idle(team)
+
+    def replace(self, entry: QueueItem, changed: QueueItem) -> None:
+        """Replace a waiting attempt by one with other work; it keeps its place."""
+        team = self._teams[entry.team]
+        team.waiting[entry.attempt_id] = changed
+        self._change_work(team, changed.work - entry.work)
+        self._push_longest(team)
+
+    def charge(self, name: TeamName, work: float) -> None:
+        """Charge a team for work; negative work is credited."""
+        team = self._teams.get(name)
+        if team is None:
+            return
+        team.tag += work / team.share
+        self._last_tag = max(self._last_tag, team.tag)
+        if team.waiting and not team.parked:
+            self._push_ready(team)
+
+    def end(self, name: TeamName) -> None:
+        """Note that an attempt of the team has ended."""
+        team = self._teams.get(name)
+        if team is not None:
+            team.running -= 1
+            self._forget_idle(team)
+
+    def work_ahead(self, name: TeamName, share: float) -> float:
+        """Return the work that is served before another attempt of this team."""
+        team = self._teams.get(name)
+        own = 0.0
+        shares = self.shares
+        if team is None or not team.waiting:
+            shares += share
+        if team is not None:
+            own = team.work + max(team.tag - self._virtual, 0) * team.share
+        return min(own * shares / share, self.work)
+
+    def longest(self) -> TeamQueue | None:
+        """Return the team with the most queued work for its share."""
+        while self._longest:
+            usage, name = self._longest[0]
+            team = self._teams.get(name)
+            if team is not None and team.waiting and team.usage == -usage:
+                return team
+            heapq.heappop(self._longest)
+            if team is not None and team.waiting and team.usage < -usage:
+                self._push_longest(team)
+        return None
+
+    def _change_work(self, team: TeamQueue, work: float) -> None:
+        team.work += work
+        self.work += work
+
+    def _push_ready(self, team: TeamQueue) -> None:
+        if len(self._ready) > 2 * len(self._teams) + HEAP_SLACK:
+            backlogged = [other for other in self._teams.values() if other.waiting and not other.parked]
+            self._ready = [(other.tag, other.name) for other in backlogged]
+            heapq.heapify(self._ready)
+        heapq.heappush(self._ready, (team.tag, team.name))
+
+    def _push_longest(self, team: TeamQueue) -> None:
+        if len(self._longest) > 2 * len(self._teams) + HEAP_SLACK:
+            self._longest = [(-other.usage, other.name) for other in self._teams.values() if other.waiting]
+            heapq.heapify(self._longest)
+        heapq.heappush(self._longest, (-team.usage, team.name))
+
+    def _forget_idle(self, team: TeamQueue) -> None:
+        # A team is forgotten once its past service no longer changes its place: its tag is passed by the
+        # virtual time. With nothing waiting at all, no place is left to keep.
+        if not self.count:
+            self._virtual = max(self._virtual, self._last_tag)
+            self.work = 0
+            self.shares = 0
+        if team.is_idle and team.idle_tag != team.tag:
+            team.idle_tag = team.tag
+            heapq.heappush(self._idle, (team.tag, team.name))
+        while self._idle and self._idle[0][0] <= self._virtual:
+            self._forget(*heapq.heappop(self._idle))
+
+    def _forget(self, tag: float, name: TeamName) -> None:
+        team = self._teams.get(name)
+        if team is None or team.idle_tag != tag:
+            return
+        team.idle_tag = -1
+        if team.is_idle and team.tag <= self._virtual:
+            self._teams.pop(name)
--- /dev/null
+++ b/basilcove/admission/limits.py
@@ -0,0 +1,88 @@
+"""Limits of each team: rate of requests and concurrent attempts."""
+
+import math
+from collections import OrderedDict
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from basilcove.admission.const import DEFAULT_MAX_CONCURRENT, RATE_BURST_S
+from basilcove.admission.models import Refused
+from basilcove.core.ids import TeamName
+from basilcove.environment.models import Team
+
+
+@dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    updated: float
+
+
+class TeamLimits:
+    """Teams of the document and what they use of their limits; idle teams are forgotten.
+
+    The limits hold for the whole environment, and one upstream sees only a part of it, so what is enforced
+    here is an upper bound.
+    """
+
+    def __init__(self) -> None:
+        """Start without teams."""
+        self._teams: Mapping[TeamName, Team] = {}
+        self._running: dict[TeamName, int] = {}
+        self._buckets: OrderedDict[TeamName, _Bucket] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of teams that are remembered."""
+        return len(self._buckets.keys() | self._running.keys())
+
+    def configure(self, teams: Mapping[TeamName, Team]) -> None:
+        """Take over the teams of a newer document."""
+        self._teams = teams
+
+    def share(self, name: TeamName) -> float:
+        """Return the relative weight of a team; 1 if the document doesn't name it."""
+        team = self._teams.get(name)
+        return 1 if team is None else team.share
+
+    def is_allowed(self, name: TeamName) -> bool:
+        """Tell whether another attempt of the team may run."""
+        team = self._teams.get(name)
+        limit = DEFAULT_MAX_CONCURRENT if team is None else team.max_concurrent
+        return self._running.get(name, 0) < limit
+
+    def start(self, name: TeamName) -> None:
+        """Note an attempt that starts."""
+        self._running[name] = self._running.get(name, 0) + 1
+
+    def end(self, name: TeamName) -> None:
+        """Note an attempt that ended."""
+        left = self._running[name] - 1
+        self._running[name] = left
+        if not left:
+            self._running.pop(name)
+
+    def limit_rate(self, name: TeamName, now: float) -> Refused | None:
+        """Use up one request of the team's rate; refuse if there is none."""
+        team = self._teams.get(name)
+        if team is None:
+            return None
+        burst = max(team.rate * RATE_BURST_S, 1)
+        bucket = self._buckets.setdefault(name, _Bucket(burst, now))
+        bucket.tokens = min(bucket.tokens + max(now - bucket.updated, 0) * team.rate, burst)
+        bucket.updated = max(now, bucket.updated)
+        self._buckets.move_to_end(name)
+        self._forget_full(now)
+        if bucket.tokens < 1:
+            return Refused('the rate limit of the team is reached', (1 - bucket.tokens) / team.rate)
+        bucket.tokens -= 1
+        return None
+
+    def _forget_full(self, now: float) -> None:
+        # A bucket that was last used more than the time of a burst ago is full, as a new one would be.
+        # At most two are dropped for each one that is added.
+        for _ in range(2):
+            name, oldest = next(iter(self._buckets.items()))
+            team = self._teams.get(name)
+            rate = math.inf if team is None else team.rate
+            if oldest.updated + max(RATE_BURST_S, 1 / rate) >= now:
+                return
+            self._buckets.pop(name)
--- a/basilcove/admission/models.py
+++ b/basilcove/admission/models.py
@@ -27,3 +27,12 @@
 
     reason: str
     retry_after_s: float
+
+
+@dataclass(slots=True)
+class Running:
+    """An attempt that runs; charged is the work that its team has been charged for."""
+
+    entry: QueueItem
+    started: float
+    charged: float
