Add the document's checks, its distribution and the membership of upstreams

Cause: nodes need one accepted document each, and upstreams join by announcing themselves; neither existed.

Documents travel as chains of JSON Patches with a digest check and fall back to compressed chunks. Offers are repeated quickly only to peers that are not known to hold the same revision. An entry checks an announcement by an HMAC keyed by the credential's digest, which is all that the document holds.

Ruled out: sending the credential to entries (whoever reads it there can announce the upstream from anywhere); periodic offers at one interval (the interval that survives losses within 4 s costs most of 15 KB/s at 100 links).

--- /dev/null
+++ b/basilcove/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""The spread of accepted documents between peers."""
--- /dev/null
+++ b/basilcove/distribution/exceptions.py
@@ -0,0 +1,7 @@
+"""Errors of the distribution of documents."""
+
+from basilcove.exceptions import BasilcoveError
+
+
+class CopyError(BasilcoveError):
+    """A whole copy is damaged or not the stated document."""
--- /dev/null
+++ b/basilcove/distribution/messages.py
@@ -0,0 +1,70 @@
+"""Messages by which peers pass documents on."""
+
+from dataclasses import dataclass
+
+from basilcove.core.events import Message
+from basilcove.core.ids import EnvironmentName, Revision, Stage
+from basilcove.distribution import distribution_pb2 as pb
+from basilcove.helpers.codec import message
+
+
+@message('distribution.offer', pb.Offer)
+@dataclass(frozen=True, slots=True)
+class Offer(Message):
+    """Newest document that the sender holds; revision 0 for none."""
+
+    environment: EnvironmentName
+    stage: Stage
+    revision: Revision
+    digest: bytes
+    ask: bool
+    caught_up: bool
+
+
+@message('distribution.want', pb.Want)
+@dataclass(frozen=True, slots=True)
+class Want(Message):
+    """Request for a newer document than the base."""
+
+    environment: EnvironmentName
+    stage: Stage
+    base_revision: Revision
+    base_digest: bytes
+    whole: bool
+    digest: bytes
+    missing: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One change, as the JSON Patch that leads to a revision and digest."""
+
+    revision: Revision
+    digest: bytes
+    patch: str
+
+
+@message('distribution.delta', pb.Delta)
+@dataclass(frozen=True, slots=True)
+class Delta(Message):
+    """Changes from a base to the sender's newest document."""
+
+    environment: EnvironmentName
+    stage: Stage
+    base_revision: Revision
+    base_digest: bytes
+    steps: tuple[Step, ...]
+
+
+@message('distribution.chunk', pb.Chunk)
+@dataclass(frozen=True, slots=True)
+class Chunk(Message):
+    """Part of a compressed whole document."""
+
+    environment: EnvironmentName
+    stage: Stage
+    revision: Revision
+    digest: bytes
+    index: int
+    total: int
+    body: bytes
--- /dev/null
+++ b/basilcove/distribution/models.py
@@ -0,0 +1,188 @@
+"""State of the distribution of documents."""
+
+import hashlib
+import zlib
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+from basilcove.core.events import Peer
+from basilcove.core.ids import EnvironmentName, NodeId, Revision, Role, Stage, Zone
+from basilcove.distribution.config import DistributionConfig
+from basilcove.distribution.const import (
+    CHUNK_BYTES,
+    MAX_HISTORY_BYTES,
+    MAX_HISTORY_STEPS,
+    NO_REVISION,
+    SMALL_DELTA_BYTES,
+)
+from basilcove.distribution.messages import Chunk, Offer, Step, Want
+from basilcove.environment.canonical import make_delta
+from basilcove.environment.models import Environment
+
+Key: TypeAlias = tuple[EnvironmentName, Stage]
+
+
+@dataclass
+class History:
+    """Latest changes, each from the digest of its base; bounded in number and bytes."""
+
+    steps: deque[tuple[bytes, Step]] = field(default_factory=deque)
+    size: int = 0
+
+    def add(self, base: bytes, step: Step) -> None:
+        """Append a change; the oldest ones go first."""
+        if self.steps and self.steps[-1][1].digest != base:
+            self.steps.clear()
+            self.size = 0
+        self.steps.append((base, step))
+        self.size += len(step.patch)
+        while self.size > MAX_HISTORY_BYTES or len(self.steps) > MAX_HISTORY_STEPS:
+            self.size -= len(self.steps.popleft()[1].patch)
+
+    def since(self, base: bytes) -> tuple[Step, ...]:
+        """Return the changes from a document of this digest; none if it is too old."""
+        steps: deque[Step] = deque()
+        for base_digest, step in reversed(self.steps):
+            steps.appendleft(step)
+            if base_digest == base:
+                return tuple(steps)
+        return ()
+
+
+@dataclass
+class Held:
+    """Newest document held of an environment and stage; revision 0 before the first."""
+
+    revision: Revision = NO_REVISION
+    digest: bytes = b''
+    text: str = ''
+    environment: Environment | None = None
+    history: History = field(default_factory=History)
+    _packed: bytes = b''
+
+    def packed(self) -> bytes:
+        """Return the compressed document, compressing it once."""
+        if not self._packed:
+            self._packed = zlib.compress(self.text.encode())
+        return self._packed
+
+    def replace(self, revision: Revision, text: str, steps: Iterable[tuple[bytes, Step]]) -> None:
+        """Take a newer document and the changes that led to it."""
+        for base, step in steps:
+            self.history.add(base, step)
+        self.revision = revision
+        self.text = text
+        self.digest = hashlib.sha256(text.encode()).digest()
+        self._packed = b''
+
+    def step_to(self, revision: Revision, digest: bytes, text: str) -> tuple[tuple[bytes, Step], ...]:
+        """Return the change from this document to another; none if a whole copy is smaller."""
+        patch = make_delta(self.text, text) if self.text else None
+        return () if patch is None else ((self.digest, Step(revision, digest, patch)),)
+
+    def steps_since(self, base: bytes) -> tuple[Step, ...]:
+        """Return the changes from a base to this document; none if a whole copy is smaller."""
+        steps = self.history.since(base) if base else ()
+        if not steps or steps[-1].digest != self.digest:
+            return ()
+        size = sum(len(step.patch) for step in steps)
+        return steps if size < SMALL_DELTA_BYTES or size < len(self.packed()) else ()
+
+    def chunks(self, key: Key, want: Want) -> list[Chunk]:
+        """Return the chunks of the whole copy that a peer wants."""
+        packed = self.packed()
+        total = -(-len(packed) // CHUNK_BYTES)
+        indices = want.missing if want.missing and want.digest == self.digest else range(total)
+        chunks = []
+        for index in indices:
+            body = packed[index * CHUNK_BYTES : (index + 1) * CHUNK_BYTES]
+            if index < 0 or not body:
+                continue
+            chunks.append(Chunk(*key, self.revision, self.digest, index, total, body))
+        return chunks
+
+
+@dataclass
+class PeerView:
+    """What a linked peer is known to hold."""
+
+    peer: Peer
+    found_at: float
+    offers: dict[Key, Offer] = field(default_factory=dict)
+    next_offer_at: float = 0
+    # Requests in a row that brought nothing; another peer is asked first.
+    failures: int = 0
+
+    def holds(self, key: Key, held: Held) -> bool:
+        """Tell whether the peer is known to hold the same document."""
+        offer = self.offers.get(key)
+        return offer is not None and (offer.revision, offer.digest) == (held.revision, held.digest)
+
+
+@dataclass
+class Pull:
+    """A request for a newer document, and the chunks that have arrived."""
+
+    node: NodeId | None = None
+    deadline: float = 0
+    whole: bool = False
+    progressed: bool = False
+    # Compressed copies may differ between two builds of zlib, so chunks come from one source.
+    source: NodeId | None = None
+    revision: Revision = NO_REVISION
+    digest: bytes = b''
+    total: int = 0
+    chunks: dict[int, bytes] = field(default_factory=dict)
+
+    def restart(self, source: NodeId, chunk: Chunk) -> None:
+        """Drop the chunks of another copy."""
+        self.source = source
+        self.revision, self.digest, self.total = chunk.revision, chunk.digest, chunk.total
+        self.chunks = {}
+
+    def missing(self) -> tuple[int, ...]:
+        """Return the indices of the chunks that have not arrived."""
+        if not self.chunks:
+            return ()
+        return tuple(index for index in range(self.total) if index not in self.chunks)
+
+
+@dataclass
+class DistributionState:
+    """Documents that the node holds, and what it knows of its peers."""
+
+    node: NodeId
+    zone: Zone
+    roles: tuple[Role, ...]
+    key: Key
+    control_nodes: frozenset[NodeId]
+    documents: dict[Key, Held] = field(default_factory=dict)
+    peers: dict[NodeId, PeerView] = field(default_factory=dict)
+    pull: Pull = field(default_factory=Pull)
+    # Digests that this version can't read, and (node, digest) of breaches already reported.
+    unreadable: set[bytes] = field(default_factory=set)
+    breaches: set[tuple[NodeId, bytes]] = field(default_factory=set)
+    started_at: float | None = None
+    caught_up: bool = False
+    ready: bool = False
+    announced: Revision = NO_REVISION
+
+    @classmethod
+    def from_config(
+        cls, cfg: DistributionConfig, node: NodeId, zone: Zone, roles: tuple[Role, ...]
+    ) -> 'DistributionState':
+        """Build the state of a process that starts."""
+        key = (cfg.environment, cfg.stage)
+        return cls(node, zone, roles, key, frozenset(cfg.control_nodes), {key: Held()})
+
+    @property
+    def is_control(self) -> bool:
+        """Tell whether the node may introduce revisions."""
+        return Role.CONTROL in self.roles
+
+    @property
+    def own(self) -> Held:
+        """Return the document of the node's own environment and stage."""
+        return self.documents[self.key]
--- /dev/null
+++ b/basilcove/distribution/pulling.py
@@ -0,0 +1,168 @@
+"""Requests newer documents from peers and takes the answers."""
+
+import zlib
+from collections.abc import Iterator
+
+from basilcove.core.events import Count, Effect, Log, Received, Send
+from basilcove.core.ids import NodeId
+from basilcove.core.reducer import Context, handles_message
+from basilcove.distribution.const import CHUNK_BYTES, MAX_CHUNKS, WANT_TIMEOUT_S
+from basilcove.distribution.exceptions import CopyError
+from basilcove.distribution.messages import Chunk, Delta, Want
+from basilcove.distribution.models import DistributionState, PeerView, Pull
+from basilcove.distribution.taking import fingerprint, settle, take
+from basilcove.environment.canonical import apply_deltas
+from basilcove.environment.const import DIGEST_PREFIX, MAX_DOCUMENT_BYTES
+from basilcove.environment.exceptions import DeltaError
+from basilcove.helpers.hashing import stable_hash
+
+
+def pull_if_due(state: DistributionState, ctx: Context) -> Iterator[Effect]:
+    """Ask a peer for a newer document, unless an answer is still awaited."""
+    pull = state.pull
+    if pull.node is not None and ctx.now < pull.deadline:
+        return
+    if pull.node is not None and not pull.progressed:
+        _blame(state, pull.node)
+    pull.node = None
+    view = _best_source(state)
+    if view is None:
+        return
+    offer = view.offers[state.key]
+    resumes = pull.source == view.peer.node and pull.digest == offer.digest
+    pull.node = view.peer.node
+    pull.deadline = ctx.now + WANT_TIMEOUT_S
+    pull.progressed = False
+    missing = pull.missing() if resumes else ()
+    held = state.own
+    yield Send(
+        view.peer.node,
+        Want(*state.key, held.revision, held.digest, pull.whole, offer.digest, missing),
+    )
+
+
+@handles_message(Want, DistributionState)
+def on_want(state: DistributionState, event: Received, ctx: Context) -> Iterator[Effect]:
+    """Answer with the changes since the peer's base, or with a whole copy."""
+    want = event.message
+    assert isinstance(want, Want)
+    key = (want.environment, want.stage)
+    held = state.documents.get(key)
+    if held is None or held.revision <= want.base_revision:
+        return
+    steps = () if want.whole else held.steps_since(want.base_digest)
+    if steps:
+        delta = Delta(*key, want.base_revision, want.base_digest, steps)
+        yield Count('basilcove_documents_sent_total', (('form', 'delta'),))
+        yield Send(event.peer.node, delta)
+        return
+    yield Count('basilcove_documents_sent_total', (('form', 'whole'),))
+    for chunk in held.chunks(key, want):
+        yield Send(event.peer.node, chunk)
+
+
+@handles_message(Delta, DistributionState)
+def on_delta(state: DistributionState, event: Received, ctx: Context) -> Iterator[Effect]:
+    """Apply changes to the document held; ask for a whole copy if they don't fit."""
+    delta = event.message
+    assert isinstance(delta, Delta)
+    held = state.own
+    key = (delta.environment, delta.stage)
+    if key != state.key or delta.base_digest != held.digest or not delta.steps:
+        return
+    last = delta.steps[-1]
+    if last.revision <= held.revision or last.digest in state.unreadable:
+        return
+    try:
+        text = apply_deltas(
+            held.text, [step.patch for step in delta.steps], DIGEST_PREFIX + last.digest.hex()
+        )
+    except DeltaError as exc:
+        state.pull = Pull(whole=True)
+        yield Count('basilcove_deltas_refused_total')
+        yield Log('warning', str(exc), (('source', event.peer.node),))
+    else:
+        bases = (held.digest, *(step.digest for step in delta.steps))
+        _succeed(state, event)
+        yield from take(state, key, last.revision, text, zip(bases, delta.steps, strict=False))
+    yield from pull_if_due(state, ctx)
+    yield from settle(state, ctx)
+
+
+@handles_message(Chunk, DistributionState)
+def on_chunk(state: DistributionState, event: Received, ctx: Context) -> Iterator[Effect]:
+    """Collect the chunks of a whole copy and take it once it is complete."""
+    chunk = event.message
+    assert isinstance(chunk, Chunk)
+    if not _is_useful(state, chunk):
+        return
+    pull = state.pull
+    if (pull.source, pull.digest) != (event.peer.node, chunk.digest):
+        if chunk.revision < pull.revision:
+            return
+        pull.restart(event.peer.node, chunk)
+    pull.chunks[chunk.index] = chunk.body
+    pull.progressed = True
+    if len(pull.chunks) < pull.total:
+        return
+    try:
+        text = _unpack(pull)
+    except CopyError as exc:
+        state.pull = Pull(whole=True)
+        yield Log('warning', str(exc), (('source', event.peer.node),))
+        _blame(state, event.peer.node)
+    else:
+        steps = state.own.step_to(chunk.revision, chunk.digest, text)
+        _succeed(state, event)
+        yield from take(state, state.key, chunk.revision, text, steps)
+    yield from pull_if_due(state, ctx)
+    yield from settle(state, ctx)
+
+
+def _best_source(state: DistributionState) -> PeerView | None:
+    best = None
+    best_rank: tuple[int, ...] = ()
+    for view in state.peers.values():
+        offer = view.offers.get(state.key)
+        if offer is None or offer.revision <= state.own.revision or offer.digest in state.unreadable:
+            continue
+        is_far = int(view.peer.zone != state.zone)
+        spread = stable_hash(state.node, view.peer.node, offer.revision)
+        rank = (view.failures, -offer.revision, is_far, spread)
+        if best is None or rank < best_rank:
+            best, best_rank = view, rank
+    return best
+
+
+def _is_useful(state: DistributionState, chunk: Chunk) -> bool:
+    if (chunk.environment, chunk.stage) != state.key or chunk.digest in state.unreadable:
+        return False
+    if chunk.total > MAX_CHUNKS or len(chunk.body) > CHUNK_BYTES or not 0 <= chunk.index < chunk.total:
+        return False
+    return chunk.revision > state.own.revision
+
+
+def _unpack(pull: Pull) -> str:
+    packed = b''.join(pull.chunks[index] for index in range(pull.total))
+    try:
+        # The bound keeps a small copy from unpacking to all of the memory.
+        unpacked = zlib.decompressobj().decompress(packed, MAX_DOCUMENT_BYTES + 1)
+        text = unpacked.decode()
+    except (zlib.error, UnicodeDecodeError) as exc:
+        raise CopyError(f'a whole copy is damaged: {exc}') from exc
+    if len(unpacked) > MAX_DOCUMENT_BYTES or fingerprint(text) != pull.digest:
+        raise CopyError('a whole copy is not the stated document')
+    return text
+
+
+def _blame(state: DistributionState, node: NodeId) -> None:
+    view = state.peers.get(node)
+    if view is not None:
+        view.failures += 1
+
+
+def _succeed(state: DistributionState, event: Received) -> None:
+    state.pull = Pull()
+    view = state.peers.get(event.peer.node)
+    if view is not None:
+        view.failures = 0
--- /dev/null
+++ b/basilcove/distribution/readiness.py
@@ -0,0 +1,59 @@
+"""Decides when a node that restarted may act on its document."""
+
+from collections.abc import Iterator
+
+from basilcove.core.ids import Role
+from basilcove.distribution.const import CUT_OFF_AFTER_S, HIGHEST_OFFER_WAIT_S
+from basilcove.distribution.models import DistributionState, PeerView
+
+
+def is_ready(state: DistributionState, now: float) -> bool:
+    """Tell whether no lower revision than one that this node had in effect can be taken.
+
+    Every accepted revision is known to a majority of the control group, so the
+    highest of a majority's offers is not older than what the node had before
+    its restart. A node that is cut off from a majority relies on the peers of
+    its availability zone instead, and waits for the highest offer.
+    """
+    held = state.own
+    if held.revision == 0 or held.revision < _highest_offer(state):
+        return False
+    if not _is_zone_asked(state, now):
+        return False
+    return _is_majority_heard(state) or _is_cut_off_long_enough(state, now)
+
+
+def _highest_offer(state: DistributionState) -> int:
+    offers = (view.offers.get(state.key) for view in state.peers.values())
+    return max((offer.revision for offer in offers if offer is not None), default=0)
+
+
+def _is_majority_heard(state: DistributionState) -> bool:
+    # A replica that has only replayed its disk may lag behind; it counts once it has caught up.
+    heard = int(state.caught_up and state.node in state.control_nodes)
+    for view in state.peers.values():
+        offer = view.offers.get(state.key)
+        is_member = view.peer.node in state.control_nodes and Role.CONTROL in view.peer.roles
+        if is_member and offer is not None and offer.caught_up:
+            heard += 1
+    return heard > len(state.control_nodes) // 2
+
+
+def _is_zone_asked(state: DistributionState, now: float) -> bool:
+    for view in _zone_peers(state):
+        if state.key not in view.offers and now - view.found_at < HIGHEST_OFFER_WAIT_S:
+            return False
+    return True
+
+
+def _is_cut_off_long_enough(state: DistributionState, now: float) -> bool:
+    if state.started_at is None:
+        return False
+    first_link = min((view.found_at for view in _zone_peers(state)), default=state.started_at)
+    return now - max(state.started_at + CUT_OFF_AFTER_S, first_link) >= HIGHEST_OFFER_WAIT_S
+
+
+def _zone_peers(state: DistributionState) -> Iterator[PeerView]:
+    for view in state.peers.values():
+        if view.peer.zone == state.zone:
+            yield view
--- a/basilcove/environment/models.py
+++ b/basilcove/environment/models.py
@@ -1,21 +1,35 @@
 """Typed form of an environment's document."""
 
 import enum
-from typing import Annotated
+import functools
+from typing import Annotated, Final
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from basilcove.core.ids import GroupName, ModelName, PriorityName, ServiceName, TeamName, UpstreamName, Zone
+from basilcove.core.ids import (
+    GroupName,
+    ModelName,
+    NodeId,
+    PriorityName,
+    ServiceName,
+    TeamName,
+    UpstreamName,
+    Zone,
+)
 
 Fraction = Annotated[float, Field(ge=0, le=1)]
-PositiveFloat = Annotated[float, Field(gt=0)]
-PositiveInt = Annotated[int, Field(gt=0)]
+# Numbers travel as int32 in messages, and sums of weights must stay finite.
+_MAX_INT: Final = 2_147_483_647
+_MAX_FLOAT: Final = 1e12
+
+PositiveFloat = Annotated[float, Field(gt=0, le=_MAX_FLOAT)]
+PositiveInt = Annotated[int, Field(gt=0, le=_MAX_INT)]
 Digest = Annotated[str, Field(pattern=r'^sha256:[0-9a-f]{64}$')]
 Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9._-]{0,62}$')]
 
 
 class _Section(BaseModel):
-    model_config = ConfigDict(extra='forbid', frozen=True)
+    model_config = ConfigDict(extra='forbid', frozen=True, allow_inf_nan=False)
 
 
 class UpstreamKind(enum.Enum):
@@ -62,7 +76,10 @@
 
 
 class Upstream(_Section):
-    """An upstream that may join; ``slots`` is how many attempts it runs at once."""
+    """An upstream that may join; ``slots`` is how many attempts it runs at once.
+
+    With ``agent`` only the agent of that node id may announce the upstream.
+    """
 
     kind: UpstreamKind
     zone: Zone
@@ -71,6 +88,7 @@
     services: tuple[ServiceName, ...] = ()
     slots: PositiveInt = 16
     checks_fencing: bool = False
+    agent: NodeId | None = None
 
 
 class Call(_Section):
@@ -121,3 +139,8 @@
     upstreams: dict[UpstreamName, Upstream] = {}
     limits: Limits = Limits()
     evidence: Evidence = Evidence()
+
+    @functools.cached_property
+    def team_by_digest(self) -> dict[str, TeamName]:
+        """Index of the teams by the digests of their keys."""
+        return {digest: name for name, team in self.teams.items() for digest in team.key_digests}
--- /dev/null
+++ b/basilcove/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams that announce themselves, and their admission."""
--- /dev/null
+++ b/basilcove/membership/announcer.py
@@ -0,0 +1,222 @@
+"""Handlers of an agent: upstreams on its host and their announcement."""
+
+import dataclasses
+from collections.abc import Iterator
+
+from basilcove.core.events import (
+    Count,
+    Effect,
+    Emit,
+    Log,
+    PeerFound,
+    PeerLost,
+    Received,
+    Send,
+    StopRequested,
+    Tick,
+)
+from basilcove.core.ids import Role, UpstreamName
+from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.environment.events import EnvironmentChanged
+from basilcove.environment.keys import digest_of_secret, is_secret
+from basilcove.membership.const import ANNOUNCE_INTERVAL_S, UPSTREAM_TIMEOUT_S
+from basilcove.membership.events import (
+    AnnouncementAccepted,
+    AnnouncementRefused,
+    DrainConfirmed,
+    DrainRequested,
+    LoadMeasured,
+    LocalUpstreamJoined,
+    LocalUpstreamLost,
+    UpstreamAnnounced,
+    UpstreamLeavingRequested,
+)
+from basilcove.membership.messages import Announce, Drain, DrainDone, Load
+from basilcove.membership.models import AnnouncerState, LocalUpstream
+from basilcove.membership.proofs import proof_of
+from basilcove.membership.rules import Allowed, Claim, Refused, judge
+
+
+@handles(UpstreamAnnounced, AnnouncerState)
+def on_announced(state: AnnouncerState, event: UpstreamAnnounced, ctx: Context) -> Iterator[Effect]:
+    """Take or refuse an upstream on this host."""
+    yield from _expire(state, ctx)
+    verdict = _judge(state, event)
+    if isinstance(verdict, Refused):
+        yield Count('basilcove_announcements_refused_total', (('at', 'agent'),))
+        yield Log('warning', f'announcement refused: {verdict.reason}', (('upstream', event.name),))
+        yield Emit(AnnouncementRefused(event.name, event.incarnation, verdict.reason))
+        return
+    yield Emit(AnnouncementAccepted(event.name, event.incarnation))
+    known = state.local.get(event.name)
+    if known is not None and (known.announced, known.allowed) == (event, verdict):
+        known.heard_at = ctx.now
+        return
+    leaving = state.drained.get(event.name) == event.incarnation
+    state.local[event.name] = LocalUpstream(event, verdict, ctx.now, leaving)
+    state.newest[event.name] = event.incarnation
+    yield Emit(_joined(state.local[event.name]))
+    yield from _announce(state, event.name)
+
+
+@handles(UpstreamLeavingRequested, AnnouncerState)
+def on_leaving(state: AnnouncerState, event: UpstreamLeavingRequested, ctx: Context) -> Iterator[Effect]:
+    """Announce at once that the upstream leaves; only its next process comes back."""
+    known = state.local.get(event.name)
+    if known is None or known.leaving:
+        return
+    known.leaving = True
+    state.drained[event.name] = known.announced.incarnation
+    yield from _announce(state, event.name)
+
+
+@handles(StopRequested, AnnouncerState)
+def on_stop(state: AnnouncerState, event: StopRequested, ctx: Context) -> Iterator[Effect]:
+    """Let all upstreams on this host leave, and take no other."""
+    state.stopping = True
+    for name in state.local:
+        yield Emit(UpstreamLeavingRequested(name))
+
+
+@handles(DrainRequested, AnnouncerState)
+def on_drain_requested(state: AnnouncerState, event: DrainRequested, ctx: Context) -> Iterator[Effect]:
+    """Carry out an operator's request that reached the agent itself."""
+    if event.upstream in state.local:
+        yield Emit(UpstreamLeavingRequested(event.upstream))
+        yield Emit(DrainConfirmed(event.upstream))
+
+
+@handles_message(Drain, AnnouncerState)
+def on_drain(state: AnnouncerState, event: Received, ctx: Context) -> Iterator[Effect]:
+    """Carry out an operator's request that a linked node passed on."""
+    drain = event.message
+    assert isinstance(drain, Drain)
+    if drain.upstream in state.local:
+        yield Emit(UpstreamLeavingRequested(drain.upstream))
+        yield Send(event.peer.node, DrainDone(drain.drain_id, drain.upstream))
+
+
+@handles(LoadMeasured, AnnouncerState)
+def on_load(state: AnnouncerState, event: LoadMeasured, ctx: Context) -> tuple[Effect, ...]:
+    """Keep the load for the next announcement."""
+    state.loads[event.upstream] = Load(event.queued_work, event.running, event.tokens_per_s)
+    return ()
+
+
+@handles(EnvironmentChanged, AnnouncerState)
+def on_environment(state: AnnouncerState, event: EnvironmentChanged, ctx: Context) -> Iterator[Effect]:
+    """Judge the upstreams again by the newer document."""
+    state.environment = event.environment
+    for name, known in tuple(state.local.items()):
+        verdict = _judge(state, known.announced)
+        if isinstance(verdict, Refused):
+            yield from _drop(state, name, verdict.reason)
+        elif verdict != known.allowed:
+            known.allowed = verdict
+            yield Emit(_joined(known))
+            yield from _announce(state, name)
+
+
+@handles(PeerFound, AnnouncerState)
+def on_peer_found(state: AnnouncerState, event: PeerFound, ctx: Context) -> Iterator[Effect]:
+    """Announce on a new link at once."""
+    state.peers[event.peer.node] = event.peer
+    for name in state.local:
+        yield from _announce(state, name)
+
+
+@handles(PeerLost, AnnouncerState)
+def on_peer_lost(state: AnnouncerState, event: PeerLost, ctx: Context) -> tuple[Effect, ...]:
+    """Stop announcing on the link."""
+    if state.peers.get(event.peer.node) == event.peer:
+        del state.peers[event.peer.node]
+    return ()
+
+
+@handles(Tick, AnnouncerState)
+def on_tick(state: AnnouncerState, event: Tick, ctx: Context) -> Iterator[Effect]:
+    """Drop silent upstreams and repeat the announcements of the others."""
+    yield from _expire(state, ctx)
+    if ctx.now < state.next_announce_at:
+        return
+    state.next_announce_at = ctx.now + ANNOUNCE_INTERVAL_S
+    for name in state.local:
+        yield from _announce(state, name)
+
+
+def _judge(state: AnnouncerState, event: UpstreamAnnounced) -> Allowed | Refused:
+    environment = state.environment
+    if environment is None or state.stopping:
+        return Refused('the agent stops' if state.stopping else 'no document is in effect yet')
+    claim = Claim(event.name, state.node, state.zone, event.models, event.services)
+    verdict = judge(environment, claim)
+    if isinstance(verdict, Refused):
+        return verdict
+    if not is_secret(event.credential, environment.upstreams[event.name].credential_digest):
+        return Refused(_wrong_credential(state, event))
+    known = state.local.get(event.name)
+    if known is not None and _identity(known.announced) != _identity(event):
+        return Refused(f'{event.name} is announced by another process that is still alive')
+    if event.incarnation < state.newest.get(event.name, event.incarnation):
+        return Refused(f'{event.name} is announced by a former process')
+    return verdict
+
+
+def _identity(event: UpstreamAnnounced) -> tuple[int, str]:
+    return event.incarnation, event.url
+
+
+def _wrong_credential(state: AnnouncerState, event: UpstreamAnnounced) -> str:
+    digest = digest_of_secret(event.credential)
+    assert state.environment is not None
+    for name, upstream in state.environment.upstreams.items():
+        if upstream.credential_digest == digest:
+            return f'{event.name} is announced with the credential of {name}'
+    return f'{event.name} is announced with a wrong credential'
+
+
+def _expire(state: AnnouncerState, ctx: Context) -> Iterator[Effect]:
+    for name, known in tuple(state.local.items()):
+        if ctx.now - known.heard_at >= UPSTREAM_TIMEOUT_S:
+            yield from _drop(state, name, f'silent for {UPSTREAM_TIMEOUT_S:g} s')
+
+
+def _drop(state: AnnouncerState, name: UpstreamName, reason: str) -> Iterator[Effect]:
+    # Entries learn of it by the last announcement, or if that is lost by the silence that follows.
+    state.local[name].leaving = True
+    yield from _announce(state, name)
+    del state.local[name]
+    state.loads.pop(name, None)
+    yield Emit(LocalUpstreamLost(name, reason))
+    yield Log('warning', f'upstream dropped: {reason}', (('upstream', name),))
+
+
+def _joined(known: LocalUpstream) -> LocalUpstreamJoined:
+    event, allowed = known.announced, known.allowed
+    return LocalUpstreamJoined(
+        event.name, event.url, event.incarnation, allowed.models, allowed.services, allowed.slots
+    )
+
+
+def _announce(state: AnnouncerState, name: UpstreamName) -> Iterator[Effect]:
+    known = state.local[name]
+    if state.environment is None or name not in state.environment.upstreams:
+        return
+    state.number += 1
+    bare = Announce(
+        name,
+        state.incarnation,
+        known.announced.incarnation,
+        state.number,
+        known.allowed.models,
+        known.allowed.services,
+        known.allowed.slots,
+        known.leaving,
+        b'',
+        state.loads.get(name),
+    )
+    digest = state.environment.upstreams[name].credential_digest
+    announce = dataclasses.replace(bare, proof=proof_of(bare, state.node, digest))
+    for peer in state.peers.values():
+        if Role.ENTRY in peer.roles or Role.CONTROL in peer.roles:
+            yield Send(peer.node, announce)
--- /dev/null
+++ b/basilcove/membership/draining.py
@@ -0,0 +1,84 @@
+"""Handlers that pass an operator's request to drain to the upstream's agent."""
+
+from collections.abc import Iterator
+
+from basilcove.core.events import Effect, Emit, Received, Send, Tick
+from basilcove.core.ids import NodeId, Role, UpstreamName
+from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.membership.const import DRAIN_DEADLINE_S, DRAIN_HOPS, DRAIN_RESEND_S, MAX_DRAIN_ROUTES
+from basilcove.membership.events import DrainConfirmed, DrainFailed, DrainRequested
+from basilcove.membership.messages import Drain, DrainDone
+from basilcove.membership.models import AnnouncerState, MembershipState, PendingDrain
+
+
+@handles(DrainRequested, MembershipState)
+def on_drain_requested(state: MembershipState, event: DrainRequested, ctx: Context) -> Iterator[Effect]:
+    """Pass the request on until the agent confirms it."""
+    if ctx.node.has(AnnouncerState) and event.upstream in ctx.node.part(AnnouncerState).local:
+        return
+    if state.environment is not None and event.upstream not in state.environment.upstreams:
+        yield Emit(DrainFailed(event.upstream, f'the document has no upstream {event.upstream}'))
+        return
+    drain_id = f'{state.node}:{ctx.wall:.6f}:{event.upstream}'
+    state.drains[event.upstream] = PendingDrain(drain_id, ctx.now + DRAIN_DEADLINE_S, ctx.now)
+    yield from _send_due(state, ctx)
+
+
+@handles(Tick, MembershipState)
+def on_tick(state: MembershipState, event: Tick, ctx: Context) -> Iterator[Effect]:
+    """Resend the requests that are not confirmed."""
+    yield from _send_due(state, ctx)
+
+
+@handles_message(Drain, MembershipState)
+def on_drain(state: MembershipState, event: Received, ctx: Context) -> Iterator[Effect]:
+    """Pass on another node's request, and remember the way back."""
+    drain = event.message
+    assert isinstance(drain, Drain)
+    if drain.hops < 1 or drain.drain_id.startswith(f'{state.node}:'):
+        return
+    state.routes.setdefault(drain.drain_id, event.peer.node)
+    if len(state.routes) > MAX_DRAIN_ROUTES:
+        del state.routes[next(iter(state.routes))]
+    onward = Drain(drain.drain_id, drain.upstream, drain.hops - 1)
+    for target in _targets(state, drain.upstream):
+        if target != event.peer.node:
+            yield Send(target, onward)
+
+
+@handles_message(DrainDone, MembershipState)
+def on_drain_done(state: MembershipState, event: Received, ctx: Context) -> Iterator[Effect]:
+    """Confirm this node's request, or pass the confirmation back."""
+    done = event.message
+    assert isinstance(done, DrainDone)
+    pending = state.drains.get(done.upstream)
+    if pending is not None and pending.drain_id == done.drain_id:
+        del state.drains[done.upstream]
+        yield Emit(DrainConfirmed(done.upstream))
+        return
+    origin = state.routes.get(done.drain_id)
+    if origin is not None:
+        yield Send(origin, done)
+
+
+def _send_due(state: MembershipState, ctx: Context) -> Iterator[Effect]:
+    for upstream, pending in tuple(state.drains.items()):
+        if ctx.now >= pending.deadline:
+            del state.drains[upstream]
+            reason = f'no agent confirmed the drain of {upstream} within {DRAIN_DEADLINE_S:g} s'
+            yield Emit(DrainFailed(upstream, reason))
+        elif ctx.now >= pending.next_send_at:
+            pending.next_send_at = ctx.now + DRAIN_RESEND_S
+            for target in _targets(state, upstream):
+                yield Send(target, Drain(pending.drain_id, upstream, DRAIN_HOPS))
+
+
+def _targets(state: MembershipState, upstream: UpstreamName) -> Iterator[NodeId]:
+    """Yield the upstream's agent if it is linked, and otherwise all nodes that may know it."""
+    known = state.upstreams.get(upstream)
+    if known is not None and known.agent in state.peers:
+        yield known.agent
+        return
+    for peer in state.peers.values():
+        if Role.CONTROL in peer.roles or Role.ENTRY in peer.roles:
+            yield peer.node
--- /dev/null
+++ b/basilcove/membership/messages.py
@@ -0,0 +1,53 @@
+"""Messages about upstreams."""
+
+from dataclasses import dataclass
+
+from basilcove.core.events import Message
+from basilcove.core.ids import Incarnation, ModelName, ServiceName, UpstreamName
+from basilcove.helpers.codec import message
+from basilcove.membership import membership_pb2 as pb
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load of an upstream; work in tokens, speed in tokens a second."""
+
+    queued_work: float
+    running: int
+    tokens_per_s: float
+
+
+@message('membership.announce', pb.Announce)
+@dataclass(frozen=True, slots=True)
+class Announce(Message):
+    """An agent's sign of life for its upstream."""
+
+    upstream: UpstreamName
+    incarnation: Incarnation
+    upstream_incarnation: Incarnation
+    number: int
+    models: tuple[ModelName, ...]
+    services: tuple[ServiceName, ...]
+    slots: int
+    leaving: bool
+    proof: bytes
+    load: Load | None
+
+
+@message('membership.drain', pb.Drain)
+@dataclass(frozen=True, slots=True)
+class Drain(Message):
+    """An operator's request on its way to the upstream's agent."""
+
+    drain_id: str
+    upstream: UpstreamName
+    hops: int
+
+
+@message('membership.drain_done', pb.DrainDone)
+@dataclass(frozen=True, slots=True)
+class DrainDone(Message):
+    """The agent has put the request into effect."""
+
+    drain_id: str
+    upstream: UpstreamName
--- /dev/null
+++ b/basilcove/membership/models.py
@@ -0,0 +1,87 @@
+"""State of the membership of upstreams."""
+
+from dataclasses import dataclass, field
+
+from basilcove.core.events import Peer
+from basilcove.core.ids import Incarnation, NodeId, UpstreamName, Zone
+from basilcove.environment.models import Environment
+from basilcove.membership.events import UpstreamAnnounced
+from basilcove.membership.messages import Announce, Load
+from basilcove.membership.rules import Allowed
+
+
+@dataclass
+class LocalUpstream:
+    """An upstream on the agent's host."""
+
+    announced: UpstreamAnnounced
+    allowed: Allowed
+    heard_at: float
+    leaving: bool = False
+
+
+@dataclass
+class AnnouncerState:
+    """At an agent: upstreams on its host, and the links on which it announces them."""
+
+    node: NodeId
+    zone: Zone
+    incarnation: Incarnation
+    environment: Environment | None = None
+    local: dict[UpstreamName, LocalUpstream] = field(default_factory=dict)
+    # Highest incarnation taken of each upstream; a lower one is a former process.
+    newest: dict[UpstreamName, Incarnation] = field(default_factory=dict)
+    # Incarnation that was told to leave; the same process stays out even after a silence.
+    drained: dict[UpstreamName, Incarnation] = field(default_factory=dict)
+    loads: dict[UpstreamName, Load] = field(default_factory=dict)
+    peers: dict[NodeId, Peer] = field(default_factory=dict)
+    stopping: bool = False
+    number: int = 0
+    next_announce_at: float = 0
+
+
+@dataclass
+class KnownUpstream:
+    """An upstream that an agent announces; ``heard_at`` in seconds on the monotonic clock."""
+
+    announce: Announce
+    agent: NodeId
+    zone: Zone
+    credential_digest: str
+    allowed: Allowed
+    heard_at: float
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether the upstream gets no new work."""
+        return self.announce.leaving
+
+    @property
+    def origin(self) -> tuple[NodeId, Incarnation, Incarnation]:
+        """Return the agent and the processes that the announcement comes from."""
+        return self.agent, self.announce.incarnation, self.announce.upstream_incarnation
+
+
+@dataclass
+class PendingDrain:
+    """An operator's request that the agent has not confirmed."""
+
+    drain_id: str
+    deadline: float
+    next_send_at: float
+
+
+@dataclass
+class MembershipState:
+    """Upstreams that a node knows from the announcements of their agents."""
+
+    node: NodeId
+    environment: Environment | None = None
+    upstreams: dict[UpstreamName, KnownUpstream] = field(default_factory=dict)
+    # Last incarnation and number of each agent that announced the upstream.
+    seen: dict[UpstreamName, dict[NodeId, tuple[Incarnation, int]]] = field(default_factory=dict)
+    peers: dict[NodeId, Peer] = field(default_factory=dict)
+    drains: dict[UpstreamName, PendingDrain] = field(default_factory=dict)
+    # Where the requests of other nodes came from, for the way back.
+    routes: dict[str, NodeId] = field(default_factory=dict)
+    next_sweep_at: float = 0
--- /dev/null
+++ b/basilcove/membership/proofs.py
@@ -0,0 +1,47 @@
+"""Proof that an announcement comes from an agent that knows the credential's digest.
+
+The upstream shows its credential to the agent on its own host only, and the
+agent compares it with the digest in the document. An entry holds nothing but
+that digest, so it could check the credential itself only by receiving it,
+after which the entry, or whoever reads an unencrypted link, could announce the
+upstream from anywhere. The agent therefore sends an HMAC-SHA256 that is keyed
+by the digest and covers the name, the agent's node and incarnation, a growing
+number and the content: a recorded announcement is worthless under another
+name, from another node, for another incarnation or a second time.
+
+Nodes and operators can read the digest, so the proof alone doesn't keep one
+agent from posing as another. Two further checks do: the link's certificate
+names the agent's node, and an upstream whose entry in the document states
+``agent`` is taken from that node alone.
+"""
+
+import hashlib
+import hmac
+from typing import Final
+
+from basilcove.core.ids import NodeId
+from basilcove.membership.messages import Announce
+
+_SEPARATOR: Final = '\x1f'
+
+
+def proof_of(announce: Announce, agent: NodeId, credential_digest: str) -> bytes:
+    """Return the proof that belongs to an announcement."""
+    parts = (
+        announce.upstream,
+        agent,
+        announce.incarnation,
+        announce.upstream_incarnation,
+        announce.number,
+        ','.join(announce.models),
+        ','.join(announce.services),
+        announce.slots,
+        announce.leaving,
+    )
+    text = _SEPARATOR.join(map(str, parts))
+    return hmac.digest(credential_digest.encode(), text.encode(errors='replace'), hashlib.sha256)
+
+
+def is_proven(announce: Announce, agent: NodeId, credential_digest: str) -> bool:
+    """Tell whether the announcement carries its proof."""
+    return hmac.compare_digest(announce.proof, proof_of(announce, agent, credential_digest))
--- /dev/null
+++ b/tests/distribution/fleet.py
@@ -0,0 +1,122 @@
+"""Nodes of a small fleet that distribute documents, and what came into effect on them."""
+
+from dataclasses import dataclass, field
+
+from basilcove.core.events import Effect, Peer
+from basilcove.core.ids import EnvironmentName, NodeId, Revision, Role, Stage
+from basilcove.core.reducer import Context, handles
+from basilcove.distribution import coordinator, pulling  # noqa: F401
+from basilcove.distribution.config import DistributionConfig
+from basilcove.distribution.events import DocumentAccepted, ReplicaCaughtUp
+from basilcove.distribution.models import DistributionState
+from basilcove.environment.canonical import canonical
+from basilcove.environment.events import EnvironmentChanged
+from basilcove.environment.models import Environment
+from tests.distribution.network import FakeNetwork
+
+ENVIRONMENT = EnvironmentName('shire')
+
+
+@dataclass
+class InEffect:
+    """Revisions that came into effect in one process, with their documents."""
+
+    seen: list[tuple[Revision, str]] = field(default_factory=list)
+
+
+@handles(EnvironmentChanged, InEffect)
+def _on_changed(state: InEffect, event: EnvironmentChanged, ctx: Context) -> list[Effect]:
+    state.seen.append((event.revision, canonical(event.environment)))
+    return []
+
+
+def make_document(revision: int, teams: int = 2) -> str:
+    """Return a canonical document that differs in one team from that of any other revision."""
+    content = {
+        'name': ENVIRONMENT,
+        'priorities': {'urgent': {'level': 1, 'target_first_token_s': 0.5}},
+        'teams': {
+            f'team-{number}': {'key_digests': [f'sha256:{number:064x}'], 'priorities': ['urgent']}
+            for number in range(teams)
+        },
+    }
+    changed = f'team-{revision % teams}'
+    content['teams'][changed]['max_concurrent'] = 1000 + revision
+    return canonical(Environment.model_validate(content))
+
+
+class Fleet:
+    """A control group of three, entries and agents in two availability zones."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.net = FakeNetwork(seed, _may_link)
+        self.accepted: dict[int, str] = {}
+        self.config = DistributionConfig(
+            environment=ENVIRONMENT, control_nodes=tuple(NodeId(f'control-{number}') for number in (1, 2, 3))
+        )
+        self.applied: dict[str, int] = {}
+        for name, zone in self.layout().items():
+            self.start(name, zone)
+
+    @staticmethod
+    def layout() -> dict[str, str]:
+        """Return the availability zone of each node."""
+        return {
+            'control-1': 'nobsa',
+            'control-2': 'nobsa',
+            'control-3': 'tibasosa',
+            'entry-1': 'nobsa',
+            'entry-2': 'tibasosa',
+            'agent-1': 'nobsa',
+            'agent-2': 'tibasosa',
+        }
+
+    def start(self, name: str, zone: str) -> None:
+        """Start a process without memory; a control host replays what its disk holds."""
+        roles = (Role(name.split('-')[0]),)
+        self.net.start(name, zone, roles, self._build)
+        if Role.CONTROL not in roles:
+            return
+        for revision in range(1, self.applied.get(name, 0) + 1):
+            self.replay(name, revision)
+        self.net.apply(name, ReplicaCaughtUp())
+
+    def accept(self, replicas: list[str], teams: int = 2) -> int:
+        """Accept the next document; the given replicas apply it, a majority of the group."""
+        revision = len(self.accepted) + 1
+        self.accepted[revision] = make_document(revision, teams)
+        for name in replicas:
+            self.catch_up(name)
+        return revision
+
+    def catch_up(self, name: str) -> None:
+        """Let a control replica apply all that is accepted."""
+        for revision in range(self.applied.get(name, 0) + 1, len(self.accepted) + 1):
+            self.applied[name] = revision
+            if self.net.hosts[NodeId(name)].running:
+                self.replay(name, revision)
+
+    def replay(self, name: str, revision: int) -> None:
+        """Hand one accepted document to a control host's process."""
+        accepted = DocumentAccepted(
+            ENVIRONMENT, Stage.PRODUCTION, Revision(revision), self.accepted[revision]
+        )
+        self.net.apply(name, accepted)
+
+    def state(self, name: str) -> DistributionState:
+        """Return a node's state."""
+        return self.net.hosts[NodeId(name)].node.part(DistributionState)
+
+    def in_effect(self, name: str) -> list[tuple[Revision, str]]:
+        """Return what came into effect in a node's present process."""
+        return self.net.hosts[NodeId(name)].node.part(InEffect).seen
+
+    def _build(self, peer: Peer) -> tuple[object, ...]:
+        state = DistributionState.from_config(self.config, peer.node, peer.zone, peer.roles)
+        return state, InEffect()
+
+
+def _may_link(one: Peer, other: Peer) -> bool:
+    if Role.CONTROL in other.roles:
+        return True
+    return Role.AGENT in one.roles and Role.ENTRY in other.roles
--- /dev/null
+++ b/tests/distribution/network.py
@@ -0,0 +1,139 @@
+"""A network of nodes under virtual time, whose links lose, delay, duplicate and reorder messages."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from basilcove.const import TICK_INTERVAL_S
+from basilcove.core.events import Event, Message, Peer, PeerFound, PeerLost, Received, Send, Tick
+from basilcove.core.ids import Incarnation, NodeId, Role, Zone
+from basilcove.core.reducer import Node, reduce
+from basilcove.helpers.codec import decode, encode
+
+SILENCE_S = 2.0
+RECONNECT_S = 0.2
+
+
+@dataclass
+class Host:
+    """One node: its address, its process and what it held to be linked."""
+
+    peer: Peer
+    node: Node
+    running: bool = True
+    links: dict[NodeId, Peer] = field(default_factory=dict)
+
+
+class FakeNetwork:
+    """Runs the nodes; ``may_link`` says which pairs have links at all."""
+
+    def __init__(self, seed: int, may_link: Callable[[Peer, Peer], bool]) -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.hosts: dict[NodeId, Host] = {}
+        self.may_link = may_link
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.max_delay_s = 0.01
+        self.cut: set[frozenset[NodeId]] = set()
+        self.sent: dict[str, list[int]] = {}
+        self._incarnations = itertools.count(1)
+        self._order = itertools.count()
+        self._queue: list[tuple[float, int, NodeId, Incarnation, Event]] = []
+        self._pending_links: dict[frozenset[NodeId], float] = {}
+
+    def start(
+        self, name: str, zone: str, roles: Iterable[Role], build: Callable[[Peer], Iterable[object]]
+    ) -> Host:
+        """Start a process under a new incarnation; its former one is gone."""
+        self.stop(NodeId(name))
+        peer = Peer(NodeId(name), tuple(roles), Incarnation(next(self._incarnations)), Zone(zone))
+        self.hosts[peer.node] = Host(peer, Node(*build(peer)))
+        return self.hosts[peer.node]
+
+    def stop(self, name: NodeId) -> None:
+        """Kill the process; its peers notice by the closed connection."""
+        host = self.hosts.get(name)
+        if host is None or not host.running:
+            return
+        host.running = False
+        for other in self.hosts.values():
+            if other.running and name in other.links and frozenset((name, other.peer.node)) not in self.cut:
+                self._post(0.05, other, PeerLost(other.links.pop(name)))
+
+    def apply(self, name: str, event: Event) -> None:
+        """Feed an event to a node and put its messages on the links."""
+        host = self.hosts[NodeId(name)]
+        for effect in reduce(host.node, event, self.now, self.now + 1e9):
+            if isinstance(effect, Send):
+                self._send(host, effect.node, effect.message)
+
+    def run(self, duration_s: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + duration_s
+        while self.now < end - 1e-9:
+            self.now += TICK_INTERVAL_S
+            self._update_links()
+            self._deliver()
+            for name, host in self.hosts.items():
+                if host.running:
+                    self.apply(name, Tick())
+
+    def _deliver(self) -> None:
+        arrived_at = self.now
+        while self._queue and self._queue[0][0] <= arrived_at:
+            self.now, _, name, incarnation, event = heapq.heappop(self._queue)
+            host = self.hosts[name]
+            if host.running and host.peer.incarnation == incarnation:
+                self.apply(name, event)
+        self.now = arrived_at
+
+    def _send(self, host: Host, target: NodeId, message: Message) -> None:
+        other = self.hosts.get(target)
+        if other is None or target not in host.links:
+            return
+        kind, body = encode(message)
+        self.sent.setdefault(kind, []).append(len(body))
+        is_reachable = other.running and host.links[target] == other.peer
+        if not is_reachable or frozenset((host.peer.node, target)) in self.cut:
+            return
+        for _ in range(2 if self.rng.random() < self.duplication else 1):
+            if self.rng.random() >= self.loss:
+                delay = self.rng.uniform(0.001, self.max_delay_s)
+                self._post(delay, other, Received(host.peer, decode(kind, body)))
+
+    def _post(self, delay_s: float, host: Host, event: Event) -> None:
+        entry = (self.now + delay_s, next(self._order), host.peer.node, host.peer.incarnation, event)
+        heapq.heappush(self._queue, entry)
+
+    def _update_links(self) -> None:
+        for one, other in itertools.combinations(self.hosts.values(), 2):
+            if self.may_link(one.peer, other.peer) or self.may_link(other.peer, one.peer):
+                self._update_link(one, other)
+
+    def _update_link(self, one: Host, other: Host) -> None:
+        pair = frozenset((one.peer.node, other.peer.node))
+        is_wanted = one.running and other.running and pair not in self.cut
+        is_linked = (
+            one.links.get(other.peer.node) == other.peer and other.links.get(one.peer.node) == one.peer
+        )
+        if is_wanted == is_linked:
+            self._pending_links.pop(pair, None)
+            return
+        # A broken connection is noticed by its silence, a new one takes a moment to come up.
+        wait_s = RECONNECT_S if is_wanted else SILENCE_S
+        due = self._pending_links.setdefault(pair, self.now + wait_s)
+        if self.now < due:
+            return
+        del self._pending_links[pair]
+        for near, far in ((one, other), (other, one)):
+            former = near.links.pop(far.peer.node, None)
+            if near.running and former is not None:
+                self.apply(near.peer.node, PeerLost(former))
+            if is_wanted:
+                near.links[far.peer.node] = far.peer
+        if is_wanted:
+            self.apply(one.peer.node, PeerFound(other.peer))
+            self.apply(other.peer.node, PeerFound(one.peer))
