--- a/basilcove/environment/events.py
+++ b/basilcove/environment/events.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EnvironmentChanged(Event):
-    """A newer document is in effect on this node."""
+    """A newer document is in effect for the node's own environment and stage."""
 
     revision: Revision
     environment: Environment
