--- /dev/null
+++ b/basilcove/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated state machine: documents, claims, leases and decisions."""
--- /dev/null
+++ b/basilcove/catalog/apply.py
@@ -0,0 +1,101 @@
+"""Applies commands to the replicated state: pure and deterministic."""
+
+from basilcove.catalog import claims as _claims
+from basilcove.catalog import leases as _leases
+from basilcove.catalog.commands import (
+    AbandonClaim,
+    ApplyDocument,
+    Claim,
+    CompleteClaim,
+    PromoteDocument,
+    ReleaseClaim,
+)
+from basilcove.catalog.const import (
+    MAX_PROPOSALS,
+    MAX_REQUESTS,
+    PROPOSAL_RETENTION_S,
+    REQUEST_RETENTION_S,
+)
+from basilcove.catalog.messages import LoggedCommand
+from basilcove.catalog.models import AnswerRow, CatalogState
+from basilcove.catalog.outcomes import CommandRefused
+from basilcove.catalog.registry import APPLIERS
+from basilcove.core.events import Message
+from basilcove.helpers.codec import CodecError, decode, encode
+from basilcove.helpers.hashing import stable_hash
+
+_KEYED_BY_ATTEMPT = (Claim, CompleteClaim, ReleaseClaim, AbandonClaim)
+
+
+def apply(state: CatalogState, command: Message, time: float) -> Message:
+    """Apply one command; ``time`` is the leader's, in seconds since the epoch.
+
+    Documents are deduplicated on the request id; claims are idempotent by key
+    and attempt id.
+    """
+    _advance(state, time)
+    if not isinstance(command, ApplyDocument | PromoteDocument):
+        return _carry_out(state, command)
+    digest = _digest(command)
+    known = state.requests.get(command.request_id)
+    if known is not None:
+        if known.digest != digest:
+            return CommandRefused('the request id was used for another change')
+        return decode(known.kind, known.body)
+    if len(state.requests) >= MAX_REQUESTS:
+        return CommandRefused('the table of request ids is full')
+    result = _carry_out(state, command)
+    state.requests[command.request_id] = AnswerRow(command.request_id, state.time, digest, *encode(result))
+    return result
+
+
+def apply_logged(state: CatalogState, logged: LoggedCommand, time: float) -> Message:
+    """Apply a command of the log, once for each proposal id."""
+    _advance(state, time)
+    try:
+        command = decode(logged.kind, logged.body)
+    except CodecError as exc:
+        return CommandRefused(str(exc))
+    known = state.proposals.get(logged.proposal_id)
+    if known is not None:
+        return decode(known.kind, known.body)
+    if logged.expires < state.time:
+        return CommandRefused('the command is too old')
+    if isinstance(command, _KEYED_BY_ATTEMPT):
+        return apply(state, command, time)
+    if len(state.proposals) >= MAX_PROPOSALS:
+        return CommandRefused('the table of proposals is full')
+    result = apply(state, command, time)
+    state.proposals[logged.proposal_id] = AnswerRow(logged.proposal_id, state.time, 0, *encode(result))
+    return result
+
+
+def _carry_out(state: CatalogState, command: Message) -> Message:
+    applier = APPLIERS.get(type(command))
+    if applier is None:
+        return CommandRefused(f'{type(command).__name__} is not a command')
+    return applier(state, command)
+
+
+def _advance(state: CatalogState, time: float) -> None:
+    if time <= state.time:
+        return
+    state.time = time
+    _drop_older(state.requests, state.time - REQUEST_RETENTION_S)
+    _drop_older(state.proposals, state.time - PROPOSAL_RETENTION_S)
+    _claims.drop_expired_claims(state)
+    _leases.drop_expired_leases(state)
+
+
+def _drop_older(answers: dict[str, AnswerRow], oldest_kept: float) -> None:
+    while answers:
+        key = next(iter(answers))
+        if answers[key].time >= oldest_kept:
+            return
+        answers.pop(key)
+
+
+def _digest(command: ApplyDocument | PromoteDocument) -> int:
+    document = command.document if isinstance(command, ApplyDocument) else ''
+    name = type(command).__name__
+    return stable_hash(name, command.environment, command.expected_revision, document)
--- /dev/null
+++ b/basilcove/catalog/const.py
@@ -0,0 +1,28 @@
+"""Constants of the replicated state machine and its client."""
+
+from typing import Final
+
+KIBIBYTE: Final = 1024
+MAX_DOCUMENT_BYTES: Final = 2 * KIBIBYTE * KIBIBYTE
+MAX_ANSWER_BYTES: Final = 16 * KIBIBYTE
+# Bodies of answers kept for one environment; beyond it claims are completed without a body.
+MAX_KEPT_ANSWER_BYTES: Final = 16 * KIBIBYTE * KIBIBYTE
+MAX_LEASES: Final = 4096
+MAX_MAPS: Final = 4096
+# A released claim remembers the newest attempts that released it, so that their late claims fail.
+MAX_FORMER_ATTEMPTS: Final = 16
+
+# A command is refused once its age exceeds its lifetime, and first answers are kept for three
+# lifetimes, so a late duplicate is not applied again even if clocks differ by a lifetime.
+COMMAND_LIFETIME_S: Final = 60.0
+PROPOSAL_RETENTION_S: Final = 180.0
+MAX_PROPOSALS: Final = 50_000
+REQUEST_RETENTION_S: Final = 86_400.0
+MAX_REQUESTS: Final = 50_000
+LEASE_RETENTION_S: Final = 3600.0
+MAX_LEASE_S: Final = 600.0
+
+RESEND_INTERVAL_S: Final = 0.6
+RETRY_INTERVAL_S: Final = 0.15
+SEEN_RETENTION_S: Final = 180.0
+MAX_PENDING: Final = 10_000
--- /dev/null
+++ b/basilcove/catalog/coordinator.py
@@ -0,0 +1,209 @@
+"""Joins the replicated state to the replicated log, and answers proposals and reads."""
+
+import dataclasses
+
+from basilcove.catalog import evidence
+from basilcove.catalog.apply import apply_logged
+from basilcove.catalog.commands import AdmitHost, ApplyDocument, PromoteDocument, RemoveHost
+from basilcove.catalog.const import COMMAND_LIFETIME_S, SEEN_RETENTION_S
+from basilcove.catalog.control import ControlState, Waiting
+from basilcove.catalog.delivery import deliver
+from basilcove.catalog.events import DocumentAccepted
+from basilcove.catalog.messages import Answer, Ask, LoggedCommand
+from basilcove.catalog.models import DocumentKey, DocumentRow
+from basilcove.catalog.outcomes import CommandRefused, DocumentApplied, MembersChanged
+from basilcove.catalog.reads import answer_read
+from basilcove.catalog.snapshot import decode_state, encode_state
+from basilcove.consensus.events import (
+    ChangeMembers,
+    EntriesCommitted,
+    EntryAppended,
+    EntryRefused,
+    LeadershipLost,
+    ProposeEntry,
+    ReadIndex,
+    ReadReady,
+    ReadRefused,
+    SnapshotInstalled,
+    SnapshotNeeded,
+    SnapshotTaken,
+)
+from basilcove.consensus.models import ConsensusState
+from basilcove.core.events import Effect, Emit, Message, Received, Tick
+from basilcove.core.ids import NodeId, Role
+from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.helpers.codec import CodecError, decode, encode
+from basilcove.storage.models import EntryKind, LogEntry
+
+
+@handles_message(Ask, ControlState)
+def _on_ask(state: ControlState, event: Received, ctx: Context) -> list[Effect]:
+    ask = event.message
+    if not isinstance(ask, Ask) or not _is_new(state, ask, ctx.now):
+        return []
+    if ask.origin != event.peer.node and Role.CONTROL not in event.peer.roles:
+        return []
+    waiting = Waiting(ask, event.peer.node)
+    consensus = ctx.node.part(ConsensusState)
+    if consensus.is_leader:
+        return _take(state, waiting, ctx)
+    leader = consensus.leader_node
+    # A question is passed on at most once, so that hosts with an old view can't send it in circles.
+    if leader is None or ask.origin != event.peer.node:
+        return _refuse(state, waiting, 'no leader is known', leader)
+    return [deliver(state.node, leader, ask)]
+
+
+def _is_new(state: ControlState, ask: Ask, now: float) -> bool:
+    """Note an attempt; a duplicate must not be carried out after its refusal."""
+    while state.seen:
+        oldest = next(iter(state.seen))
+        if now - state.seen[oldest] < SEEN_RETENTION_S:
+            break
+        state.seen.pop(oldest)
+    key = (ask.origin, ask.proposal_id, ask.attempt)
+    if key in state.seen:
+        return False
+    state.seen[key] = now
+    return True
+
+
+def _take(state: ControlState, waiting: Waiting, ctx: Context) -> list[Effect]:
+    ask = waiting.ask
+    if ask.read:
+        token = f'{ask.origin}/{ask.proposal_id}/{ask.attempt}'
+        state.reads[token] = waiting
+        return [Emit(ReadIndex(token))]
+    known = state.waiting.get(ask.proposal_id)
+    if known is not None:
+        state.waiting[ask.proposal_id] = dataclasses.replace(known, ask=ask, peer=waiting.peer)
+        return []
+    if ask.expires > ctx.wall + 2 * COMMAND_LIFETIME_S:
+        return _refuse(state, waiting, 'the clocks differ by more than the lifetime of a command', None)
+    try:
+        command = decode(ask.kind, ask.body)
+    except CodecError as exc:
+        return [_answer(state, waiting, CommandRefused(str(exc)))]
+    state.waiting[ask.proposal_id] = waiting
+    if isinstance(command, AdmitHost | RemoveHost):
+        admit = isinstance(command, AdmitHost)
+        return [Emit(ChangeMembers(ask.proposal_id, command.node, admit))]
+    prepared = command
+    if isinstance(command, ApplyDocument | PromoteDocument):
+        prepared = evidence.prepare(state, command)
+        if not isinstance(prepared, ApplyDocument | PromoteDocument):
+            state.waiting.pop(ask.proposal_id)
+            return [_answer(state, waiting, prepared)]
+    logged = LoggedCommand(ask.proposal_id, ask.expires, *encode(prepared))
+    return [Emit(ProposeEntry(ask.proposal_id, encode(logged)[1]))]
+
+
+def _answer(state: ControlState, waiting: Waiting, result: Message) -> Effect:
+    ask = waiting.ask
+    kind, body = encode(result)
+    answer = Answer(ask.proposal_id, ask.origin, ask.attempt, kind, body, '', NodeId(''))
+    return deliver(state.node, waiting.peer, answer)
+
+
+def _refuse(state: ControlState, waiting: Waiting, reason: str, leader: NodeId | None) -> list[Effect]:
+    ask = waiting.ask
+    answer = Answer(ask.proposal_id, ask.origin, ask.attempt, '', b'', reason, leader or NodeId(''))
+    return [deliver(state.node, waiting.peer, answer)]
+
+
+@handles(EntryAppended, ControlState)
+def _on_appended(state: ControlState, event: EntryAppended, ctx: Context) -> list[Effect]:
+    waiting = state.waiting[event.token]
+    state.waiting[event.token] = dataclasses.replace(waiting, index=event.index, term=event.term)
+    state.tokens[event.index] = event.token
+    return []
+
+
+@handles(EntryRefused, ControlState)
+def _on_refused(state: ControlState, event: EntryRefused, ctx: Context) -> list[Effect]:
+    waiting = state.waiting.pop(event.token, None)
+    return [] if waiting is None else _refuse(state, waiting, event.reason, event.leader)
+
+
+@handles(LeadershipLost, ControlState)
+def _on_leadership_lost(state: ControlState, event: LeadershipLost, ctx: Context) -> list[Effect]:
+    state.waiting.clear()
+    state.tokens.clear()
+    return []
+
+
+@handles(EntriesCommitted, ControlState)
+def _on_committed(state: ControlState, event: EntriesCommitted, ctx: Context) -> list[Effect]:
+    effects: list[Effect] = []
+    for entry in event.entries:
+        effects.extend(_apply_entry(state, entry))
+        state.applied = entry.index
+    return effects
+
+
+def _apply_entry(state: ControlState, entry: LogEntry) -> list[Effect]:
+    waiting = state.waiting.pop(state.tokens.pop(entry.index, ''), None)
+    result: Message = MembersChanged()
+    effects: list[Effect] = []
+    if entry.kind is EntryKind.COMMAND:
+        before = dict(state.catalog.documents)
+        result = apply_logged(state.catalog, _decode_logged(entry.body), entry.time)
+        if isinstance(result, DocumentApplied):
+            effects.extend(_announce_changes(state, before))
+    if waiting is not None and waiting.term == entry.term:
+        effects.append(_answer(state, waiting, result))
+    return effects
+
+
+def _decode_logged(body: bytes) -> LoggedCommand:
+    logged = decode('catalog.logged_command', body)
+    if not isinstance(logged, LoggedCommand):
+        raise TypeError(f'{type(logged).__name__} in the log')
+    return logged
+
+
+def _announce_changes(state: ControlState, before: dict[DocumentKey, DocumentRow]) -> list[Effect]:
+    return [_announce(row) for key, row in state.catalog.documents.items() if before.get(key) is not row]
+
+
+def _announce(row: DocumentRow) -> Effect:
+    return Emit(DocumentAccepted(row.environment, row.stage, row.revision, row.text))
+
+
+@handles(SnapshotNeeded, ControlState)
+def _on_snapshot_needed(state: ControlState, event: SnapshotNeeded, ctx: Context) -> list[Effect]:
+    return [Emit(SnapshotTaken(state.applied, encode_state(state.catalog)))]
+
+
+@handles(SnapshotInstalled, ControlState)
+def _on_snapshot_installed(state: ControlState, event: SnapshotInstalled, ctx: Context) -> list[Effect]:
+    state.catalog = decode_state(event.body)
+    state.applied = event.index
+    return [_announce(row) for row in state.catalog.documents.values()]
+
+
+@handles(Tick, ControlState)
+def _on_tick(state: ControlState, event: Tick, ctx: Context) -> list[Effect]:
+    if state.is_announced:
+        return []
+    # Documents in the snapshot that the process started with have not been announced yet.
+    state.is_announced = True
+    return [_announce(row) for row in state.catalog.documents.values()]
+
+
+@handles(ReadReady, ControlState)
+def _on_read_ready(state: ControlState, event: ReadReady, ctx: Context) -> list[Effect]:
+    waiting = state.reads.pop(event.token, None)
+    if waiting is None:
+        return []
+    try:
+        read = decode(waiting.ask.kind, waiting.ask.body)
+    except CodecError as exc:
+        return [_answer(state, waiting, CommandRefused(str(exc)))]
+    return [_answer(state, waiting, answer_read(state, ctx.node.part(ConsensusState), read))]
+
+
+@handles(ReadRefused, ControlState)
+def _on_read_refused(state: ControlState, event: ReadRefused, ctx: Context) -> list[Effect]:
+    waiting = state.reads.pop(event.token, None)
+    return [] if waiting is None else _refuse(state, waiting, 'not the leader', event.leader)
--- /dev/null
+++ b/basilcove/catalog/documents.py
@@ -0,0 +1,113 @@
+"""Compare-and-set of documents and promotion from trial to production."""
+
+import json
+
+from pydantic import BaseModel, ValidationError
+
+from basilcove.catalog.commands import ApplyDocument, PromoteDocument, TrialEvidence
+from basilcove.catalog.const import MAX_DOCUMENT_BYTES
+from basilcove.catalog.models import CatalogState, DocumentKey, DocumentRow
+from basilcove.catalog.outcomes import DocumentApplied, DocumentRefused, PromotionRefused, RevisionConflict
+from basilcove.catalog.registry import applies
+from basilcove.core.events import Message
+from basilcove.core.ids import EnvironmentName, Revision, Stage
+from basilcove.environment.models import Evidence, Limits
+
+_NO_REVISION = Revision(0)
+
+
+class _Sections(BaseModel):
+    """The sections of a document that the catalog itself reads."""
+
+    name: EnvironmentName
+    limits: Limits = Limits()
+    evidence: Evidence = Evidence()
+
+
+@applies(ApplyDocument)
+def _apply_document(state: CatalogState, command: ApplyDocument) -> Message:
+    if command.stage is not Stage.TRIAL:
+        return DocumentRefused(('production takes documents only by promotion from trial',))
+    if len(command.document) > MAX_DOCUMENT_BYTES:
+        return DocumentRefused((f'the document exceeds {MAX_DOCUMENT_BYTES} bytes',))
+    key = (command.environment, command.stage)
+    current = _revision_of(state, key)
+    if command.expected_revision != current:
+        return RevisionConflict(current)
+    try:
+        sections = _read_sections(command.document)
+    except ValueError as exc:
+        return DocumentRefused((str(exc),))
+    if sections.name != command.environment:
+        return DocumentRefused((f'name: {sections.name} is not {command.environment}',))
+    return _accept(state, key, command.document, _NO_REVISION)
+
+
+@applies(PromoteDocument)
+def _promote_document(state: CatalogState, command: PromoteDocument) -> Message:
+    trial = state.documents.get((command.environment, Stage.TRIAL))
+    if trial is None or trial.revision != command.expected_revision:
+        return RevisionConflict(_NO_REVISION if trial is None else trial.revision)
+    key = (command.environment, Stage.PRODUCTION)
+    missing = _missing_evidence(state, trial, command.evidence)
+    production = state.documents.get(key)
+    if production is not None and production.promoted_from == trial.revision:
+        missing = (f'trial revision {trial.revision} is in production already',)
+    if missing:
+        return PromotionRefused(missing)
+    return _accept(state, key, trial.text, trial.revision)
+
+
+def derive_limits(state: CatalogState) -> None:
+    """Read the limits of all environments from their documents."""
+    for environment, _stage in state.documents:
+        _derive_limits(state, environment)
+
+
+def _revision_of(state: CatalogState, key: DocumentKey) -> Revision:
+    row = state.documents.get(key)
+    return _NO_REVISION if row is None else row.revision
+
+
+def _read_sections(text: str) -> _Sections:
+    """Return the sections; ValueError names the first fault."""
+    try:
+        return _Sections.model_validate(json.loads(text))
+    except ValidationError as exc:
+        fault = exc.errors()[0]
+        path = '.'.join(str(part) for part in fault['loc'])
+        raise ValueError(f'{path}: {fault["msg"]}') from exc
+
+
+def _accept(state: CatalogState, key: DocumentKey, text: str, promoted_from: Revision) -> Message:
+    revision = Revision(_revision_of(state, key) + 1)
+    state.documents[key] = DocumentRow(*key, revision, text, state.time, promoted_from)
+    _derive_limits(state, key[0])
+    return DocumentApplied(revision)
+
+
+def _derive_limits(state: CatalogState, environment: EnvironmentName) -> None:
+    for stage in (Stage.PRODUCTION, Stage.TRIAL):
+        row = state.documents.get((environment, stage))
+        if row is not None:
+            state.limits[environment] = _read_sections(row.text).limits
+            return
+
+
+def _missing_evidence(
+    state: CatalogState, trial: DocumentRow, evidence: TrialEvidence | None
+) -> tuple[str, ...]:
+    wanted = _read_sections(trial.text).evidence
+    if evidence is None or evidence.revision != trial.revision:
+        evidence = TrialEvidence(trial.revision, 0, 0, 0)
+    missing: list[str] = []
+    age = state.time - trial.accepted_at
+    if age < wanted.min_time_s:
+        missing.append(f'in trial for {age:.0f} s of {wanted.min_time_s:.0f} s')
+    if evidence.requests < wanted.min_requests:
+        missing.append(f'{evidence.requests} of {wanted.min_requests} requests')
+    if evidence.failures > wanted.max_failure_fraction * evidence.requests:
+        missing.append(f'{evidence.failures} of {evidence.requests} requests failed')
+    if evidence.violations:
+        missing.append(f'{evidence.violations} violations of an invariant')
+    return tuple(missing)
--- /dev/null
+++ b/basilcove/catalog/evidence.py
@@ -0,0 +1,69 @@
+"""What entries report of a trial document, and the checks before a proposal."""
+
+from pydantic import ValidationError
+
+from basilcove.catalog.commands import ApplyDocument, PromoteDocument, TrialEvidence
+from basilcove.catalog.control import ControlState
+from basilcove.catalog.messages import TrialReport
+from basilcove.catalog.outcomes import DocumentRefused
+from basilcove.core.events import Effect, Message, Received
+from basilcove.core.ids import EnvironmentName, Revision, Stage
+from basilcove.core.reducer import Context, handles_message
+from basilcove.environment.models import Environment
+
+
+@handles_message(TrialReport, ControlState)
+def _on_report(state: ControlState, event: Received, ctx: Context) -> list[Effect]:
+    report = event.message
+    if not isinstance(report, TrialReport) or report.revision != _trial_revision(state, report.environment):
+        return []
+    reports = state.reports.setdefault(report.environment, {})
+    stale = [process for process, known in reports.items() if known.revision != report.revision]
+    for process in stale:
+        reports.pop(process)
+    sender = (event.peer.node, event.peer.incarnation)
+    newest = reports.get(sender)
+    # Counts only grow, so the larger report is the newer one.
+    if newest is None or report.requests >= newest.requests:
+        reports[sender] = report
+    return []
+
+
+def prepare(state: ControlState, command: Message) -> Message:
+    """Return the command to propose, or the refusal of a document with faults."""
+    if isinstance(command, PromoteDocument):
+        evidence = _sum_reports(state, command.environment)
+        return PromoteDocument(command.environment, command.expected_revision, command.request_id, evidence)
+    if isinstance(command, ApplyDocument):
+        return _check_document(command)
+    return command
+
+
+def _check_document(command: ApplyDocument) -> Message:
+    try:
+        Environment.model_validate_json(command.document)
+    except ValidationError as exc:
+        faults = tuple(
+            f'{".".join(str(part) for part in fault["loc"])}: {fault["msg"]}' for fault in exc.errors()
+        )
+        return DocumentRefused(faults)
+    return command
+
+
+def _sum_reports(state: ControlState, environment: EnvironmentName) -> TrialEvidence:
+    revision = _trial_revision(state, environment)
+    requests = 0
+    failures = 0
+    violations = 0
+    for report in state.reports.get(environment, {}).values():
+        if report.revision != revision:
+            continue
+        requests += report.requests
+        failures += report.failures
+        violations += report.violations
+    return TrialEvidence(revision, requests, failures, violations)
+
+
+def _trial_revision(state: ControlState, environment: EnvironmentName) -> Revision:
+    trial = state.catalog.documents.get((environment, Stage.TRIAL))
+    return Revision(0) if trial is None else trial.revision
--- /dev/null
+++ b/basilcove/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log over 3, 5 or 7 control hosts."""
--- /dev/null
+++ b/basilcove/consensus/const.py
@@ -0,0 +1,28 @@
+"""Constants of the replicated log."""
+
+from typing import Final
+
+HEARTBEAT_INTERVAL_S: Final = 0.15
+# A follower campaigns after 1 to 2 times this silence; a leader that hears no majority for this long
+# steps down, so it is gone before a majority can have elected another.
+ELECTION_TIMEOUT_S: Final = 1.0
+RESEND_INTERVAL_S: Final = 0.4
+FORMING_INTERVAL_S: Final = 0.25
+JOIN_INTERVAL_S: Final = 0.5
+
+MEMBER_COUNTS: Final = frozenset((3, 5, 7))
+MAX_MEMBERS: Final = 9
+
+MAX_APPEND_BYTES: Final = 256 * 1024
+MAX_INFLIGHT_APPENDS: Final = 8
+# Proposals beyond this many uncommitted entries are refused, so a leader that lost its followers
+# does not fill its memory before it steps down.
+MAX_UNCOMMITTED_ENTRIES: Final = 8192
+SNAPSHOT_CHUNK_BYTES: Final = 256 * 1024
+
+# A snapshot is taken once the log holds this many entries and at least as many bytes as the last
+# snapshot, so that writing snapshots at most doubles the bytes written.
+SNAPSHOT_AFTER_ENTRIES: Final = 4096
+# Entries kept in memory behind a snapshot for followers that lag a little.
+KEPT_ENTRIES: Final = 512
+ENTRY_OVERHEAD_BYTES: Final = 32
--- /dev/null
+++ b/basilcove/consensus/coordinator.py
@@ -0,0 +1,112 @@
+"""Time, durable writes, proposals and reads of a control host."""
+
+from basilcove.consensus import snapshots as _snapshots  # noqa: F401
+from basilcove.consensus.const import ELECTION_TIMEOUT_S, HEARTBEAT_INTERVAL_S, MAX_UNCOMMITTED_ENTRIES
+from basilcove.consensus.durability import confirm, is_hard_state_durable
+from basilcove.consensus.elections import campaign_if_due, count_votes
+from basilcove.consensus.events import (
+    EntriesCommitted,
+    EntryAppended,
+    EntryRefused,
+    ProposeEntry,
+    ReadIndex,
+    ReadRefused,
+)
+from basilcove.consensus.forming import ask_first_members, ask_to_join, form_if_ready
+from basilcove.consensus.membership import leave_if_removed, promote_learner
+from basilcove.consensus.models import ConsensusState, PendingRead, Standing, node_of
+from basilcove.consensus.replication import (
+    advance_commit,
+    append_answer,
+    append_own,
+    confirm_reads,
+    heartbeat,
+    resend_overdue,
+)
+from basilcove.consensus.terms import follow, has_majority
+from basilcove.core.events import Count, Effect, Emit, Log, Send, Tick
+from basilcove.core.reducer import Context, handles
+from basilcove.storage.events import Persisted, StorageFailed
+from basilcove.storage.models import EntryKind
+
+
+@handles(Tick, ConsensusState)
+def _on_tick(state: ConsensusState, event: Tick, ctx: Context) -> list[Effect]:
+    if state.standing is Standing.FAILED:
+        return []
+    if state.standing is Standing.UNFORMED:
+        return [*ask_first_members(state, ctx.now), *form_if_ready(state)]
+    if state.is_leader:
+        return _lead_on(state, ctx)
+    return [*ask_to_join(state, ctx.now), *campaign_if_due(state, ctx)]
+
+
+def _lead_on(state: ConsensusState, ctx: Context) -> list[Effect]:
+    heard = {state.member}
+    for member, progress in state.leading.progress.items():
+        if ctx.now - progress.heard_at < ELECTION_TIMEOUT_S:
+            heard.add(member)
+    if not has_majority(state, heard):
+        log = Log('warning', 'no majority heard, stepping down', (('term', str(state.term)),))
+        return [log, *follow(state, '', ctx.now)]
+    effects = resend_overdue(state, ctx.now)
+    if ctx.now - state.leading.heartbeat_at >= HEARTBEAT_INTERVAL_S:
+        effects.extend(heartbeat(state, ctx))
+    return [*effects, *promote_learner(state, ctx)]
+
+
+@handles(Persisted, ConsensusState)
+def _on_persisted(state: ConsensusState, event: Persisted, ctx: Context) -> list[Effect]:
+    if state.standing is Standing.FAILED:
+        return []
+    synced = state.durability.synced_index
+    effects = confirm(state, event.ticket)
+    if state.standing is Standing.UNFORMED:
+        return [*effects, *form_if_ready(state)]
+    if state.is_leader:
+        return [*effects, *advance_commit(state)]
+    if state.standing is Standing.CANDIDATE and is_hard_state_durable(state):
+        state.votes.add(state.member)
+        return [*effects, *count_votes(state, ctx)]
+    if state.leader and state.durability.synced_index > synced and is_hard_state_durable(state):
+        effects.append(Send(node_of(state.leader), append_answer(state, accepted=True)))
+    return effects
+
+
+@handles(StorageFailed, ConsensusState)
+def _on_storage_failed(state: ConsensusState, event: StorageFailed, ctx: Context) -> list[Effect]:
+    effects = follow(state, '', ctx.now)
+    state.standing = Standing.FAILED
+    state.durability.held.clear()
+    log = Log('error', 'storage failed; this replica acknowledges nothing', (('reason', event.reason),))
+    return [*effects, log, Count('basilcove_storage_failures')]
+
+
+@handles(EntriesCommitted, ConsensusState)
+def _on_committed(state: ConsensusState, event: EntriesCommitted, ctx: Context) -> list[Effect]:
+    return leave_if_removed(state, ctx.now)
+
+
+@handles(ProposeEntry, ConsensusState)
+def _on_propose(state: ConsensusState, event: ProposeEntry, ctx: Context) -> list[Effect]:
+    reason = ''
+    if not state.is_leader:
+        reason = 'not the leader'
+    elif state.log.last_index - state.commit >= MAX_UNCOMMITTED_ENTRIES:
+        reason = 'too many uncommitted entries'
+    if reason:
+        return [Emit(EntryRefused(event.token, reason, state.leader_node))]
+    effects = append_own(state, EntryKind.COMMAND, event.body, ctx)
+    return [Emit(EntryAppended(event.token, state.log.last_index, state.term)), *effects]
+
+
+@handles(ReadIndex, ConsensusState)
+def _on_read_index(state: ConsensusState, event: ReadIndex, ctx: Context) -> list[Effect]:
+    if not state.is_leader:
+        return [Emit(ReadRefused(event.token, state.leader_node))]
+    leading = state.leading
+    leading.round += 1
+    # Entries of earlier terms may be committed without this leader knowing it yet.
+    index = max(state.commit, leading.first_index)
+    leading.reads.append(PendingRead(event.token, leading.round, index))
+    return [*heartbeat(state, ctx), *confirm_reads(state)]
--- /dev/null
+++ b/basilcove/consensus/membership.py
@@ -0,0 +1,96 @@
+"""Changes of the control group, one member at a time."""
+
+from basilcove.consensus.const import MAX_MEMBERS
+from basilcove.consensus.events import ChangeMembers, EntryAppended, EntryRefused
+from basilcove.consensus.models import ConsensusState, Member, Members
+from basilcove.consensus.replication import append_own
+from basilcove.consensus.terms import follow
+from basilcove.core.events import Effect, Emit, Log
+from basilcove.core.ids import NodeId
+from basilcove.core.reducer import Context, handles
+from basilcove.storage.models import EntryKind
+
+_MIN_VOTERS = 2
+_MAX_VOTERS = 7
+
+
+def may_change(state: ConsensusState) -> bool:
+    """Tell whether this leader may change the group now.
+
+    It must have committed an entry of its own term and the previous change;
+    otherwise two groups without a common majority could exist.
+    """
+    if not state.is_leader or state.commit < state.leading.first_index:
+        return False
+    return not state.history or state.history[-1][0] <= state.commit
+
+
+def admit_identity(state: ConsensusState, node: NodeId, member: str, ctx: Context) -> list[Effect]:
+    """Make a host that joins with an empty disk a learner, in place of its former identity."""
+    known = state.members.find(node)
+    if not may_change(state) or known is None or node == state.node:
+        return []
+    if _number(member) <= _number(known.member):
+        return []
+    log = Log('warning', 'control host joins under a new identity', (('member', member),))
+    return [log, *_change(state, state.members.replaced(node, Member(node, member, voter=False)), ctx)]
+
+
+def promote_learner(state: ConsensusState, ctx: Context) -> list[Effect]:
+    """Make a learner a voter once it has synced everything that is committed."""
+    if not may_change(state) or len(state.members.voters()) >= _MAX_VOTERS:
+        return []
+    for member in state.members.members:
+        progress = state.leading.progress.get(member.member)
+        if member.voter or progress is None or progress.match < state.commit:
+            continue
+        log = Log('info', 'learner becomes a voter', (('member', member.member),))
+        voter = Member(member.node, member.member, voter=True)
+        return [log, *_change(state, state.members.replaced(member.node, voter), ctx)]
+    return []
+
+
+def leave_if_removed(state: ConsensusState, now: float) -> list[Effect]:
+    """Stop leading once a group without this member is committed."""
+    if not state.is_leader or state.history[-1][0] > state.commit:
+        return []
+    return [] if state.member in state.members.voters() else follow(state, '', now)
+
+
+@handles(ChangeMembers, ConsensusState)
+def _on_change(state: ConsensusState, event: ChangeMembers, ctx: Context) -> list[Effect]:
+    known = state.members.find(event.node)
+    reason = _refusal(state, event, known)
+    if reason:
+        return [Emit(EntryRefused(event.token, reason, state.leader_node))]
+    member = Member(event.node, '', voter=False) if event.admit else None
+    effects = _change(state, state.members.replaced(event.node, member), ctx)
+    return [Emit(EntryAppended(event.token, state.log.last_index, state.term)), *effects]
+
+
+def _refusal(state: ConsensusState, event: ChangeMembers, known: Member | None) -> str:
+    if not state.is_leader:
+        return 'not the leader'
+    if not may_change(state):
+        return 'another change of members is under way'
+    if event.admit:
+        return _refusal_to_admit(state, known)
+    if known is None:
+        return 'the host is not a member'
+    if known.voter and len(state.members.voters()) <= _MIN_VOTERS:
+        return 'too few voters would remain'
+    return ''
+
+
+def _refusal_to_admit(state: ConsensusState, known: Member | None) -> str:
+    if known is not None:
+        return 'the host is a member already'
+    return 'too many members' if len(state.members.members) >= MAX_MEMBERS else ''
+
+
+def _change(state: ConsensusState, members: Members, ctx: Context) -> list[Effect]:
+    return append_own(state, EntryKind.MEMBERS, members.encode(), ctx)
+
+
+def _number(member: str) -> int:
+    return int(member.rpartition(':')[2] or -1)
--- /dev/null
+++ b/basilcove/consensus/messages.py
@@ -0,0 +1,120 @@
+"""Messages between control hosts; fields as described in the proto file."""
+
+from dataclasses import dataclass
+
+from basilcove.consensus import consensus_pb2 as pb
+from basilcove.core.events import Message
+from basilcove.helpers.codec import message
+from basilcove.storage.models import LogEntry
+
+
+@message('consensus.vote_request', pb.VoteRequest)
+@dataclass(frozen=True, slots=True)
+class VoteRequest(Message):
+    """Asks for a vote, or on ``trial`` whether a vote would be given."""
+
+    cluster: str
+    sender: str
+    term: int
+    last_index: int
+    last_term: int
+    trial: bool
+
+
+@message('consensus.vote_answer', pb.VoteAnswer)
+@dataclass(frozen=True, slots=True)
+class VoteAnswer(Message):
+    """Answers a request for a vote."""
+
+    cluster: str
+    sender: str
+    term: int
+    asked_term: int
+    trial: bool
+    granted: bool
+
+
+@message('consensus.append', pb.Append)
+@dataclass(frozen=True, slots=True)
+class Append(Message):
+    """Replicates entries; a heartbeat if there are none."""
+
+    cluster: str
+    sender: str
+    target: str
+    term: int
+    previous_index: int
+    previous_term: int
+    commit: int
+    round: int
+    entries: tuple[LogEntry, ...]
+
+
+@message('consensus.append_answer', pb.AppendAnswer)
+@dataclass(frozen=True, slots=True)
+class AppendAnswer(Message):
+    """Acknowledges synced entries, or tells where the log ends."""
+
+    cluster: str
+    sender: str
+    term: int
+    accepted: bool
+    match: int
+    last_index: int
+    round: int
+
+
+@message('consensus.snapshot_chunk', pb.SnapshotChunk)
+@dataclass(frozen=True, slots=True)
+class SnapshotChunk(Message):
+    """A part of a snapshot."""
+
+    cluster: str
+    sender: str
+    target: str
+    term: int
+    index: int
+    index_term: int
+    members: bytes
+    offset: int
+    total: int
+    body: bytes
+
+
+@message('consensus.snapshot_answer', pb.SnapshotAnswer)
+@dataclass(frozen=True, slots=True)
+class SnapshotAnswer(Message):
+    """Tells how much of a snapshot has arrived."""
+
+    cluster: str
+    sender: str
+    term: int
+    index: int
+    received: int
+
+
+@message('consensus.identify', pb.Identify)
+@dataclass(frozen=True, slots=True)
+class Identify(Message):
+    """Asks a first member what its disk holds."""
+
+    incarnation: int
+
+
+@message('consensus.identity', pb.Identity)
+@dataclass(frozen=True, slots=True)
+class Identity(Message):
+    """Tells what a host's disk holds: a value of ``FormingStage``."""
+
+    asked_incarnation: int
+    cluster: str
+    stage: str
+
+
+@message('consensus.join', pb.Join)
+@dataclass(frozen=True, slots=True)
+class Join(Message):
+    """Asks the leader to make the sender a learner under a new identity."""
+
+    cluster: str
+    member: str
--- /dev/null
+++ b/basilcove/consensus/terms.py
@@ -0,0 +1,58 @@
+"""Changes of term and standing."""
+
+from basilcove.consensus.const import ELECTION_TIMEOUT_S
+from basilcove.consensus.durability import persist
+from basilcove.consensus.events import LeadershipLost, ReadRefused
+from basilcove.consensus.models import ConsensusState, Leading, Standing, node_of
+from basilcove.core.events import Effect, Emit, Log, Received
+from basilcove.helpers.hashing import stable_fraction
+
+
+def is_from_cluster(state: ConsensusState, event: Received, target: str | None = None) -> bool:
+    """Tell whether a message is for this identity and from an identity of its peer."""
+    msg = event.message
+    if state.standing in {Standing.UNFORMED, Standing.FAILED}:
+        return False
+    if getattr(msg, 'cluster', '') != state.cluster:
+        return False
+    if node_of(getattr(msg, 'sender', '')) != event.peer.node:
+        return False
+    return target is None or target == state.member
+
+
+def observe_term(state: ConsensusState, term: int, now: float) -> list[Effect]:
+    """Become a follower of a later term."""
+    if term <= state.term:
+        return []
+    state.term = term
+    state.vote = ''
+    return [*follow(state, '', now), persist(state, (), hard=True)]
+
+
+def follow(state: ConsensusState, leader: str, now: float) -> list[Effect]:
+    """Become a follower in the current term; ``leader`` is empty if unknown."""
+    effects: list[Effect] = []
+    if state.standing is Standing.LEADER:
+        effects.append(Log('info', 'leadership ended', (('term', str(state.term)),)))
+        effects.append(Emit(LeadershipLost()))
+        effects.extend(Emit(ReadRefused(read.token, None)) for read in state.leading.reads)
+        state.leading = Leading()
+    state.standing = Standing.FOLLOWER
+    if leader != state.leader:
+        state.matched = 0
+    state.leader = leader
+    state.votes.clear()
+    postpone_campaign(state, now)
+    return effects
+
+
+def postpone_campaign(state: ConsensusState, now: float) -> None:
+    """Wait 1 to 2 election timeouts; the share differs by member, term and attempt."""
+    share = stable_fraction(state.member, state.term, state.campaigns)
+    state.campaign_at = now + ELECTION_TIMEOUT_S * (1 + share)
+
+
+def has_majority(state: ConsensusState, supporters: set[str]) -> bool:
+    """Tell whether these are more than half of the voters."""
+    voters = state.members.voters()
+    return 2 * len(supporters.intersection(voters)) > len(voters)
--- /dev/null
+++ b/basilcove/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable state of a control host: journal segments and snapshots."""
--- /dev/null
+++ b/basilcove/storage/driver.py
@@ -0,0 +1,104 @@
+"""The thread that groups durable writes under one sync."""
+
+import queue
+import threading
+from collections.abc import Callable, Iterator
+
+from basilcove.core.events import Event
+from basilcove.core.runtime import carries_out
+from basilcove.storage.const import MAX_GROUP_ENTRIES
+from basilcove.storage.events import Persist, Persisted, PersistSnapshot, StorageFailed
+from basilcove.storage.exceptions import StorageFailedError
+from basilcove.storage.journal import Journal
+from basilcove.storage.models import Batch, LogEntry
+
+Write = Persist | PersistSnapshot
+
+
+class StorageDriver:
+    """Carries out durable writes in order; a failure ends all writing."""
+
+    def __init__(self, journal: Journal, post: Callable[[Event], None]) -> None:
+        """Write to an open journal; ``post`` must be safe from any thread."""
+        self._journal = journal
+        self._post = post
+        self._writes: queue.SimpleQueue[Write | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run, name='storage', daemon=True)
+
+    def setup(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def unload(self) -> None:
+        """Carry out what is queued, stop the thread and close the journal."""
+        self._writes.put(None)
+        self._thread.join()
+        self._journal.close()
+
+    def submit(self, write: Write) -> None:
+        """Queue a write."""
+        self._writes.put(write)
+
+    def _run(self) -> None:
+        while True:
+            pending = self._take_pending()
+            try:
+                self._carry_out([write for write in pending if write is not None])
+            except StorageFailedError as exc:
+                self._post(StorageFailed(str(exc)))
+                return
+            if pending[-1] is None:
+                return
+
+    def _take_pending(self) -> list[Write | None]:
+        pending = [self._writes.get()]
+        while pending[-1] is not None and len(pending) < MAX_GROUP_ENTRIES:
+            try:
+                pending.append(self._writes.get_nowait())
+            except queue.Empty:
+                break
+        return pending
+
+    def _carry_out(self, writes: list[Write]) -> None:
+        for group in group_writes(writes):
+            if isinstance(group, PersistSnapshot):
+                self._journal.save(group.snapshot, group.hard_state, group.tail)
+                self._post(Persisted(group.ticket))
+                continue
+            self._journal.append(merge(group))
+            self._post(Persisted(group[-1].ticket))
+
+
+def group_writes(writes: list[Write]) -> Iterator[list[Persist] | PersistSnapshot]:
+    """Yield runs of writes that share a sync, and snapshots, in order."""
+    group: list[Persist] = []
+    for write in writes:
+        if isinstance(write, Persist):
+            group.append(write)
+            continue
+        if group:
+            yield group
+            group = []
+        yield write
+    if group:
+        yield group
+
+
+def merge(group: list[Persist]) -> Batch:
+    """Return one batch with the newest hard state and all entries in order."""
+    hard_state = None
+    entries: list[LogEntry] = []
+    for write in group:
+        hard_state = write.hard_state or hard_state
+        entries.extend(write.entries)
+    return Batch(hard_state, None, tuple(entries))
+
+
+@carries_out(Persist, StorageDriver)
+def _persist(driver: StorageDriver, effect: Persist) -> None:
+    driver.submit(effect)
+
+
+@carries_out(PersistSnapshot, StorageDriver)
+def _persist_snapshot(driver: StorageDriver, effect: PersistSnapshot) -> None:
+    driver.submit(effect)
--- /dev/null
+++ b/basilcove/storage/journal.py
@@ -0,0 +1,189 @@
+"""Journal segments and snapshots under one data folder."""
+
+import fcntl
+import os
+from pathlib import Path
+from typing import TypeVar
+
+from google.protobuf.message import Message as ProtoMessage
+
+from basilcove.helpers import codec
+from basilcove.storage import storage_pb2 as pb
+from basilcove.storage.const import (
+    FILE_MODE,
+    LOCK_NAME,
+    NUMBER_WIDTH,
+    SEGMENT_SUFFIX,
+    SNAPSHOT_SUFFIX,
+    TEMPORARY_SUFFIX,
+)
+from basilcove.storage.exceptions import StorageDamagedError, StorageError, StorageFailedError
+from basilcove.storage.frames import pack_frame, scan_frames
+from basilcove.storage.models import Batch, HardState, LogEntry, LogStart, Recovered, Snapshot
+from basilcove.storage.replay import Replay
+
+RecordT = TypeVar('RecordT')
+
+_APPEND_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+
+
+class Journal:
+    """Files of one control host; used by one thread at a time.
+
+    After a failed write or sync the content of the page cache is unknown, so
+    the journal refuses every later write until the process restarts.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        """Use this folder; it is created if missing."""
+        self._folder = folder
+        self._segment = 0
+        self._sequence = 0
+        self._file = -1
+        self._lock = -1
+        self._failed = False
+
+    def open(self) -> Recovered:
+        """Lock the folder, truncate a torn tail and return what is durable.
+
+        StorageDamagedError if synced data is damaged; StorageError if another
+        process uses the folder.
+        """
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._lock = os.open(self._folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, FILE_MODE)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as exc:
+            raise StorageError(f'{self._folder} is in use by another process') from exc
+        for leftover in self._folder.glob(f'*{TEMPORARY_SUFFIX}'):
+            leftover.unlink()
+        replay = Replay()
+        segments = self._numbered(SEGMENT_SUFFIX)
+        for segment in segments:
+            self._replay_segment(segment, replay, is_last=segment == segments[-1])
+        self._segment = int(segments[-1].stem) if segments else 1
+        self._open_segment()
+        return replay.finish(self._newest_snapshot())
+
+    def close(self) -> None:
+        """Close the files and release the folder."""
+        for handle in (self._file, self._lock):
+            if handle >= 0:
+                os.close(handle)
+        self._file = -1
+        self._lock = -1
+
+    def append(self, batch: Batch) -> None:
+        """Write a batch as one frame and sync it; StorageFailedError."""
+        self._sequence += 1
+        frame = pack_frame(self._sequence, _to_bytes(batch, pb.Batch))
+        self._guard()
+        try:
+            _write_and_sync(self._file, frame)
+        except OSError as exc:
+            raise self._fail('append to the journal', exc) from exc
+
+    def save(self, snapshot: Snapshot, hard_state: HardState, tail: tuple[LogEntry, ...]) -> None:
+        """Replace everything by a snapshot and the tail of the log; StorageFailedError.
+
+        A crash in between leaves the old segments beside the new snapshot; the
+        replay then keeps only the entries that continue the snapshot.
+        """
+        self._guard()
+        try:
+            self._write_snapshot(snapshot)
+        except OSError as exc:
+            raise self._fail('write a snapshot', exc) from exc
+        try:
+            self._rotate(Batch(hard_state, LogStart(snapshot.index, snapshot.term), tail))
+        except OSError as exc:
+            raise self._fail('start a segment', exc) from exc
+        for segment in self._numbered(SEGMENT_SUFFIX)[:-1]:
+            segment.unlink()
+        for older in self._numbered(SNAPSHOT_SUFFIX)[:-1]:
+            older.unlink()
+
+    def _guard(self) -> None:
+        if self._failed:
+            raise StorageFailedError('an earlier write failed')
+
+    def _fail(self, action: str, exc: OSError) -> StorageFailedError:
+        self._failed = True
+        return StorageFailedError(f'could not {action}: {exc}')
+
+    def _numbered(self, suffix: str) -> list[Path]:
+        return sorted(self._folder.glob(f'*{suffix}'))
+
+    def _path(self, number: int, suffix: str) -> Path:
+        return self._folder / f'{number:0{NUMBER_WIDTH}d}{suffix}'
+
+    def _replay_segment(self, segment: Path, replay: Replay, is_last: bool) -> None:
+        content = segment.read_bytes()
+        end = 0
+        for frame in scan_frames(content):
+            if self._sequence and frame.sequence != self._sequence + 1:
+                raise StorageDamagedError(f'{segment}: record {self._sequence + 1} is missing')
+            replay.add(_from_bytes(Batch, pb.Batch, frame.body))
+            self._sequence = frame.sequence
+            end = frame.end
+        if end == len(content):
+            return
+        if not is_last:
+            raise StorageDamagedError(f'{segment}: damaged record at byte {end}')
+        with segment.open('r+b') as torn:
+            torn.truncate(end)
+            os.fsync(torn.fileno())
+
+    def _open_segment(self) -> None:
+        path = self._path(self._segment, SEGMENT_SUFFIX)
+        self._file = os.open(path, _APPEND_FLAGS, FILE_MODE)
+        self._sync_folder()
+
+    def _rotate(self, batch: Batch) -> None:
+        os.close(self._file)
+        self._segment += 1
+        self._sequence += 1
+        self._open_segment()
+        _write_and_sync(self._file, pack_frame(self._sequence, _to_bytes(batch, pb.Batch)))
+
+    def _write_snapshot(self, snapshot: Snapshot) -> None:
+        path = self._path(snapshot.index, SNAPSHOT_SUFFIX)
+        temporary = path.with_suffix(TEMPORARY_SUFFIX)
+        handle = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, FILE_MODE)
+        try:
+            _write_and_sync(handle, pack_frame(snapshot.index, _to_bytes(snapshot, pb.Snapshot)))
+        finally:
+            os.close(handle)
+        temporary.rename(path)
+        self._sync_folder()
+
+    def _newest_snapshot(self) -> Snapshot | None:
+        paths = self._numbered(SNAPSHOT_SUFFIX)
+        if not paths:
+            return None
+        frames = tuple(scan_frames(paths[-1].read_bytes()))
+        if len(frames) != 1:
+            raise StorageDamagedError(f'{paths[-1]}: damaged snapshot')
+        return _from_bytes(Snapshot, pb.Snapshot, frames[0].body)
+
+    def _sync_folder(self) -> None:
+        handle = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
+
+def _write_and_sync(handle: int, content: bytes) -> None:
+    view = memoryview(content)
+    while view:
+        view = view[os.write(handle, view) :]
+    os.fsync(handle)
+
+
+def _to_bytes(record: object, proto: type[ProtoMessage]) -> bytes:
+    return codec.to_proto(record, proto).SerializeToString()
+
+
+def _from_bytes(cls: type[RecordT], proto: type[ProtoMessage], body: bytes) -> RecordT:
+    return codec.from_proto(cls, proto.FromString(body))
--- /dev/null
+++ b/basilcove/storage/models.py
@@ -0,0 +1,72 @@
+"""What is made durable."""
+
+import enum
+from dataclasses import dataclass
+
+
+class EntryKind(enum.Enum):
+    """Meaning of a log entry's body."""
+
+    COMMAND = 0
+    MEMBERS = 1
+    EMPTY = 2
+
+
+@dataclass(frozen=True, slots=True)
+class LogEntry:
+    """One entry of the replicated log; ``time`` is the leader's, in seconds since the epoch."""
+
+    index: int
+    term: int
+    time: float
+    kind: EntryKind
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HardState:
+    """Identity, term and vote; a member promises nothing that is not recorded here.
+
+    ``cluster`` is empty until the cluster is formed, ``vote`` until one is given.
+    """
+
+    cluster: str
+    member: str
+    term: int
+    vote: str
+
+
+@dataclass(frozen=True, slots=True)
+class LogStart:
+    """The entry after which the log begins."""
+
+    index: int
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """Everything that one sync makes durable."""
+
+    hard_state: HardState | None
+    start: LogStart | None
+    entries: tuple[LogEntry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """State after the entry at ``index``, with the members in effect there."""
+
+    index: int
+    term: int
+    members: bytes
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What a restarted process finds on its disk."""
+
+    hard_state: HardState | None = None
+    snapshot: Snapshot | None = None
+    entries: tuple[LogEntry, ...] = ()
--- /dev/null
+++ b/tests/consensus/cluster.py
@@ -0,0 +1,289 @@
+"""Real reducers of control hosts on a fake network and fake disks under a virtual clock."""
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from basilcove.catalog import coordinator as _catalog  # noqa: F401
+from basilcove.catalog.client import ClientState
+from basilcove.catalog.control import ControlState
+from basilcove.catalog.events import ProposalFailed, Propose, Proposed, Query, QueryAnswered, QueryFailed
+from basilcove.catalog.models import CatalogState
+from basilcove.consensus import coordinator as _consensus  # noqa: F401
+from basilcove.consensus.events import EntriesCommitted, SnapshotInstalled
+from basilcove.consensus.models import ConsensusState, Standing
+from basilcove.const import TICK_INTERVAL_S
+from basilcove.core.events import (
+    Effect,
+    Event,
+    Log,
+    Message,
+    Peer,
+    PeerFound,
+    PeerLost,
+    Received,
+    Send,
+    Tick,
+)
+from basilcove.core.ids import Incarnation, NodeId, Role, Zone
+from basilcove.core.reducer import Context, Node, handles, reduce
+from basilcove.helpers.codec import decode, encode
+from basilcove.storage.events import Persist, Persisted, PersistSnapshot, StorageFailed
+from basilcove.storage.models import LogEntry, Recovered
+from tests.storage.fake_disk import FakeDisk
+
+WALL_OFFSET = 1_000_000.0
+CLIENT = NodeId('entry-1')
+
+
+@dataclass
+class Probe:
+    """Records what the subsystems of one process emit."""
+
+    on_event: Callable[[Event], None]
+
+
+def _record(state: Probe, event: Event, ctx: Context) -> list[Effect]:
+    state.on_event(event)
+    return []
+
+
+handles(EntriesCommitted, Probe)(_record)
+handles(SnapshotInstalled, Probe)(_record)
+handles(Proposed, Probe)(_record)
+handles(ProposalFailed, Probe)(_record)
+handles(QueryAnswered, Probe)(_record)
+handles(QueryFailed, Probe)(_record)
+
+
+@dataclass
+class Host:
+    """One process start; ``wakes_at`` delays everything while it is frozen."""
+
+    name: NodeId
+    incarnation: Incarnation
+    node: Node
+    disk: FakeDisk
+    frozen: bool = False
+    inbox: list[Event] = field(default_factory=list)
+
+    @property
+    def consensus(self) -> ConsensusState:
+        return self.node.part(ConsensusState)
+
+    @property
+    def catalog(self) -> CatalogState:
+        return self.node.part(ControlState).catalog
+
+    @property
+    def is_leader(self) -> bool:
+        return self.consensus.is_leader
+
+
+class Cluster:
+    """Control hosts and one client node; every random choice comes from ``seed``."""
+
+    def __init__(self, size: int = 3, seed: int = 0, snapshot_after: int = 4096, kept: int = 512) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.snapshot_after, self.kept = snapshot_after, kept
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.delay = (0.001, 0.003)
+        self.sync_time = 0.002
+        self.cut: set[frozenset[NodeId]] = set()
+        self.bytes_sent: dict[tuple[NodeId, str], int] = defaultdict(int)
+        self.logs: list[tuple[NodeId, Log]] = []
+        self.committed: dict[int, LogEntry] = {}
+        self.leaders: dict[int, str] = {}
+        self.results: dict[str, list[Event]] = defaultdict(list)
+        self._order = itertools.count()
+        self._incarnations = itertools.count(1)
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.bootstrap = tuple(NodeId(f'host-{number}') for number in range(1, size + 1))
+        self.hosts: dict[NodeId, Host] = {}
+        self.disks: dict[NodeId, FakeDisk] = {name: FakeDisk() for name in self.bootstrap}
+        for name in self.bootstrap:
+            self.start(name)
+        client = Node(ClientState(CLIENT), Probe(self._on_client_event))
+        self.client = Host(CLIENT, Incarnation(0), client, FakeDisk())
+        for name in self.bootstrap:
+            self.apply(self.client, PeerFound(self._peer(name)))
+        self._schedule(TICK_INTERVAL_S, lambda: self._tick_client())
+
+    # Processes
+
+    def start(self, name: NodeId) -> Host:
+        """Start a process with what its disk holds."""
+        recovered: Recovered = self.disks[name].recover()
+        incarnation = Incarnation(next(self._incarnations))
+        consensus = ConsensusState.from_recovered(name, incarnation, self.bootstrap, recovered)
+        consensus.snapshot_after, consensus.kept_entries = self.snapshot_after, self.kept
+        node = Node(consensus, ControlState.from_recovered(name, recovered))
+        host = Host(name, incarnation, node, self.disks[name])
+        node.add(Probe(lambda event: self._on_host_event(host, event)))
+        self.hosts[name] = host
+        phase = TICK_INTERVAL_S * self.rng.random()
+        self._schedule(phase, lambda: self._tick(host))
+        return host
+
+    def kill(self, name: NodeId, torn: bool = False) -> None:
+        """End a process; unsynced writes are lost, or torn in the middle."""
+        self.hosts.pop(name, None)
+        self.disks[name].crash(torn)
+
+    def lose_disk(self, name: NodeId) -> None:
+        """End a process and lose its disk."""
+        self.hosts.pop(name, None)
+        self.disks[name] = FakeDisk()
+
+    def thaw(self, name: NodeId) -> None:
+        """Wake a frozen process; what came in meanwhile is handled late."""
+        host = self.hosts[name]
+        host.frozen = False
+        pending, host.inbox = host.inbox, []
+        for event in pending:
+            self.apply(host, event)
+
+    # Time
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = end
+
+    def run_until(self, condition: Callable[[], object], limit: float = 30.0) -> None:
+        """Let virtual time pass until a condition holds; AssertionError at the limit."""
+        end = self.now + limit
+        while not condition():
+            assert self.now < end, f'not reached within {limit} s'
+            self.run(TICK_INTERVAL_S)
+
+    def leader(self) -> Host | None:
+        """Return the leader of the highest term that knows itself as such."""
+        leaders = [host for host in self.hosts.values() if host.is_leader and not host.frozen]
+        return max(leaders, key=lambda host: host.consensus.term, default=None)
+
+    def elect(self) -> Host:
+        """Run until there is a leader that committed an entry of its term."""
+        self.run_until(lambda: _is_ready(self.leader()))
+        lead = self.leader()
+        assert lead is not None
+        return lead
+
+    def partition(self, *names: NodeId) -> None:
+        """Cut these nodes off from all others; without names, heal the network."""
+        others = [name for name in (*self.disks, CLIENT) if name not in names]
+        self.cut = {frozenset((name, other)) for name in names for other in others}
+        for name in self.disks:
+            event = PeerLost if frozenset((name, CLIENT)) in self.cut else PeerFound
+            self.apply(self.client, event(self._peer(name)))
+
+    # Questions of the client
+
+    def propose(self, name: str, command: Message, patience: float = 8.0) -> None:
+        self.apply(self.client, Propose(name, command, self.now + patience))
+
+    def query(self, name: str, read: Message, patience: float = 8.0) -> None:
+        self.apply(self.client, Query(name, read, self.now + patience))
+
+    def ask(self, name: str, command: Message) -> Message:
+        """Propose, wait and return the result; AssertionError if there is none."""
+        self.propose(name, command, 25)
+        self.run_until(lambda: self.results[name])
+        answer = self.results[name][0]
+        assert isinstance(answer, Proposed), answer
+        return answer.result
+
+    # The reducer's environment
+
+    def apply(self, host: Host, event: Event) -> None:
+        """Feed an event to a process and carry out the effects."""
+        if host is not self.client and self.hosts.get(host.name) is not host:
+            return
+        if host.frozen:
+            host.inbox.append(event)
+            return
+        for effect in reduce(host.node, event, self.now, WALL_OFFSET + self.now):
+            self._carry_out(host, effect)
+
+    def _carry_out(self, host: Host, effect: Effect) -> None:
+        if isinstance(effect, Send):
+            self._send(host, effect.node, effect.message)
+        elif isinstance(effect, Persist | PersistSnapshot):
+            disk = host.disk
+            if disk.is_full:
+                self.apply(host, StorageFailed('no space left'))
+                return
+            disk.write(effect)
+            self._schedule(self.sync_time, lambda: self._sync(host, disk, effect.ticket))
+        elif isinstance(effect, Log):
+            self.logs.append((host.name, effect))
+
+    def _sync(self, host: Host, disk: FakeDisk, ticket: int) -> None:
+        if self.hosts.get(host.name) is host and disk.sync(ticket):
+            self.apply(host, Persisted(ticket))
+
+    def _send(self, host: Host, target: NodeId, message: Message) -> None:
+        kind, body = encode(message)
+        self.bytes_sent[host.name, kind] += len(body)
+        copies = 1 + (self.rng.random() < self.duplication)
+        for _ in range(copies):
+            if self.rng.random() < self.loss:
+                continue
+            deliver = partial(self._deliver, self._peer(host.name, host.incarnation), target, kind, body)
+            self._schedule(self.rng.uniform(*self.delay), deliver)
+
+    def _deliver(self, peer: Peer, target: NodeId, kind: str, body: bytes) -> None:
+        host = self.client if target == CLIENT else self.hosts.get(target)
+        if host is not None and frozenset((peer.node, target)) not in self.cut:
+            self.apply(host, Received(peer, decode(kind, body)))
+
+    def _peer(self, name: NodeId, incarnation: Incarnation | None = None) -> Peer:
+        role = Role.ENTRY if name == CLIENT else Role.CONTROL
+        return Peer(name, (role,), incarnation or Incarnation(0), Zone('zone'))
+
+    def _schedule(self, delay: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (self.now + delay, next(self._order), action))
+
+    def _tick(self, host: Host) -> None:
+        if self.hosts.get(host.name) is not host:
+            return
+        if not host.frozen:
+            self.apply(host, Tick())
+            self._check_leaders(host)
+        self._schedule(TICK_INTERVAL_S, lambda: self._tick(host))
+
+    def _tick_client(self) -> None:
+        self.apply(self.client, Tick())
+        self._schedule(TICK_INTERVAL_S, self._tick_client)
+
+    # Invariants that are checked all the time
+
+    def _check_leaders(self, host: Host) -> None:
+        if host.consensus.standing is Standing.LEADER:
+            known = self.leaders.setdefault(host.consensus.term, host.consensus.member)
+            assert known == host.consensus.member, f'two leaders in term {host.consensus.term}'
+
+    def _on_host_event(self, host: Host, event: Event) -> None:
+        self._check_leaders(host)
+        if not isinstance(event, EntriesCommitted):
+            return
+        for entry in event.entries:
+            known = self.committed.setdefault(entry.index, entry)
+            assert known == entry, f'{host.name} applies another entry {entry.index}'
+
+    def _on_client_event(self, event: Event) -> None:
+        name = getattr(event, 'proposal_id', '') or getattr(event, 'query_id', '')
+        self.results[name].append(event)
+
+
+def _is_ready(host: Host | None) -> bool:
+    return host is not None and host.consensus.commit >= host.consensus.leading.first_index
--- /dev/null
+++ b/tests/storage/fake_disk.py
@@ -0,0 +1,53 @@
+"""A disk in memory that loses what was not synced."""
+
+from basilcove.storage.driver import merge
+from basilcove.storage.events import Persist, PersistSnapshot
+from basilcove.storage.models import Batch, LogStart, Recovered, Snapshot
+from basilcove.storage.replay import Replay
+
+
+class FakeDisk:
+    """Keeps batches as the journal does; ``crash`` loses the unsynced tail.
+
+    A torn write leaves none of its frame, as the checksum fails.
+    """
+
+    def __init__(self) -> None:
+        self.is_full = False
+        self._synced: list[Batch] = []
+        self._snapshot: Snapshot | None = None
+        self._unsynced: list[Persist | PersistSnapshot] = []
+
+    def write(self, effect: Persist | PersistSnapshot) -> None:
+        self._unsynced.append(effect)
+
+    def sync(self, ticket: int) -> bool:
+        """Make the writes up to a ticket durable; False if a crash lost them."""
+        if not self._unsynced or self.is_full:
+            return False
+        while self._unsynced and self._unsynced[0].ticket <= ticket:
+            self._make_durable(self._unsynced.pop(0))
+        return True
+
+    def crash(self, torn: bool) -> None:
+        """Lose unsynced writes; if torn, a snapshot may be in place without its new segment."""
+        first = self._unsynced[0] if self._unsynced else None
+        if torn and isinstance(first, PersistSnapshot):
+            self._snapshot = first.snapshot
+        elif torn and len(self._unsynced) > 1:
+            self._make_durable(self._unsynced[0])
+        self._unsynced.clear()
+
+    def recover(self) -> Recovered:
+        replay = Replay()
+        for batch in self._synced:
+            replay.add(batch)
+        return replay.finish(self._snapshot)
+
+    def _make_durable(self, effect: Persist | PersistSnapshot) -> None:
+        if isinstance(effect, Persist):
+            self._synced.append(merge([effect]))
+            return
+        self._snapshot = effect.snapshot
+        start = LogStart(effect.snapshot.index, effect.snapshot.term)
+        self._synced = [Batch(effect.hard_state, start, effect.tail)]
