--- /dev/null
+++ b/basilcove/cli/messages.py
@@ -0,0 +1,140 @@
+"""Requests of the operators' tool and the replies of nodes."""
+
+from dataclasses import dataclass
+
+from basilcove.cli import cli_pb2 as pb
+from basilcove.core.events import Message
+from basilcove.core.ids import EnvironmentName, NodeId, RequestId, Revision, Role, Stage, UpstreamName, Zone
+from basilcove.helpers.codec import message
+
+
+@message('cli.apply_request', pb.ApplyRequest)
+@dataclass(frozen=True, slots=True)
+class ApplyRequest(Message):
+    """Make a document, in canonical JSON, the stage's newest."""
+
+    environment: EnvironmentName
+    stage: Stage
+    document: str
+    expected_revision: Revision
+    request_id: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class Reply(Message):
+    """What every reply begins with.
+
+    ``unavailable`` says that this node could not find out, so another one may
+    be asked the same; ``accepted`` is false then.
+    """
+
+    accepted: bool
+    revision: Revision = Revision(0)  # noqa: RUF009
+    reasons: tuple[str, ...] = ()
+    unavailable: bool = False
+
+
+@message('cli.apply_reply', pb.ApplyReply)
+@dataclass(frozen=True, slots=True)
+class ApplyReply(Reply):
+    """``revision`` is that of the accepted document, or the current one."""
+
+
+@message('cli.promote_request', pb.PromoteRequest)
+@dataclass(frozen=True, slots=True)
+class PromoteRequest(Message):
+    """Copy the trial document of this revision to production."""
+
+    environment: EnvironmentName
+    expected_revision: Revision
+    request_id: RequestId
+
+
+@message('cli.promote_reply', pb.PromoteReply)
+@dataclass(frozen=True, slots=True)
+class PromoteReply(Reply):
+    """``revision`` is that of the production document; reasons say what trial lacks."""
+
+
+@message('cli.show_request', pb.ShowRequest)
+@dataclass(frozen=True, slots=True)
+class ShowRequest(Message):
+    """Return the newest document."""
+
+    environment: EnvironmentName
+    stage: Stage
+
+
+@message('cli.show_reply', pb.ShowReply)
+@dataclass(frozen=True, slots=True)
+class ShowReply(Reply):
+    """The document in canonical JSON."""
+
+    document: str = ''
+
+
+@message('cli.status_request', pb.StatusRequest)
+@dataclass(frozen=True, slots=True)
+class StatusRequest(Message):
+    """Return how the node itself stands."""
+
+
+@message('cli.status_reply', pb.StatusReply)
+@dataclass(frozen=True, slots=True)
+class StatusReply(Reply):
+    """``revision`` is in effect at the node; ``leader`` is empty if it knows none."""
+
+    node: NodeId = NodeId('')  # noqa: RUF009
+    roles: tuple[Role, ...] = ()
+    zone: Zone = Zone('')  # noqa: RUF009
+    version: str = ''
+    environment: EnvironmentName = EnvironmentName('')  # noqa: RUF009
+    stage: Stage = Stage.PRODUCTION
+    ready: bool = False
+    leader: NodeId = NodeId('')  # noqa: RUF009
+    control_nodes: tuple[NodeId, ...] = ()
+    peers: tuple[NodeId, ...] = ()
+
+
+@message('cli.upstreams_request', pb.UpstreamsRequest)
+@dataclass(frozen=True, slots=True)
+class UpstreamsRequest(Message):
+    """Return the upstreams as the node knows them."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRow:
+    """One upstream; ``state`` is serving, leaving or absent; work in tokens."""
+
+    name: UpstreamName
+    state: str
+    zone: Zone
+    agent: NodeId
+    serves: tuple[str, ...]
+    slots: int
+    queued_work: float
+    running: int
+    tokens_per_s: float
+
+
+@message('cli.upstreams_reply', pb.UpstreamsReply)
+@dataclass(frozen=True, slots=True)
+class UpstreamsReply(Reply):
+    """All upstreams of the document, also those that are absent."""
+
+    upstreams: tuple[UpstreamRow, ...] = ()
+
+
+@message('cli.drain_request', pb.DrainRequest)
+@dataclass(frozen=True, slots=True)
+class DrainRequest(Message):
+    """Let an upstream finish what it runs and get no new work."""
+
+    upstream: UpstreamName
+    request_id: RequestId
+
+
+@message('cli.drain_reply', pb.DrainReply)
+@dataclass(frozen=True, slots=True)
+class DrainReply(Reply):
+    """Accepted once the upstream's agent has confirmed."""
--- /dev/null
+++ b/basilcove/cli/tool.py
@@ -0,0 +1,225 @@
+"""Commands of the operators' tool, as fire calls them."""
+
+import os
+import sys
+import uuid
+from pathlib import Path
+from typing import TypeVar
+
+from basilcove import environment as documents
+from basilcove.cli import rendering
+from basilcove.cli.client import Client, Security
+from basilcove.cli.const import NODES_VARIABLE
+from basilcove.cli.exceptions import RefusedError, UsageError
+from basilcove.cli.messages import (
+    ApplyReply,
+    ApplyRequest,
+    DrainReply,
+    DrainRequest,
+    PromoteReply,
+    PromoteRequest,
+    Reply,
+    ShowReply,
+    ShowRequest,
+    StatusReply,
+    StatusRequest,
+    UpstreamsReply,
+    UpstreamsRequest,
+)
+from basilcove.const import VERSION
+from basilcove.core.events import Message
+from basilcove.core.ids import EnvironmentName, RequestId, Revision, Stage, UpstreamName
+from basilcove.environment.canonical import canonical, digest
+from basilcove.environment.faults import DocumentFaults
+from basilcove.environment.models import Environment
+
+ReplyT = TypeVar('ReplyT', bound=Reply)
+
+
+class Tool:
+    """Operates basilcove: documents, their promotion, and upstreams.
+
+    Commands:
+        validate FILE                               check a document, without a node
+        apply FILE --expected-revision N            make it the newest of the trial stage
+        promote ENVIRONMENT --expected-revision N   copy the trial document to production
+        show ENVIRONMENT [--stage trial]            print the newest document
+        status                                      print how the node stands
+        upstreams                                   print the upstreams that the node knows
+        drain UPSTREAM                              give an upstream no new work
+        version                                     print the tool's version
+
+    `basilcove COMMAND --help` describes a command. Apply, promote and drain
+    take --request-id ID, print one if it isn't given, and may be repeated with
+    it when an answer is lost.
+
+    Every command that asks a node needs --node, or the variable BASILCOVE_NODES,
+    and either --insecure or --certificate, --key and --authority.
+
+    Exit status: 0 done, 1 refused, 2 wrong usage or no node answered.
+
+    Args:
+        node: Addresses HOST:PORT of nodes, separated by commas and tried in turn.
+        json: Print JSON instead of text.
+        insecure: Connect in plain text, without TLS.
+        certificate: PEM file of the operator's certificate.
+        key: PEM file of the certificate's key.
+        authority: PEM file of the authority that signed the nodes' certificates.
+    """
+
+    def __init__(
+        self,
+        node: str = '',
+        json: bool = False,
+        insecure: bool = False,
+        certificate: str = '',
+        key: str = '',
+        authority: str = '',
+    ) -> None:
+        """Keep what holds for all commands."""
+        addresses = node or os.environ.get(NODES_VARIABLE, '')
+        self._nodes = tuple(filter(None, addresses.split(',')))
+        self._json = json
+        self._insecure = insecure
+        self._files = {'--certificate': certificate, '--key': key, '--authority': authority}
+
+    def validate(self, file: str) -> None:
+        """Check a document without asking a node.
+
+        Args:
+            file: Document in YAML.
+        """
+        environment = _load(file)
+        text = canonical(environment)
+        counts = f'{len(environment.teams)} teams, {len(environment.upstreams)} upstreams'
+        summary = {
+            'accepted': True,
+            'environment': environment.name,
+            'digest': digest(text),
+            'bytes': len(text),
+        }
+        self._print(summary, f'{environment.name}: valid, {counts}, {len(text)} bytes, {digest(text)}')
+
+    def apply(self, file: str, *, expected_revision: str, request_id: str = '', stage: str = 'trial') -> None:
+        """Make a document the newest of the trial stage.
+
+        Args:
+            file: Document in YAML.
+            expected_revision: Revision that it replaces; 0 for the first document.
+            request_id: Repeat it to learn the outcome of a request whose answer was lost.
+            stage: Only trial takes documents; production takes them by promotion.
+        """
+        environment = _load(file)
+        wanted = _stage(stage)
+        request = ApplyRequest(
+            EnvironmentName(environment.name),
+            wanted,
+            canonical(environment),
+            _revision(expected_revision),
+            self._request_id(request_id),
+        )
+        reply = self._ask(request, ApplyReply)
+        text = f'{environment.name}: revision {reply.revision} accepted for {wanted.value}'
+        self._print(reply, text, request_id=request.request_id)
+
+    def promote(self, environment: str, *, expected_revision: str, request_id: str = '') -> None:
+        """Copy the trial document to production.
+
+        Args:
+            environment: Name of the environment.
+            expected_revision: Revision of the trial document that is meant.
+            request_id: Repeat it to learn the outcome of a request whose answer was lost.
+        """
+        name = EnvironmentName(environment)
+        request = PromoteRequest(name, _revision(expected_revision), self._request_id(request_id))
+        reply = self._ask(request, PromoteReply)
+        text = f'{environment}: revision {reply.revision} accepted for production'
+        self._print(reply, text, request_id=request.request_id)
+
+    def show(self, environment: str, *, stage: str = 'production') -> None:
+        """Print the newest document, as YAML that can be edited and applied.
+
+        Args:
+            environment: Name of the environment.
+            stage: trial or production.
+        """
+        wanted = _stage(stage)
+        reply = self._ask(ShowRequest(EnvironmentName(environment), wanted), ShowReply)
+        self._print(reply, rendering.show_text(reply, environment, wanted.value))
+
+    def status(self) -> None:
+        """Print how the node stands: what it serves, whether it is ready, its links."""
+        reply = self._ask(StatusRequest(), StatusReply)
+        self._print(reply, rendering.status_text(reply))
+
+    def upstreams(self) -> None:
+        """Print the upstreams as the node knows them."""
+        reply = self._ask(UpstreamsRequest(), UpstreamsReply)
+        self._print(reply, rendering.upstreams_text(reply))
+
+    def drain(self, upstream: str, *, request_id: str = '') -> None:
+        """Give an upstream no new work; what it runs may end.
+
+        Args:
+            upstream: Name of the upstream.
+            request_id: Repeat it to learn the outcome of a request whose answer was lost.
+        """
+        request = DrainRequest(UpstreamName(upstream), self._request_id(request_id))
+        reply = self._ask(request, DrainReply)
+        self._print(reply, f'{upstream}: leaving', request_id=request.request_id)
+
+    def version(self) -> None:
+        """Print the tool's version."""
+        self._print({'version': VERSION}, f'basilcove {VERSION}')
+
+    def _ask(self, request: Message, wanted: type[ReplyT]) -> ReplyT:
+        reply = self._client().ask(request, wanted)
+        if not reply.accepted:
+            raise RefusedError(reply.reasons or ('the node gave no reason',), reply)
+        return reply
+
+    def _client(self) -> Client:
+        if not self._nodes:
+            raise UsageError(f'name a node with --node HOST:PORT or in {NODES_VARIABLE}')
+        given = [Path(name) for name in self._files.values() if name]
+        is_mutual = len(given) == len(self._files) and not self._insecure
+        is_plain = self._insecure and not given
+        if not (is_mutual or is_plain):
+            raise UsageError(f'give either --insecure or all of {", ".join(self._files)}')
+        return Client(self._nodes, Security(*given))
+
+    def _request_id(self, given: str) -> RequestId:
+        if given:
+            return RequestId(given)
+        # Printed before the request is sent, so that it is known even if no answer comes.
+        generated = RequestId(uuid.uuid4().hex)
+        sys.stderr.write(f'request id: {generated}\n')
+        return generated
+
+    def _print(self, source: object, text: str, **more: object) -> None:
+        output = rendering.to_json(source, **more) if self._json else text
+        sys.stdout.write(f'{output}\n')
+
+
+def _load(file: str) -> Environment:
+    try:
+        text = Path(file).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise UsageError(f'can not read {file}: {exc}') from exc
+    environment = documents.load(text)
+    if isinstance(environment, DocumentFaults):
+        raise RefusedError(tuple(f'{file}: {fault}' for fault in environment.faults))
+    return environment
+
+
+def _stage(name: str) -> Stage:
+    try:
+        return Stage(name)
+    except ValueError:
+        raise UsageError(f'{name} is not a stage; use trial or production') from None
+
+
+def _revision(text: str) -> Revision:
+    if not text.isdecimal():
+        raise UsageError(f'--expected-revision {text} is not a revision')
+    return Revision(int(text))
