--- /dev/null
+++ b/basilcove/__main__.py
@@ -0,0 +1,31 @@
+"""The daemon: ``basilcoved --settings FILE``."""
+
+import argparse
+import asyncio
+import sys
+from pathlib import Path
+
+from basilcove.daemon import Daemon
+from basilcove.settings import SettingsError, load_settings
+
+_EXIT_SETTINGS = 2
+
+
+def main() -> int:
+    """Run the daemon until it is stopped; exit status 2 for settings that can't be used."""
+    parser = argparse.ArgumentParser(prog='basilcoved', description='Runs the roles of one basilcove node.')
+    parser.add_argument('--settings', type=Path, required=True, help='YAML file with the settings')
+    parser.add_argument('--check', action='store_true', help='validate the settings and exit')
+    args = parser.parse_args()
+    try:
+        settings = load_settings(args.settings)
+    except SettingsError as exc:
+        sys.stderr.write(f'{exc}\n')
+        return _EXIT_SETTINGS
+    if args.check:
+        return 0
+    return asyncio.run(Daemon.from_config(settings).run())
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/basilcove/core/events.py
+++ b/basilcove/core/events.py
@@ -96,3 +96,14 @@
     name: str
     labels: tuple[tuple[str, str], ...] = ()
     amount: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class RecordSpan(Effect):
+    """Records a finished trace span below a W3C trace context; times since the epoch, in seconds."""
+
+    name: str
+    traceparent: str
+    started_at: float
+    ended_at: float
+    fields: tuple[tuple[str, str], ...] = ()
--- /dev/null
+++ b/basilcove/daemon.py
@@ -0,0 +1,158 @@
+"""One process: its roles, their drivers, and their start and stop."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final, Self
+
+from loguru import logger
+
+from basilcove.core.events import StopRequested
+from basilcove.core.ids import Incarnation, Role
+from basilcove.core.reducer import Node
+from basilcove.core.runtime import Runtime, carries_out
+from basilcove.helpers.logs import LogDriver
+from basilcove.helpers.metrics import Metrics
+from basilcove.helpers.traces import Tracing
+from basilcove.requests.events import StopCompleted
+from basilcove.rpc.dialer import Dialer
+from basilcove.rpc.envelopes import Identity
+from basilcove.rpc.links import LinkTable
+from basilcove.rpc.server import OperatorServicer, RpcServer
+from basilcove.settings import Settings, new_incarnation
+
+_POLL_INTERVAL_S: Final = 0.05
+
+Unload = Callable[[], None]
+
+
+@dataclass
+class Assembly:
+    """Everything that the roles of one process share while it is put together."""
+
+    settings: Settings
+    identity: Identity
+    runtime: Runtime
+    links: LinkTable
+    metrics: Metrics
+    tracing: Tracing
+    setups: list[Callable[[], None]] = field(default_factory=list)
+    unloads: list[Unload] = field(default_factory=list)
+    readiness: list[Callable[[], str | None]] = field(default_factory=list)
+    idle_checks: list[Callable[[], bool]] = field(default_factory=list)
+
+    def not_ready(self) -> list[str]:
+        """Return the reasons for which the process takes no work; none if it is ready."""
+        reasons = (check() for check in self.readiness)
+        return [reason for reason in reasons if reason is not None]
+
+
+Builder = Callable[[Assembly], None]
+
+_BUILDERS: dict[Role, Builder] = {}
+
+
+def builds(role: Role) -> Callable[[Builder], Builder]:
+    """Register the function that adds a role's states and drivers to a process."""
+
+    def register(builder: Builder) -> Builder:
+        _BUILDERS[role] = builder
+        return builder
+
+    return register
+
+
+@dataclass
+class StopTracker:
+    """Roles that have ended their work; the driver of ``StopCompleted``."""
+
+    completed: set[Role] = field(default_factory=set)
+
+
+@carries_out(StopCompleted, StopTracker)
+def note_stop(tracker: StopTracker, effect: StopCompleted) -> None:
+    """Note that a role has ended its work."""
+    tracker.completed.add(effect.role)
+
+
+class Daemon:
+    """Runs the roles of one node until it is asked to stop."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Put the process together; nothing runs yet."""
+        incarnation = Incarnation(new_incarnation())
+        identity = Identity(settings.node, settings.roles, incarnation, settings.zone)
+        self._settings = settings
+        self._stopping = asyncio.Event()
+        self._tracker = StopTracker()
+        self._logs = LogDriver(settings.node, settings.log_level)
+        runtime = Runtime(Node())
+        links = LinkTable(identity, runtime.apply)
+        self._operators = OperatorServicer(links, runtime.apply)
+        self._server = RpcServer.from_config(settings.rpc, links, self._operators)
+        self._dialer = Dialer.from_config(settings.rpc, links)
+        tracing = Tracing(settings.traces, settings.node)
+        self._assembly = Assembly(settings, identity, runtime, links, Metrics(), tracing)
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> Self:
+        """Build the process of these settings, with the roles that they name."""
+        from basilcove import roles  # noqa: F401 (registers the builders)
+
+        return cls(settings)
+
+    async def run(self) -> int:
+        """Run until SIGTERM or SIGINT and a graceful stop; return the exit status."""
+        self._logs.setup()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        await self._setup()
+        logger.info('{} runs as {}', self._settings.node, [role.value for role in self._settings.roles])
+        await self._stopping.wait()
+        await self._stop_gracefully()
+        await self._unload()
+        return 0
+
+    async def _setup(self) -> None:
+        assembly = self._assembly
+        runtime = assembly.runtime
+        for driver in (assembly.links, self._operators, assembly.metrics, assembly.tracing):
+            runtime.add_driver(driver)
+        runtime.add_driver(self._logs)
+        runtime.add_driver(self._tracker)
+        for role in self._settings.roles:
+            _BUILDERS[role](assembly)
+        await runtime.start()
+        for setup in assembly.setups:
+            setup()
+        await self._server.setup()
+        await self._dialer.setup()
+
+    async def _stop_gracefully(self) -> None:
+        """Take no new work, let work in flight end, within the bound of the settings."""
+        logger.info('stopping')
+        self._assembly.readiness.append(lambda: 'the process is stopping')
+        self._assembly.runtime.apply(StopRequested())
+        try:
+            async with asyncio.timeout(self._settings.stop_timeout_s):
+                while not self._is_idle():
+                    await asyncio.sleep(_POLL_INTERVAL_S)
+        except TimeoutError:
+            logger.warning('work in flight did not end within {} s', self._settings.stop_timeout_s)
+
+    def _is_idle(self) -> bool:
+        expected = {role for role in self._settings.roles if role is not Role.CONTROL}
+        if not expected <= self._tracker.completed:
+            return False
+        return all(check() for check in self._assembly.idle_checks)
+
+    async def _unload(self) -> None:
+        await self._dialer.unload()
+        await self._server.unload()
+        for unload in reversed(self._assembly.unloads):
+            unload()
+        await self._assembly.runtime.stop()
+        self._assembly.tracing.unload()
+        logger.info('stopped')
--- a/basilcove/helpers/logs.py
+++ b/basilcove/helpers/logs.py
@@ -28,7 +28,7 @@
 
     def write(self, effect: Log) -> None:
         """Write the line of an effect, its fields beside the text."""
-        logger.bind(**dict(effect.fields)).log(effect.level, effect.text)
+        logger.bind(**dict(effect.fields)).log(effect.level.upper(), effect.text)
 
     def _write(self, line: 'Message') -> None:
         record = line.record
--- a/basilcove/helpers/traces.py
+++ b/basilcove/helpers/traces.py
@@ -14,7 +14,11 @@
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 from pydantic import BaseModel, ConfigDict
 
+from basilcove.core.events import RecordSpan
+from basilcove.core.runtime import carries_out
+
 _PROPAGATOR: Final = TraceContextTextMapPropagator()
+_NANOSECONDS_PER_S: Final = 1_000_000_000
 
 
 class Exporter(enum.Enum):
@@ -80,12 +84,32 @@
         tracer = self._provider.get_tracer('basilcove')
         return tracer.start_span(name, context=parent, attributes=dict(fields))
 
+    def record(self, effect: RecordSpan) -> None:
+        """Record a span whose start and end are known."""
+        if self._provider is None or not effect.traceparent:
+            return
+        parent = _PROPAGATOR.extract({'traceparent': effect.traceparent})
+        tracer = self._provider.get_tracer('basilcove')
+        span = tracer.start_span(
+            effect.name,
+            context=parent,
+            attributes=dict(effect.fields),
+            start_time=int(effect.started_at * _NANOSECONDS_PER_S),
+        )
+        span.end(int(effect.ended_at * _NANOSECONDS_PER_S))
+
     def unload(self) -> None:
         """Export what is buffered and close the output."""
         if self._provider is not None:
             self._provider.shutdown()
 
 
+@carries_out(RecordSpan, Tracing)
+def record_span(tracing: Tracing, effect: RecordSpan) -> None:
+    """Record one finished span."""
+    tracing.record(effect)
+
+
 def traceparent_of(span: trace.Span, otherwise: str) -> str:
     """Return the W3C header of a span's context, or the other text if it isn't recorded."""
     carrier: dict[str, str] = {}
--- /dev/null
+++ b/basilcove/http/announcements.py
@@ -0,0 +1,107 @@
+"""HTTP server of an agent, on which the upstream of its host announces itself."""
+
+import json
+import threading
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any, Self
+
+from cheroot import wsgi
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from basilcove.core.events import Event
+from basilcove.core.ids import Incarnation, ModelName, ServiceName, UpstreamName
+from basilcove.helpers.metrics import Metrics
+from basilcove.http.config import AnnounceConfig
+from basilcove.http.const import MAX_ANNOUNCEMENT_BYTES, SOCKET_TIMEOUT_S, SPARE_THREADS
+from basilcove.http.replies import Start, reply, reply_json
+from basilcove.membership.events import UpstreamAnnounced, UpstreamLeavingRequested
+
+
+class Announcement(BaseModel):
+    """Body of ``PUT /announce``; ``incarnation`` grows with each start of the upstream."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    name: UpstreamName
+    url: str = Field(pattern='^http://')
+    credential: str
+    models: tuple[ModelName, ...] = ()
+    services: tuple[ServiceName, ...] = ()
+    incarnation: Incarnation
+
+    def to_event(self) -> UpstreamAnnounced:
+        """Return the event for the reducer."""
+        return UpstreamAnnounced(
+            name=self.name,
+            url=self.url.rstrip('/'),
+            credential=self.credential,
+            models=self.models,
+            services=self.services,
+            incarnation=self.incarnation,
+        )
+
+
+class AnnouncementServer:
+    """Takes announcements; also serves health, readiness and metrics of the agent."""
+
+    def __init__(self, cfg: AnnounceConfig, metrics: Metrics) -> None:
+        """Bind once set up."""
+        self._cfg = cfg
+        self._metrics = metrics
+        self._post: Callable[[Event], None] | None = None
+        self._not_ready: Callable[[], list[str]] = list
+        self._server: wsgi.Server | None = None
+
+    @classmethod
+    def from_config(cls, cfg: AnnounceConfig, metrics: Metrics) -> Self:
+        """Build the server of an agent."""
+        return cls(cfg, metrics)
+
+    def setup(self, post: Callable[[Event], None], not_ready: Callable[[], list[str]]) -> None:
+        """Bind and serve."""
+        self._post = post
+        self._not_ready = not_ready
+        host, _, port = self._cfg.listen.rpartition(':')
+        server = wsgi.Server((host, int(port)), self._serve, numthreads=SPARE_THREADS, max=SPARE_THREADS)
+        server.timeout = SOCKET_TIMEOUT_S
+        server.max_request_body_size = MAX_ANNOUNCEMENT_BYTES
+        server.prepare()
+        self._server = server
+        threading.Thread(target=server.serve, name='announcements', daemon=True).start()
+
+    def unload(self) -> None:
+        """Stop serving."""
+        if self._server is not None:
+            self._server.stop()
+
+    def _serve(self, environ: dict[str, Any], start: Start) -> Iterable[bytes]:
+        path = environ['PATH_INFO']
+        if path == '/healthz':
+            return reply(start, HTTPStatus.OK, b'ok\n', 'text/plain')
+        if path == '/readyz':
+            reasons = self._not_ready()
+            status = HTTPStatus.SERVICE_UNAVAILABLE if reasons else HTTPStatus.OK
+            return reply_json(start, status, {'ready': not reasons, 'reasons': reasons})
+        if path == '/metrics':
+            return reply(start, HTTPStatus.OK, self._metrics.render(), 'text/plain; version=0.0.4')
+        if path == '/announce':
+            return self._announce(environ, start)
+        return reply_json(start, HTTPStatus.NOT_FOUND, {'detail': f'no such path: {path}'})
+
+    def _announce(self, environ: dict[str, Any], start: Start) -> Iterable[bytes]:
+        try:
+            announcement = Announcement.model_validate_json(environ['wsgi.input'].read())
+        except ValidationError as exc:
+            return reply_json(start, HTTPStatus.BAD_REQUEST, json.loads(exc.json(include_url=False)))
+        event: Event | None = None
+        if environ['REQUEST_METHOD'] == 'PUT':
+            event = announcement.to_event()
+        if environ['REQUEST_METHOD'] == 'DELETE':
+            event = UpstreamLeavingRequested(announcement.name)
+        if event is None or self._post is None:
+            return reply_json(
+                start, HTTPStatus.METHOD_NOT_ALLOWED, {'detail': '/announce takes PUT and DELETE'}
+            )
+        self._post(event)
+        return reply_json(start, HTTPStatus.ACCEPTED, {})
--- a/basilcove/http/callers.py
+++ b/basilcove/http/callers.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any, Final, Self
 
@@ -13,6 +13,7 @@
 
 from basilcove.core.events import Event
 from basilcove.core.ids import Outcome, TeamName
+from basilcove.environment.keys import team_of_key
 from basilcove.environment.models import Environment
 from basilcove.helpers.metrics import Metrics
 from basilcove.helpers.traces import Tracing, trace_id_of, traceparent_of
@@ -26,7 +27,7 @@
     SPARE_THREADS,
 )
 from basilcove.http.parsing import HttpCall, parse_call
-from basilcove.http.problems import ClientFault, error_event, refusal_of
+from basilcove.http.problems import error_event
 from basilcove.http.replies import Start, refuse, reply, reply_json, status_line
 from basilcove.http.sse import DONE_EVENT
 from basilcove.requests.events import CallerGone, Refusal, Request, RequestArrived
@@ -35,14 +36,6 @@
 _RETRY_WHEN_FULL_S: Final = 1.0
 
 
-@dataclass(frozen=True)
-class Gate:
-    """What is needed to check a request: the document and the teams of its keys."""
-
-    environment: Environment
-    find_team: Callable[[str], TeamName | None]
-
-
 class CallerServer:
     """Serves callers; each open answer holds one thread."""
 
@@ -52,7 +45,7 @@
         self._answers = answers
         self._metrics = metrics
         self._tracing = tracing
-        self._gate: Gate | None = None
+        self._environment: Environment | None = None
         self._slots = threading.BoundedSemaphore(cfg.max_streams)
         self._post: Callable[[Event], None] | None = None
         self._not_ready: Callable[[], list[str]] = list
@@ -84,9 +77,9 @@
         if self._server is not None:
             self._server.stop()
 
-    def change_gate(self, gate: Gate) -> None:
+    def change_environment(self, environment: Environment) -> None:
         """Check requests against another document from now on."""
-        self._gate = gate
+        self._environment = environment
 
     @property
     def open_answers(self) -> int:
@@ -123,18 +116,17 @@
         return reply_json(start, status, {'ready': not reasons, 'reasons': reasons})
 
     def _answer(self, environ: dict[str, Any], start: Start) -> 'Iterable[bytes] | _AnswerStream':
-        gate = self._gate
-        if gate is None:
+        environment = self._environment
+        if environment is None:
             return refuse(
                 start,
                 Refusal(HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN, 'no document is in effect yet', 1),
             )
         call = _read_call(environ)
-        team = _find_team(call, gate)
-        req = parse_call(call, gate.environment, team)
-        if isinstance(req, ClientFault):
+        req = parse_call(call, environment, _find_team(call, environment))
+        if isinstance(req, Refusal):
             self._metrics.count('requests_refused', (('reason', 'client'),), 1)
-            return refuse(start, refusal_of(req))
+            return refuse(start, req)
         return self._exchange(req, start)
 
     def _exchange(self, req: Request, start: Start) -> 'Iterable[bytes] | _AnswerStream':
@@ -270,8 +262,8 @@
     )
 
 
-def _find_team(call: HttpCall, gate: Gate) -> TeamName | None:
+def _find_team(call: HttpCall, environment: Environment) -> TeamName | None:
     authorization = call.headers.get('authorization', '')
     if not authorization.startswith(_BEARER):
         return None
-    return gate.find_team(authorization.removeprefix(_BEARER).strip())
+    return team_of_key(environment, authorization.removeprefix(_BEARER).strip())
--- a/basilcove/http/parsing.py
+++ b/basilcove/http/parsing.py
@@ -1,20 +1,19 @@
 """Turns callers' HTTP requests into requests of the reducer, or says what is wrong with them."""
 
 import json
-import math
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Final
-from urllib.parse import quote, unquote
 from uuid import uuid4
 
-from basilcove.core.ids import ModelName, PriorityName, RequestId, ServiceName, TeamName
+from basilcove.core.ids import ModelName, Outcome, PriorityName, RequestId, ServiceName, TeamName
 from basilcove.environment.models import Environment
+from basilcove.environment.paths import normal_path
 from basilcove.helpers.hashing import stable_hash
-from basilcove.http.problems import ClientFault
-from basilcove.requests.events import Request
+from basilcove.requests.events import Refusal, Request
+from basilcove.requests.validation import choose_priority, choose_timeout
 
 MODEL_PATHS: Final = frozenset(('/v1/chat/completions', '/v1/completions'))
 SERVICES_PREFIX: Final = '/services/'
@@ -67,90 +66,59 @@
     traceparent: str
 
 
-def parse_call(call: HttpCall, environment: Environment, team: TeamName | None) -> Request | ClientFault:
+def parse_call(call: HttpCall, environment: Environment, team: TeamName | None) -> Request | Refusal:
     """Return the request of an authenticated team, or the caller's fault."""
     if len(call.body) > environment.limits.max_body_bytes:
-        return ClientFault(
-            HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'the body is larger than the environment allows'
-        )
+        return _fault(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'the body is larger than the environment allows')
     terms = _parse_terms(call.headers, environment, team)
-    if isinstance(terms, ClientFault):
+    if isinstance(terms, Refusal):
         return terms
     if call.path in MODEL_PATHS:
         return _parse_model_call(call, environment, terms)
     if call.path.startswith(SERVICES_PREFIX):
         return _parse_service_call(call, environment, terms)
-    return ClientFault(HTTPStatus.NOT_FOUND, f'no such path: {call.path}')
+    return _fault(HTTPStatus.NOT_FOUND, f'no such path: {call.path}')
 
 
 def _parse_terms(
     headers: Mapping[str, str],
     environment: Environment,
     team: TeamName | None,
-) -> _Terms | ClientFault:
+) -> _Terms | Refusal:
     if team is None:
-        return ClientFault(HTTPStatus.UNAUTHORIZED, 'the bearer key belongs to no team')
-    priority = _parse_priority(headers.get('x-basilcove-priority'), environment, team)
-    if isinstance(priority, ClientFault):
+        return _fault(HTTPStatus.UNAUTHORIZED, 'the bearer key belongs to no team')
+    priority = choose_priority(environment, team, headers.get('x-basilcove-priority'))
+    if isinstance(priority, Refusal):
         return priority
-    timeout_s = _parse_timeout(headers.get('x-request-timeout'), environment)
-    if isinstance(timeout_s, ClientFault):
+    timeout_s = choose_timeout(environment, headers.get('x-request-timeout'))
+    if isinstance(timeout_s, Refusal):
         return timeout_s
     key = headers.get('idempotency-key')
     if key is not None and not _IDEMPOTENCY_KEY.match(key):
-        return ClientFault(HTTPStatus.BAD_REQUEST, 'Idempotency-Key must be 1 to 255 printable characters')
+        return _fault(HTTPStatus.BAD_REQUEST, 'Idempotency-Key must be 1 to 255 printable characters')
     traceparent = headers.get('traceparent', '')
     if not _TRACEPARENT.match(traceparent):
         traceparent = ''
     return _Terms(team, priority, timeout_s, key, traceparent)
 
 
-def _parse_priority(
-    text: str | None,
-    environment: Environment,
-    team: TeamName,
-) -> PriorityName | ClientFault:
-    allowed = environment.teams[team].priorities
-    if text is None:
-        return max(allowed, key=lambda name: environment.priorities[name].level)
-    name = PriorityName(text)
-    if name not in environment.priorities:
-        return ClientFault(HTTPStatus.BAD_REQUEST, f'no such priority: {text}')
-    if name not in allowed:
-        return ClientFault(HTTPStatus.FORBIDDEN, f'team {team} may not use priority {text}')
-    return name
-
-
-def _parse_timeout(text: str | None, environment: Environment) -> float | ClientFault:
-    if text is None:
-        return environment.limits.default_timeout_s
-    try:
-        timeout_s = float(text)
-    except ValueError:
-        timeout_s = math.nan
-    if not 0 < timeout_s <= environment.limits.max_timeout_s:
-        limit = environment.limits.max_timeout_s
-        return ClientFault(HTTPStatus.BAD_REQUEST, f'X-Request-Timeout must be in (0, {limit:g}] seconds')
-    return timeout_s
-
-
-def _parse_model_call(call: HttpCall, environment: Environment, terms: _Terms) -> Request | ClientFault:
+def _parse_model_call(call: HttpCall, environment: Environment, terms: _Terms) -> Request | Refusal:
     if call.method != 'POST':
-        return ClientFault(HTTPStatus.METHOD_NOT_ALLOWED, f'{call.path} takes POST')
+        return _fault(HTTPStatus.METHOD_NOT_ALLOWED, f'{call.path} takes POST')
     content = _parse_object(call.body)
-    if isinstance(content, ClientFault):
+    if isinstance(content, Refusal):
         return content
     model = content.get('model')
     if not isinstance(model, str) or model not in environment.models:
-        return ClientFault(HTTPStatus.NOT_FOUND, f'no such model: {model!r}')
+        return _fault(HTTPStatus.NOT_FOUND, f'no such model: {model!r}')
     prompt = content.get('messages') if call.path == '/v1/chat/completions' else content.get('prompt')
     if not isinstance(prompt, str | list) or not prompt:
-        return ClientFault(HTTPStatus.BAD_REQUEST, 'the body has no messages or prompt')
+        return _fault(HTTPStatus.BAD_REQUEST, 'the body has no messages or prompt')
     max_tokens = content.get('max_tokens', _DEFAULT_MAX_TOKENS)
     if isinstance(max_tokens, bool) or not isinstance(max_tokens, int) or max_tokens < 1:
-        return ClientFault(HTTPStatus.BAD_REQUEST, 'max_tokens must be a positive integer')
+        return _fault(HTTPStatus.BAD_REQUEST, 'max_tokens must be a positive integer')
     if not isinstance(content.get('stream', False), bool):
-        return ClientFault(HTTPStatus.BAD_REQUEST, 'stream must be true or false')
+        return _fault(HTTPStatus.BAD_REQUEST, 'stream must be true or false')
     text = prompt if isinstance(prompt, str) else json.dumps(prompt)
     return _build(
         call,
@@ -163,22 +131,19 @@
     )
 
 
-def _parse_service_call(call: HttpCall, environment: Environment, terms: _Terms) -> Request | ClientFault:
+def _parse_service_call(call: HttpCall, environment: Environment, terms: _Terms) -> Request | Refusal:
     service, _, rest = call.path.removeprefix(SERVICES_PREFIX).partition('/')
     if service not in environment.services:
-        return ClientFault(HTTPStatus.NOT_FOUND, f'no such service: {service}')
-    # Decoding once and encoding again keeps an encoded slash or dot segment from
-    # reaching another call than the one whose rules were applied.
-    segments = [unquote(segment) for segment in rest.split('/')]
-    if any(segment in {'.', '..'} or '/' in segment or '\\' in segment for segment in segments):
-        return ClientFault(HTTPStatus.BAD_REQUEST, 'the path has dot segments or encoded slashes')
-    path = '/'.join(quote(segment, safe='') for segment in segments)
+        return _fault(HTTPStatus.NOT_FOUND, f'no such service: {service}')
+    path = f'/{rest}'
+    if normal_path(path) is None:
+        return _fault(HTTPStatus.BAD_REQUEST, 'two servers may read the path differently')
     query = f'?{call.query}' if call.query else ''
     return _build(
         call,
         terms,
         service=ServiceName(service),
-        path=f'/{path}{query}',
+        path=f'{path}{query}',
         work=1 + len(call.body) / _CHARACTERS_PER_TOKEN,
     )
 
@@ -213,13 +178,13 @@
     )
 
 
-def _parse_object(body: bytes) -> dict[str, Any] | ClientFault:
+def _parse_object(body: bytes) -> dict[str, Any] | Refusal:
     try:
         content = json.loads(body)
     except (ValueError, RecursionError) as exc:
-        return ClientFault(HTTPStatus.BAD_REQUEST, f'the body is no JSON: {exc}')
+        return _fault(HTTPStatus.BAD_REQUEST, f'the body is no JSON: {exc}')
     if not isinstance(content, dict):
-        return ClientFault(HTTPStatus.BAD_REQUEST, 'the body is no JSON object')
+        return _fault(HTTPStatus.BAD_REQUEST, 'the body is no JSON object')
     return content
 
 
@@ -232,3 +197,7 @@
         block = text[start : start + _PREFIX_BLOCK_CHARACTERS]
         hashes.append(stable_hash(hashes[-1] if hashes else 0, block))
     return tuple(hashes)
+
+
+def _fault(status: HTTPStatus, reason: str) -> Refusal:
+    return Refusal(status, Outcome.NOT_RUN, reason)
--- a/basilcove/http/problems.py
+++ b/basilcove/http/problems.py
@@ -2,21 +2,12 @@
 
 import json
 import math
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from basilcove.core.ids import Outcome
 from basilcove.requests.events import Refusal
 
 
-@dataclass(frozen=True, slots=True)
-class ClientFault:
-    """A request that the caller must change; it was not run."""
-
-    status: int
-    reason: str
-
-
 def problem_of(refusal: Refusal) -> dict[str, object]:
     """Return the problem object of a refusal."""
     return {
@@ -35,11 +26,6 @@
     return [('Retry-After', str(max(1, math.ceil(refusal.retry_after_s))))]
 
 
-def refusal_of(fault: ClientFault) -> Refusal:
-    """Return the refusal that tells a caller of their fault."""
-    return Refusal(fault.status, Outcome.NOT_RUN, fault.reason)
-
-
 def error_event(reason: str, request_id: str) -> bytes:
     """Return the event that ends a stream which can't be completed."""
     refusal = Refusal(HTTPStatus.BAD_GATEWAY, Outcome.UNKNOWN, reason)
--- a/basilcove/http/upstreams.py
+++ b/basilcove/http/upstreams.py
@@ -32,7 +32,7 @@
 
 SendChunk = Callable[[NodeId, AnswerChunk], None]
 Post = Callable[[Event], None]
-OnLoop = Callable[[Callable[[], None]], None]
+OnLoop = Callable[[Callable[[], None]], object]
 
 
 @dataclass
--- /dev/null
+++ b/basilcove/roles/agent.py
@@ -0,0 +1,51 @@
+"""The queue and the calls of the upstream on this host."""
+
+import asyncio
+
+from basilcove.agents import coordinator as _agents  # noqa: F401
+from basilcove.agents.config import AgentsConfig
+from basilcove.agents.models import AgentState
+from basilcove.core.ids import NodeId, Role, UpstreamName
+from basilcove.daemon import Assembly, builds
+from basilcove.http import driver as _http  # noqa: F401
+from basilcove.http.announcements import AnnouncementServer
+from basilcove.http.upstreams import UpstreamClient
+from basilcove.membership import announcer as _announcer  # noqa: F401
+from basilcove.membership.models import AnnouncerState
+from basilcove.requests.messages import AnswerChunk
+from basilcove.roles.common import add_common
+from basilcove.wiring.upstreams import LoadTimer
+
+
+@builds(Role.AGENT)
+def build_agent(assembly: Assembly) -> None:
+    """Add the queue and the calls of the upstream on this host."""
+    cfg = assembly.settings.agent
+    assert cfg is not None
+    add_common(assembly)
+    settings, identity, runtime = assembly.settings, assembly.identity, assembly.runtime
+    agents_cfg = AgentsConfig(
+        progress_timeout_s=cfg.progress_timeout_s,
+        stop_timeout_s=settings.stop_timeout_s,
+    )
+    state = AgentState.from_config(agents_cfg, UpstreamName(''), identity.incarnation)
+    runtime.node.add(state)
+    runtime.node.add(AnnouncerState(identity.node, identity.zone, identity.incarnation))
+    runtime.node.add(LoadTimer())
+    client = UpstreamClient(cfg.max_calls, cfg.progress_timeout_s)
+    runtime.add_driver(client)
+    server = AnnouncementServer.from_config(cfg, assembly.metrics)
+
+    def send_chunk(entry: NodeId, chunk: AnswerChunk) -> None:
+        assembly.links.send(entry, chunk)
+
+    def setup() -> None:
+        loop = asyncio.get_running_loop()
+        client.setup(runtime.post, loop.call_soon_threadsafe, send_chunk)
+        server.setup(runtime.post, assembly.not_ready)
+
+    assembly.metrics.gauge('attempts_running', 'Attempts that run.', lambda: len(state.running))
+    assembly.metrics.gauge('attempts_open', 'Attempts that wait or run.', lambda: len(state.attempts))
+    assembly.readiness.append(lambda: state.leaving)
+    assembly.setups.append(setup)
+    assembly.unloads.extend((client.unload, server.unload))
--- /dev/null
+++ b/basilcove/roles/common.py
@@ -0,0 +1,31 @@
+"""What every node has."""
+
+from basilcove.catalog.client import ClientState
+from basilcove.daemon import Assembly
+from basilcove.distribution import coordinator as _distribution  # noqa: F401
+from basilcove.distribution.config import DistributionConfig
+from basilcove.distribution.models import DistributionState
+from basilcove.membership import coordinator as _membership  # noqa: F401
+from basilcove.membership import draining as _draining  # noqa: F401
+from basilcove.membership.models import MembershipState
+from basilcove.rpc import driver as _rpc  # noqa: F401
+from basilcove.wiring.operators import OperatorsState
+
+
+def add_common(assembly: Assembly) -> None:
+    """Add what every node has, once."""
+    node = assembly.runtime.node
+    if node.has(DistributionState):
+        return
+    settings = assembly.settings
+    cfg = DistributionConfig(
+        environment=settings.environment,
+        stage=settings.stage,
+        control_nodes=settings.control_nodes,
+    )
+    documents = DistributionState.from_config(cfg, settings.node, settings.zone, settings.roles)
+    node.add(documents)
+    node.add(ClientState(settings.node))
+    node.add(MembershipState(settings.node))
+    node.add(OperatorsState(assembly.identity, settings.environment, settings.stage, settings.control_nodes))
+    assembly.readiness.append(lambda: None if documents.ready else 'no current document is known')
--- /dev/null
+++ b/basilcove/roles/control.py
@@ -0,0 +1,31 @@
+"""A member of the control group."""
+
+from basilcove.catalog import coordinator as _catalog  # noqa: F401
+from basilcove.catalog.control import ControlState
+from basilcove.consensus import coordinator as _consensus  # noqa: F401
+from basilcove.consensus.models import ConsensusState
+from basilcove.core.ids import Role
+from basilcove.daemon import Assembly, builds
+from basilcove.roles.common import add_common
+from basilcove.storage.driver import StorageDriver
+from basilcove.storage.journal import Journal
+from basilcove.wiring.documents import CatchUp
+
+
+@builds(Role.CONTROL)
+def build_control(assembly: Assembly) -> None:
+    """Add a member of the control group; StorageError if its folder can't be used."""
+    cfg = assembly.settings.control
+    assert cfg is not None
+    add_common(assembly)
+    journal = Journal(cfg.data_folder)
+    recovered = journal.open()
+    identity = assembly.identity
+    node = assembly.runtime.node
+    node.add(ConsensusState.from_recovered(identity.node, identity.incarnation, cfg.bootstrap, recovered))
+    node.add(ControlState.from_recovered(identity.node, recovered))
+    node.add(CatchUp(identity.node))
+    storage = StorageDriver(journal, assembly.runtime.post)
+    assembly.runtime.add_driver(storage)
+    assembly.setups.append(storage.setup)
+    assembly.unloads.append(storage.unload)
--- a/basilcove/settings.py
+++ b/basilcove/settings.py
@@ -8,6 +8,7 @@
 import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+from basilcove.consensus.config import ControlConfig
 from basilcove.core.ids import EnvironmentName, NodeId, Role, Stage, Zone
 from basilcove.exceptions import BasilcoveError
 from basilcove.helpers.traces import TraceConfig
@@ -19,16 +20,6 @@
     """The settings file can't be used; the text names every fault with its line."""
 
 
-class ControlConfig(BaseModel):
-    """Settings of the role ``control``."""
-
-    model_config = ConfigDict(extra='forbid', frozen=True)
-
-    data_folder: Path
-    cluster: str
-    bootstrap: tuple[NodeId, ...] = ()
-
-
 class Settings(BaseModel):
     """Settings of one process; ``stop_timeout_s`` bounds a graceful stop."""
 
@@ -46,7 +37,7 @@
     traces: TraceConfig = TraceConfig()
     log_level: str = Field('INFO', pattern='^(DEBUG|INFO|WARNING|ERROR)$')
     stop_timeout_s: float = Field(600, gt=0)
-    control_hosts: int = Field(3, ge=1, le=7)
+    control_nodes: tuple[NodeId, ...] = Field(min_length=1)
 
     @model_validator(mode='after')
     def _check_roles(self) -> 'Settings':
--- /dev/null
+++ b/basilcove/wiring/__init__.py
@@ -0,0 +1,1 @@
+"""Handlers that join subsystems which don't know each other."""
--- /dev/null
+++ b/basilcove/wiring/const.py
@@ -0,0 +1,16 @@
+"""Constants of the handlers between subsystems."""
+
+from typing import Final
+
+# A claim that takes longer is refused as not run, so that a caller behind a partition hears soon.
+CLAIM_TIMEOUT_S: Final = 3.0
+
+# Outcomes of claimed calls are proposed again for this long; the owner's silence then says the same.
+RECORD_LIFETIME_S: Final = 60.0
+RECORD_ATTEMPT_S: Final = 5.0
+
+LOAD_INTERVAL_S: Final = 0.25
+REPORT_INTERVAL_S: Final = 1.0
+
+CATCH_UP_TIMEOUT_S: Final = 1.0
+OPERATOR_TIMEOUT_S: Final = 8.0
--- /dev/null
+++ b/basilcove/wiring/operators.py
@@ -0,0 +1,254 @@
+"""Answers the operators' tool, from the replicated state or from what the node knows."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from basilcove.catalog import commands, outcomes
+from basilcove.catalog.client import ClientState
+from basilcove.catalog.events import ProposalFailed, Propose, Proposed, Query, QueryAnswered, QueryFailed
+from basilcove.cli.messages import (
+    ApplyReply,
+    ApplyRequest,
+    DrainReply,
+    DrainRequest,
+    PromoteReply,
+    PromoteRequest,
+    Reply,
+    ShowReply,
+    ShowRequest,
+    StatusReply,
+    StatusRequest,
+    UpstreamRow,
+    UpstreamsReply,
+    UpstreamsRequest,
+)
+from basilcove.const import VERSION
+from basilcove.core.events import Effect, Emit, Message
+from basilcove.core.ids import EnvironmentName, NodeId, Revision, Stage, UpstreamName
+from basilcove.core.reducer import Context, handles
+from basilcove.distribution.models import DistributionState
+from basilcove.environment.models import Environment
+from basilcove.membership import events as membership
+from basilcove.membership.models import MembershipState
+from basilcove.rpc import events as rpc
+from basilcove.rpc.envelopes import Identity
+from basilcove.wiring.const import OPERATOR_TIMEOUT_S
+
+
+@dataclass
+class OperatorsState:
+    """Calls of operators that wait for an answer, by proposal, query or upstream."""
+
+    identity: Identity
+    environment: EnvironmentName
+    stage: Stage
+    control_nodes: tuple[NodeId, ...]
+    waiting: dict[str, list[tuple[rpc.CallId, type[Reply]]]] = field(default_factory=dict)
+
+    def wait(self, name: str, call_id: rpc.CallId, reply: type[Reply]) -> None:
+        """Answer this call when the named question is answered."""
+        self.waiting.setdefault(name, []).append((call_id, reply))
+
+    def answer(self, name: str, build: Callable[[type[Reply]], Reply]) -> list[Effect]:
+        """Answer all calls that wait for the named question."""
+        calls = self.waiting.pop(name, [])
+        return [rpc.Reply(call_id, build(reply)) for call_id, reply in calls]
+
+
+Answerer = Callable[[OperatorsState, rpc.CallId, Any, Context], list[Effect]]
+
+_ANSWERERS: dict[type, Answerer] = {}
+
+
+def _answers(request: type[Message]) -> Callable[[Answerer], Answerer]:
+    def register(answerer: Answerer) -> Answerer:
+        _ANSWERERS[request] = answerer
+        return answerer
+
+    return register
+
+
+@handles(rpc.OperatorCalled, OperatorsState)
+def on_call(state: OperatorsState, event: rpc.OperatorCalled, ctx: Context) -> list[Effect]:
+    """Answer a call, or start to find the answer."""
+    answerer = _ANSWERERS.get(type(event.message))
+    if answerer is None:
+        return [rpc.Reply(event.call_id, ApplyReply(accepted=False, reasons=('not an operator call',)))]
+    return answerer(state, event.call_id, event.message, ctx)
+
+
+@_answers(ApplyRequest)
+def _apply(state: OperatorsState, call_id: rpc.CallId, req: ApplyRequest, ctx: Context) -> list[Effect]:
+    command = commands.ApplyDocument(
+        req.environment,
+        req.stage,
+        req.expected_revision,
+        req.document,
+        req.request_id,
+    )
+    return _propose(state, call_id, ApplyReply, req.request_id, command, ctx)
+
+
+@_answers(PromoteRequest)
+def _promote(state: OperatorsState, call_id: rpc.CallId, req: PromoteRequest, ctx: Context) -> list[Effect]:
+    command = commands.PromoteDocument(req.environment, req.expected_revision, req.request_id)
+    return _propose(state, call_id, PromoteReply, req.request_id, command, ctx)
+
+
+def _propose(
+    state: OperatorsState,
+    call_id: rpc.CallId,
+    reply: type[Reply],
+    request_id: str,
+    command: Message,
+    ctx: Context,
+) -> list[Effect]:
+    # The call's own id keeps a resend with other content from being answered like the first call;
+    # the replicated state deduplicates on the request id inside the command.
+    name = f'operator/{request_id}/{call_id}'
+    state.wait(name, call_id, reply)
+    return [Emit(Propose(name, command, ctx.now + OPERATOR_TIMEOUT_S))]
+
+
+@handles(Proposed, OperatorsState)
+def on_proposed(state: OperatorsState, event: Proposed, ctx: Context) -> list[Effect]:
+    """Answer a change."""
+    accepted, revision, reasons = _describe(event.result)
+    return state.answer(
+        event.proposal_id,
+        lambda reply: reply(accepted=accepted, revision=revision, reasons=reasons),
+    )
+
+
+def _describe(result: Message) -> tuple[bool, Revision, tuple[str, ...]]:
+    if isinstance(result, outcomes.DocumentApplied):
+        return True, result.revision, ()
+    if isinstance(result, outcomes.RevisionConflict):
+        return False, result.current, (f'the current revision is {result.current}',)
+    if isinstance(result, outcomes.PromotionRefused):
+        return False, Revision(0), result.missing
+    if isinstance(result, outcomes.DocumentRefused):
+        return False, Revision(0), result.faults
+    reason = result.reason if isinstance(result, outcomes.CommandRefused) else type(result).__name__
+    return False, Revision(0), (reason,)
+
+
+@handles(ProposalFailed, OperatorsState)
+def on_proposal_failed(state: OperatorsState, event: ProposalFailed, ctx: Context) -> list[Effect]:
+    """Say that a change was not made, or that its outcome is unknown."""
+    outcome = 'outcome unknown, ask again with the same request id' if event.sent else 'not run'
+    reasons = (f'{event.reason} ({outcome})',)
+    return state.answer(event.proposal_id, lambda reply: _unavailable(reply, reasons))
+
+
+def _unavailable(reply: type[Reply], reasons: tuple[str, ...]) -> Reply:
+    return reply(accepted=False, reasons=reasons, unavailable=True)
+
+
+@_answers(ShowRequest)
+def _show(state: OperatorsState, call_id: rpc.CallId, req: ShowRequest, ctx: Context) -> list[Effect]:
+    name = f'show/{call_id}'
+    state.wait(name, call_id, ShowReply)
+    read = commands.ReadDocument(req.environment, req.stage)
+    return [Emit(Query(name, read, ctx.now + OPERATOR_TIMEOUT_S))]
+
+
+@handles(QueryAnswered, OperatorsState)
+def on_query_answered(state: OperatorsState, event: QueryAnswered, ctx: Context) -> list[Effect]:
+    """Answer a read of a document."""
+    answer = event.answer
+    if not isinstance(answer, outcomes.DocumentRead):
+        return []
+    if answer.revision == 0:
+        reasons = ('there is no such document',)
+        return state.answer(event.query_id, lambda reply: reply(accepted=False, reasons=reasons))
+    found = ShowReply(accepted=True, revision=answer.revision, document=answer.document)
+    return state.answer(event.query_id, lambda _: found)
+
+
+@handles(QueryFailed, OperatorsState)
+def on_query_failed(state: OperatorsState, event: QueryFailed, ctx: Context) -> list[Effect]:
+    """Say that a read could not be made."""
+    return state.answer(event.query_id, lambda reply: _unavailable(reply, (event.reason,)))
+
+
+@_answers(StatusRequest)
+def _status(state: OperatorsState, call_id: rpc.CallId, req: StatusRequest, ctx: Context) -> list[Effect]:
+    documents = ctx.node.part(DistributionState)
+    leader = ctx.node.part(ClientState).leader or NodeId('')
+    reply = StatusReply(
+        accepted=True,
+        revision=documents.own.revision,
+        node=state.identity.node,
+        roles=state.identity.roles,
+        zone=state.identity.zone,
+        version=VERSION,
+        environment=state.environment,
+        stage=state.stage,
+        ready=documents.ready,
+        leader=leader,
+        control_nodes=state.control_nodes,
+        peers=tuple(sorted(documents.peers)),
+    )
+    return [rpc.Reply(call_id, reply)]
+
+
+@_answers(UpstreamsRequest)
+def _upstreams(
+    state: OperatorsState, call_id: rpc.CallId, req: UpstreamsRequest, ctx: Context
+) -> list[Effect]:
+    known = ctx.node.part(MembershipState)
+    environment = known.environment
+    if environment is None:
+        reply = UpstreamsReply(accepted=False, reasons=('no document is in effect',), unavailable=True)
+        return [rpc.Reply(call_id, reply)]
+    rows = tuple(_rows(known, environment))
+    revision = ctx.node.part(DistributionState).own.revision
+    return [rpc.Reply(call_id, UpstreamsReply(accepted=True, revision=revision, upstreams=rows))]
+
+
+def _rows(known: MembershipState, environment: Environment) -> Iterable[UpstreamRow]:
+    for name, declared in sorted(environment.upstreams.items()):
+        found = known.upstreams.get(name)
+        serves = tuple(sorted((*declared.models, *declared.services)))
+        state = 'absent'
+        agent = NodeId('')
+        load = None
+        if found is not None:
+            state = 'leaving' if found.leaving else 'serving'
+            agent = found.agent
+            load = found.announce.load
+        yield UpstreamRow(
+            name=name,
+            state=state,
+            zone=declared.zone,
+            agent=agent,
+            serves=serves,
+            slots=declared.slots,
+            queued_work=load.queued_work if load else 0,
+            running=load.running if load else 0,
+            tokens_per_s=load.tokens_per_s if load else 0,
+        )
+
+
+@_answers(DrainRequest)
+def _drain(state: OperatorsState, call_id: rpc.CallId, req: DrainRequest, ctx: Context) -> list[Effect]:
+    state.wait(_drain_name(req.upstream), call_id, DrainReply)
+    return [Emit(membership.DrainRequested(req.upstream))]
+
+
+@handles(membership.DrainConfirmed, OperatorsState)
+def on_drained(state: OperatorsState, event: membership.DrainConfirmed, ctx: Context) -> list[Effect]:
+    """Say that an upstream's agent takes no new work."""
+    return state.answer(_drain_name(event.upstream), lambda reply: reply(accepted=True))
+
+
+@handles(membership.DrainFailed, OperatorsState)
+def on_drain_failed(state: OperatorsState, event: membership.DrainFailed, ctx: Context) -> list[Effect]:
+    """Say that an upstream's agent did not confirm in time."""
+    return state.answer(_drain_name(event.upstream), lambda reply: _unavailable(reply, (event.reason,)))
+
+
+def _drain_name(upstream: UpstreamName) -> str:
+    return f'drain/{upstream}'
