Fuzz requests over a fake network and keep frozen agents from late starts

The path's rules were covered by one happy test. A state machine now drives two entries and three agents through broken and silent links, kills, freezes, planned stops, duplicated and crossed messages and faults of the claims. The oracle counts the runs on each upstream and what each caller got.

It found that an agent that was frozen while leaving started a waiting attempt on waking, when a finished call freed a slot before the next tick: the drain ran on ticks only. It now runs before every start, as expiry did.

A refusal because the upstream leaves is marked, pauses the upstream for 2 s and gives each request one retry outside of the budget, so that a planned stop ends no request that waits.

--- a/basilcove/agents/attempts.py
+++ b/basilcove/agents/attempts.py
@@ -12,10 +12,10 @@
 def start_waiting(state: AgentState, now: float) -> list[Effect]:
     """Call the upstream for as many waiting attempts as it has slots.
 
-    Attempts whose deadline passed while they waited are refused first, so that an agent
-    that was frozen starts none of them.
+    Attempts whose deadline passed while they waited, or all if the upstream has been leaving for
+    longer than the grace, are refused first, so that an agent that was frozen starts none of them.
     """
-    effects: list[Effect] = []
+    effects = _drain(state, now)
     for expired in state.queue.expire(now):
         attempt = state.attempts.get(expired.attempt_id)
         if attempt is not None:
@@ -38,7 +38,9 @@
     state.queue.cancel(attempt_id)
     state.attempts.pop(attempt_id, None)
     bar(state, attempt.entry, attempt_id, attempt.start.number, now)
-    return answer(attempt, AttemptRefused(attempt_id, reason, DEFAULT_RETRY_AFTER_S))
+    return answer(
+        attempt, AttemptRefused(attempt_id, reason, DEFAULT_RETRY_AFTER_S, state.leaving is not None)
+    )
 
 
 def end_running(state: AgentState, attempt: AgentAttempt, now: float, *, has_started: bool = True) -> None:
@@ -70,6 +72,16 @@
     return [Send(attempt.entry.node, msg)]
 
 
+def _drain(state: AgentState, now: float) -> list[Effect]:
+    if state.leaving is None or state.drain_by is None or now < state.drain_by:
+        return []
+    effects: list[Effect] = []
+    for attempt in tuple(state.attempts.values()):
+        if not attempt.is_running:
+            effects.extend(refuse_waiting(state, attempt, now, state.leaving))
+    return effects
+
+
 def _call(state: AgentState, attempt_id: AttemptId, now: float) -> list[Effect]:
     attempt = state.attempts.get(attempt_id)
     if attempt is None:
--- a/basilcove/agents/coordinator.py
+++ b/basilcove/agents/coordinator.py
@@ -60,7 +60,9 @@
         reason, retry_after_s = verdict.reason, verdict.retry_after_s
     bar(state, event.peer, msg.attempt_id, msg.number, ctx.now)
     return [
-        Send(event.peer.node, AttemptRefused(msg.attempt_id, reason, retry_after_s)),
+        Send(
+            event.peer.node, AttemptRefused(msg.attempt_id, reason, retry_after_s, state.leaving is not None)
+        ),
         Count('attempts_refused'),
     ]
 
@@ -137,10 +139,6 @@
         reason = _find_abort(state, attempt, ctx.now)
         if reason is not None:
             effects.extend(abort(state, attempt, ctx.now, reason))
-    if state.drain_by is not None and ctx.now >= state.drain_by:
-        for waiting in tuple(state.attempts.values()):
-            if not waiting.is_running:
-                effects.extend(refuse_waiting(state, waiting, ctx.now, state.leaving or 'leaving'))
     effects.extend(start_waiting(state, ctx.now))
     state.memory.expire(ctx.now)
     state.speed.note(ctx.now)
--- a/basilcove/requests/const.py
+++ b/basilcove/requests/const.py
@@ -17,6 +17,10 @@
 # Bounds the burst of retries after a long time without any.
 MAX_SAVED_RETRIES: Final = 20.0
 
+# An upstream that refused an attempt because it leaves is not chosen for this long, by which time
+# its announcement has arrived, or it has come back without one.
+LEAVING_PAUSE_S: Final = 2.0
+
 # Retry-After where nothing better is known.
 DEFAULT_RETRY_AFTER_S: Final = 1.0
 
--- a/basilcove/requests/coordinator.py
+++ b/basilcove/requests/coordinator.py
@@ -9,7 +9,7 @@
 from basilcove.requests import links  # noqa: F401 (registers its handlers)
 from basilcove.requests.attempts import cancel, expire, fail_attempt, move_if_waiting, start_attempt
 from basilcove.requests.claims import ReleaseClaim
-from basilcove.requests.const import DEFAULT_RETRY_AFTER_S, TEAM_SWEEP_INTERVAL_S
+from basilcove.requests.const import DEFAULT_RETRY_AFTER_S, LEAVING_PAUSE_S, TEAM_SWEEP_INTERVAL_S
 from basilcove.requests.events import CallerGone, Refusal, RequestArrived, StartAnswer, StopCompleted
 from basilcove.requests.keyed import deliver_answer, record_answer, request_claim
 from basilcove.requests.messages import (
@@ -134,6 +134,10 @@
         return [_drop(event)]
     if attempt.phase is AttemptPhase.ANSWERING:
         return fail_attempt(state, record, ctx.now, 'refused after its answer began')
+    if msg.leaving:
+        state.pause(attempt.upstream, ctx.now + LEAVING_PAUSE_S)
+        record.has_paid_retry |= not record.has_moved
+        record.has_moved = True
     record.retry_after_s = msg.retry_after_s
     drop_attempt(state, record, ctx.now, is_failure=True)
     return start_attempt(state, record, ctx.now, msg.reason)
--- a/basilcove/requests/messages.py
+++ b/basilcove/requests/messages.py
@@ -107,11 +107,15 @@
 @message('requests.attempt_refused', pb.AttemptRefused)
 @dataclass(frozen=True, slots=True)
 class AttemptRefused(Message):
-    """Confirms that the attempt did not start and can no longer start."""
+    """Confirms that the attempt did not start and can no longer start.
+
+    ``leaving`` holds if the agent takes no new work at all.
+    """
 
     attempt_id: AttemptId
     reason: str
     retry_after_s: float
+    leaving: bool = False
 
 
 @message('requests.attempt_failed', pb.AttemptFailed)
--- a/basilcove/requests/models.py
+++ b/basilcove/requests/models.py
@@ -1,6 +1,7 @@
 """State of requests and attempts at an entry."""
 
 import enum
+import math
 from dataclasses import dataclass, field
 from typing import Self
 
@@ -65,7 +66,10 @@
     ``may_have_run`` holds once an attempt was lost without a confirmation that it did
     not run. ``status`` and ``headers`` are those of the answer's head, ``tokens`` those
     delivered by earlier attempts. ``confirm_by`` is set once an attempt was barred at the deadline.
-    ``has_paid_retry`` holds while a retry is taken from the budget but not sent.
+    ``has_paid_retry`` holds while a retry is allowed but not sent. One
+    retry of each request is free of the budget, if its upstream leaves: a planned stop must not end
+    requests that wait. This can't amplify a flood, because the upstream is then paused; ``has_moved``
+    holds once it was used.
     """
 
     request: Request
@@ -83,6 +87,7 @@
     retry_after_s: float | None = None
     confirm_by: float | None = None
     has_paid_retry: bool = False
+    has_moved: bool = False
 
     @property
     def route(self) -> RouteRequest:
@@ -98,10 +103,11 @@
 
 @dataclass(slots=True)
 class KnownUpstream:
-    """An upstream that joined."""
+    """An upstream that joined; not chosen until ``paused_until``, in monotonic seconds."""
 
     joined: UpstreamJoined
     is_leaving: bool = False
+    paused_until: float = 0
 
 
 @dataclass
@@ -129,6 +135,7 @@
     last_number: int = 0
     swept_at: float = 0
     candidates_changed: bool = False
+    refresh_at: float = math.inf
     stop_by: float | None = None
     stop_completed: bool = False
 
@@ -147,19 +154,32 @@
         self.last_number += 1
         return AttemptId(f'{self.node}-{self.incarnation}-{self.last_number}'), self.last_number
 
+    def pause(self, upstream: UpstreamName, until: float) -> None:
+        """Choose an upstream no more until then; its agent said that it leaves."""
+        known = self.upstreams.get(upstream)
+        if known is not None:
+            known.paused_until = until
+            self.refresh_at = min(self.refresh_at, until)
+            self.candidates_changed = True
+
     def choose(self, record: RequestRecord, now: float) -> UpstreamName | None:
         """Return an upstream for the next attempt that has a link and was not tried."""
-        if self.candidates_changed:
-            self.router.update(self._candidates(), now)
+        if self.candidates_changed or now >= self.refresh_at:
+            self.router.update(self._candidates(now), now)
             self.candidates_changed = False
         return self.router.choose(record.route, now, record.tried)
 
-    def _candidates(self) -> list[Candidate]:
-        return [
-            _to_candidate(known.joined)
-            for known in self.upstreams.values()
-            if not known.is_leaving and self._has_link(known.joined)
-        ]
+    def _candidates(self, now: float) -> list[Candidate]:
+        self.refresh_at = math.inf
+        candidates: list[Candidate] = []
+        for known in self.upstreams.values():
+            if known.is_leaving or not self._has_link(known.joined):
+                continue
+            if known.paused_until > now:
+                self.refresh_at = min(self.refresh_at, known.paused_until)
+                continue
+            candidates.append(_to_candidate(known.joined))
+        return candidates
 
     def _has_link(self, joined: UpstreamJoined) -> bool:
         link = self.links.get(joined.agent)
--- a/tests/requests/network.py
+++ b/tests/requests/network.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import basilcove.requests.coordinator  # noqa: F401 (registers the handlers)
 from basilcove.agents.config import AgentsConfig
 from basilcove.agents.coordinator import current_load
 from basilcove.agents.events import (
@@ -28,6 +27,7 @@
 from basilcove.environment.models import Environment
 from basilcove.requests import claims
 from basilcove.requests.config import RequestsConfig
+from basilcove.requests.coordinator import on_tick  # noqa: F401 (registers the handlers)
 from basilcove.requests.events import (
     BreakAnswer,
     CallerGone,
@@ -42,7 +42,7 @@
     UpstreamLeaving,
     WriteAnswer,
 )
-from basilcove.requests.messages import AnswerChunk, StartAttempt
+from basilcove.requests.messages import AnswerChunk, AttemptRefused, StartAttempt
 from basilcove.requests.models import RequestsState
 
 ZONE = Zone('bunbury-office')
@@ -110,7 +110,7 @@
     frozen_at: float | None = None
     inbox: list[Callable[[], None]] = field(default_factory=list)
     sent: Counter[str] = field(default_factory=Counter)
-    has_stopped: bool = False
+    moved: set[str] = field(default_factory=set)
 
     @property
     def entry(self) -> RequestsState:
@@ -175,6 +175,23 @@
         self.left_at.pop(name, None)
         self.post(proc, EnvironmentChanged(Revision(1), self.environment))
 
+    def _leave(self, proc: Process) -> None:
+        self.left_at.setdefault(proc.peer.node, self.now)
+        self._apply(proc, LeaveRequested('leaving'))
+        self._announce_leaving(proc.peer.node)
+
+    def _come_back(self, proc: Process) -> None:
+        if proc.agent.stop_by is not None or self.left_at.pop(proc.peer.node, None) is None:
+            return
+        self._apply(proc, ReturnRequested())
+        for pair in self.links:
+            if pair[1] == proc.peer.node:
+                self._announce(pair)
+
+    def _replace(self, proc: Process) -> None:
+        if self.processes[proc.peer.node] is proc:
+            self.start(proc.peer.node)
+
     def kill(self, name: NodeId) -> None:
         proc = self.processes[name]
         proc.is_alive = False
@@ -202,26 +219,23 @@
                 caller.due = max(caller.due, self.now)
 
     def leave(self, name: NodeId) -> None:
-        self.left_at.setdefault(name, self.now)
-        self.post(self.processes[name], LeaveRequested('leaving'))
-        self._announce_leaving(name)
+        """Let the upstream tell its agent that it leaves; a frozen agent hears it when it thaws."""
+        proc = self.processes[name]
+        self.perform(proc, lambda: self._leave(proc))
 
     def come_back(self, name: NodeId) -> None:
-        if self.left_at.pop(name, None) is not None:
-            self.post(self.processes[name], ReturnRequested())
-            for pair in self.links:
-                if pair[1] == name:
-                    self._announce(pair)
+        proc = self.processes[name]
+        self.perform(proc, lambda: self._come_back(proc))
 
     def break_link(self, pair: tuple[NodeId, NodeId]) -> None:
         self._lose(pair, self.links.get(pair))
 
     def silence(self, pair: tuple[NodeId, NodeId], unnoticed: NodeId | None = None) -> None:
         """Deliver nothing more on a link; the end ``unnoticed`` only sees its replacement."""
-        if pair in self.links:
-            link = self.links[pair]
+        link = self.links.get(pair)
+        if link is not None:
             link.is_silent = True
-            self.at(PEER_TIMEOUT_S, lambda: self._lose(pair, link, unnoticed))
+        self.at(PEER_TIMEOUT_S, lambda: self._lose(pair, link, unnoticed))
 
     def arrive(self, entry: NodeId, req: Request) -> Caller:
         proc = self.processes[entry]
@@ -295,7 +309,7 @@
         ends = self.links[pair].ends
         upstream, peer = UpstreamName(f'u{pair[1][1:]}'), ends[pair[1]].peer
         joined = UpstreamJoined(
-            upstream, peer.node, peer.incarnation, ZONE, frozenset({MODEL}), frozenset({SERVICE}), 2
+            upstream, peer.node, peer.incarnation, ZONE, frozenset((MODEL,)), frozenset((SERVICE,)), 2
         )
         self.post(ends[pair[0]], joined)
 
@@ -321,7 +335,7 @@
             case StartAnswer() | WriteAnswer() | EndAnswer() | BreakAnswer() | RefuseRequest():
                 self._answer(self.callers[effect.request_id], effect)
             case StopCompleted():
-                proc.has_stopped = True
+                self.at(1, lambda: self._replace(proc))
             case (
                 claims.RequestClaim() | claims.CompleteClaim() | claims.ReleaseClaim() | claims.AbandonClaim()
             ):
@@ -341,6 +355,8 @@
     def _arrive(self, pair: tuple[NodeId, NodeId], link: Link, name: NodeId, event: Received) -> None:
         if self.links.get(pair) is link and not link.is_silent:
             self.history.append((name, event))
+            if isinstance(event.message, AttemptRefused) and event.message.leaving:
+                link.ends[name].moved.add(event.message.attempt_id)
             self.receive(link.ends[name], event)
 
     def receive(self, proc: Process, event: Received) -> None:
