--- a/basilcove/catalog/client.py
+++ b/basilcove/catalog/client.py
@@ -140,10 +140,8 @@
 @handles_message(Answer, ClientState)
 def _on_answer(state: ClientState, event: Received, ctx: Context) -> list[Effect]:
     answer = event.message
-    if not isinstance(answer, Answer):
+    if not isinstance(answer, Answer) or answer.origin != state.node:
         return []
-    if answer.origin != state.node:
-        return [deliver(state.node, answer.origin, answer)] if ctx.node.has(ControlState) else []
     pending = state.pending.get(answer.proposal_id)
     if pending is None or Role.CONTROL not in event.peer.roles:
         return []
--- a/basilcove/catalog/coordinator.py
+++ b/basilcove/catalog/coordinator.py
@@ -111,6 +111,15 @@
     return [deliver(state.node, waiting.peer, answer)]
 
 
+@handles_message(Answer, ControlState)
+def _on_answer(state: ControlState, event: Received, ctx: Context) -> list[Effect]:
+    """Pass the leader's answer back to the node whose question was passed on."""
+    answer = event.message
+    if not isinstance(answer, Answer) or answer.origin == state.node:
+        return []
+    return [deliver(state.node, answer.origin, answer)]
+
+
 @handles(EntryAppended, ControlState)
 def _on_appended(state: ControlState, event: EntryAppended, ctx: Context) -> list[Effect]:
     waiting = state.waiting[event.token]
--- a/basilcove/consensus/const.py
+++ b/basilcove/consensus/const.py
@@ -9,6 +9,7 @@
 RESEND_INTERVAL_S: Final = 0.4
 FORMING_INTERVAL_S: Final = 0.25
 JOIN_INTERVAL_S: Final = 0.5
+JOIN_AFTER_S: Final = 3.0
 
 MEMBER_COUNTS: Final = frozenset((3, 5, 7))
 MAX_MEMBERS: Final = 9
--- a/basilcove/consensus/forming.py
+++ b/basilcove/consensus/forming.py
@@ -7,7 +7,7 @@
 it later loses its disk, one of those that voted with it answers ``FORMED``.
 """
 
-from basilcove.consensus.const import FORMING_INTERVAL_S, JOIN_INTERVAL_S
+from basilcove.consensus.const import FORMING_INTERVAL_S, JOIN_AFTER_S, JOIN_INTERVAL_S
 from basilcove.consensus.durability import is_hard_state_durable, persist, send_when_durable
 from basilcove.consensus.membership import admit_identity
 from basilcove.consensus.messages import Identify, Identity, Join
@@ -49,8 +49,12 @@
 
 
 def ask_to_join(state: ConsensusState, now: float) -> list[Effect]:
-    """Ask to become a learner until a leader sends entries."""
-    if state.members.find(state.node) is not None or now - state.forming.asked_at < JOIN_INTERVAL_S:
+    """Ask to become a learner while no leader sends anything.
+
+    The own log does not tell whether this is needed: it may hold an entry that
+    admits this identity and was never committed.
+    """
+    if now - state.heard_leader_at < JOIN_AFTER_S or now - state.forming.asked_at < JOIN_INTERVAL_S:
         return []
     state.forming.asked_at = now
     effects: list[Effect] = []
--- a/basilcove/storage/journal.py
+++ b/basilcove/storage/journal.py
@@ -96,8 +96,11 @@
             raise self._fail('write a snapshot', exc) from exc
         try:
             self._rotate(Batch(hard_state, LogStart(snapshot.index, snapshot.term), tail))
+            self._drop_older()
         except OSError as exc:
             raise self._fail('start a segment', exc) from exc
+
+    def _drop_older(self) -> None:
         for segment in self._numbered(SEGMENT_SUFFIX)[:-1]:
             segment.unlink()
         for older in self._numbered(SNAPSHOT_SUFFIX)[:-1]:
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -107,11 +107,10 @@
         self.bootstrap = tuple(NodeId(f'host-{number}') for number in range(1, size + 1))
         self.hosts: dict[NodeId, Host] = {}
         self.disks: dict[NodeId, FakeDisk] = {name: FakeDisk() for name in self.bootstrap}
-        for name in self.bootstrap:
-            self.start(name)
         client = Node(ClientState(CLIENT), Probe(self._on_client_event))
         self.client = Host(CLIENT, Incarnation(0), client, FakeDisk())
         for name in self.bootstrap:
+            self.start(name)
             self.apply(self.client, PeerFound(self._peer(name)))
         self._schedule(TICK_INTERVAL_S, lambda: self._tick_client())
 
@@ -127,10 +126,19 @@
         host = Host(name, incarnation, node, self.disks[name])
         node.add(Probe(lambda event: self._on_host_event(host, event)))
         self.hosts[name] = host
+        for other in tuple(self.hosts.values()):
+            self.apply(other, PeerFound(self._peer(name)))
+            self.apply(host, PeerFound(self._peer(other.name)))
         phase = TICK_INTERVAL_S * self.rng.random()
         self._schedule(phase, lambda: self._tick(host))
         return host
 
+    def add_host(self, name: NodeId) -> None:
+        """Start a host that is not a first member."""
+        self.disks[name] = FakeDisk()
+        self.start(name)
+        self.apply(self.client, PeerFound(self._peer(name)))
+
     def kill(self, name: NodeId, torn: bool = False) -> None:
         """End a process; unsynced writes are lost, or torn in the middle."""
         self.hosts.pop(name, None)
--- /dev/null
+++ b/tests/consensus/machine.py
@@ -0,0 +1,267 @@
+"""Stateful fuzzing of control hosts against a list of committed commands."""
+
+import json
+from collections import defaultdict
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from basilcove.catalog.apply import apply_logged
+from basilcove.catalog.client import ClientState
+from basilcove.catalog.commands import (
+    AbandonClaim,
+    AcquireLease,
+    AdmitHost,
+    ApplyDocument,
+    Claim,
+    CompleteClaim,
+    ReleaseClaim,
+    RemoveHost,
+)
+from basilcove.catalog.events import ProposalFailed, Proposed
+from basilcove.catalog.messages import LoggedCommand
+from basilcove.catalog.models import CatalogState
+from basilcove.catalog.outcomes import ClaimGranted, DocumentApplied, LeaseGranted
+from basilcove.catalog.snapshot import decode_state, encode_state
+from basilcove.consensus.models import Members, Standing
+from basilcove.core.events import Message
+from basilcove.core.ids import AttemptId, EnvironmentName, NodeId, RequestId, Revision, Stage
+from basilcove.helpers.codec import decode
+from basilcove.storage.models import EntryKind
+from tests.consensus.cluster import CLIENT, Cluster, Host
+
+ENVIRONMENT = EnvironmentName('wandoo')
+SPARE = NodeId('host-spare')
+KEYS = ('key-a', 'key-b')
+OUTCOMES = st.sampled_from(['complete', 'release', 'abandon'])
+SHARES = st.sampled_from([0, 0, 0.05, 0.3])
+
+
+def document(number: int) -> str:
+    team = {'key_digests': [], 'priorities': []}
+    return json.dumps({'name': ENVIRONMENT, 'priorities': {}, 'teams': {f't{number}': team}})
+
+
+class ClusterMachine(RuleBasedStateMachine):
+    """Every rule is an event of section 1.5 or a question of a client."""
+
+    @initialize(size=st.sampled_from([3, 3, 5]), seed=st.integers(0, 2**16))
+    def begin(self, size: int, seed: int) -> None:
+        self.cluster = Cluster(size, seed, snapshot_after=8, kept=2)
+        self.commands: dict[str, Message] = {}
+        self.revision = 0
+        self.settled: set[str] = set()
+        self.cluster.elect()
+
+    # Questions
+
+    @rule(key=st.sampled_from(KEYS), patience=st.sampled_from([0.5, 3]))
+    def claim(self, key: str, patience: float) -> None:
+        name = f'claim-{len(self.commands)}'
+        self._propose(name, Claim(key, 'print', CLIENT, AttemptId(name)), patience)
+
+    @rule(data=st.data(), outcome=OUTCOMES)
+    def settle_claim(self, data: st.DataObject, outcome: str) -> None:
+        """A granted attempt ends; one without an answer is given back before it starts."""
+        granted = [name for name in self._known(ClaimGranted) if name not in self.settled]
+        failed = [name for name in self._failed() if name.startswith('claim') and name not in self.settled]
+        if not granted + failed:
+            return
+        name = data.draw(st.sampled_from(granted + failed))
+        claimed = self.commands[name]
+        assert isinstance(claimed, Claim)
+        self.settled.add(name)
+        commands = {
+            'complete': CompleteClaim(claimed.key, claimed.attempt_id, b'answer'),
+            'abandon': AbandonClaim(claimed.key, claimed.attempt_id),
+            'release': ReleaseClaim(claimed.key, claimed.attempt_id),
+        }
+        self._propose(f'settle-{len(self.commands)}', commands[outcome if name in granted else 'release'])
+
+    @rule(resend=st.booleans())
+    def race_operators(self, resend: bool) -> None:
+        """Two operators apply with equal revisions; one may ask again under another proposal."""
+        applied = [event.result for event in self._answers() if isinstance(event.result, DocumentApplied)]
+        revision = max((result.revision for result in applied), default=Revision(0))
+        for operator in range(2):
+            number = len(self.commands)
+            command = ApplyDocument(
+                ENVIRONMENT, Stage.TRIAL, revision, document(number), RequestId(f'request-{number}')
+            )
+            self._propose(f'apply-{number}-{operator}', command)
+            if resend:
+                self._propose(f'apply-{number}-{operator}-again', command)
+
+    @rule(name=st.sampled_from(['lease-a', 'lease-b']), duration=st.sampled_from([0.5, 5]))
+    def acquire_lease(self, name: str, duration: float) -> None:
+        number = len(self.commands)
+        self._propose(f'lease-{number}', AcquireLease(name, f'holder-{number}', duration))
+
+    @rule(admit=st.booleans())
+    def change_members(self, admit: bool) -> None:
+        if SPARE not in self.cluster.disks:
+            self.cluster.add_host(SPARE)
+        command = AdmitHost(SPARE) if admit else RemoveHost(SPARE)
+        self._propose(f'members-{len(self.commands)}', command)
+
+    # Failures
+
+    @rule(seconds=st.sampled_from([0.05, 0.4, 1.5, 4]))
+    def pass_time(self, seconds: float) -> None:
+        self.cluster.run(seconds)
+
+    @rule(loss=SHARES, duplication=SHARES, delay=st.sampled_from([0.003, 0.05, 0.6]))
+    def change_network(self, loss: float, duplication: float, delay: float) -> None:
+        """A long delay also reorders, as every message has its own."""
+        self.cluster.loss = loss
+        self.cluster.duplication = duplication
+        self.cluster.delay = (0.001, delay)
+
+    @rule(data=st.data(), with_client=st.booleans(), seconds=st.sampled_from([0.3, 3]))
+    def cut_off(self, data: st.DataObject, with_client: bool, seconds: float) -> None:
+        names = data.draw(st.sets(st.sampled_from(self.cluster.bootstrap), max_size=2))
+        self.cluster.partition(*names, *([CLIENT] if with_client else []))
+        self.cluster.run(seconds)
+
+    @rule(data=st.data(), torn=st.booleans())
+    def kill(self, data: st.DataObject, torn: bool) -> None:
+        name = data.draw(st.sampled_from(sorted(self.cluster.disks)))
+        self.cluster.kill(name, torn)
+
+    @rule()
+    def restart_all(self) -> None:
+        for name in self.cluster.disks:
+            if name not in self.cluster.hosts:
+                self.cluster.start(name)
+
+    @rule(data=st.data(), seconds=st.sampled_from([0.2, 2.5]))
+    def freeze(self, data: st.DataObject, seconds: float) -> None:
+        """A frozen process wakes with its old state and handles what came in late."""
+        running = [name for name, host in self.cluster.hosts.items() if not host.frozen]
+        if not running:
+            return
+        name = data.draw(st.sampled_from(sorted(running)))
+        host = self.cluster.hosts[name]
+        host.frozen = True
+        self.cluster.run(seconds)
+        if self.cluster.hosts.get(name) is host:
+            self.cluster.thaw(name)
+
+    @precondition(lambda self: self._is_whole())
+    @rule(data=st.data(), wait=st.booleans())
+    def replace_disk(self, data: st.DataObject, wait: bool) -> None:
+        """A disk is lost only if no other repair is under way."""
+        name = data.draw(st.sampled_from(self.cluster.bootstrap))
+        self.cluster.lose_disk(name)
+        self.cluster.start(name)
+        if wait:
+            self._heal()
+            self.cluster.run_until(self._is_whole, limit=60)
+
+    @rule(data=st.data())
+    def fill_disk(self, data: st.DataObject) -> None:
+        name = data.draw(st.sampled_from(self.cluster.bootstrap))
+        self.cluster.disks[name].is_full = True
+        self.cluster.run(0.3)
+        self.cluster.kill(name)
+        self.cluster.disks[name].is_full = False
+
+    # Checks
+
+    def teardown(self) -> None:
+        """After all failures end, the cluster answers again and all replicas are equal."""
+        if not hasattr(self, 'cluster'):
+            return
+        self._heal()
+        self.cluster.run_until(self._is_whole, limit=90)
+        self.cluster.ask('last', Claim('key-last', 'print', CLIENT, AttemptId('last')))
+        self.cluster.run_until(self._is_settled)
+        states = [encode_state(host.catalog) for host in self.cluster.hosts.values() if self._is_member(host)]
+        outcomes = self._replay()
+        assert set(states) == {encode_state(self.oracle)}
+        assert decode_state(states[0]) == self.oracle
+        for event in self._answers():
+            replayed = outcomes.get(event.proposal_id)
+            assert replayed is None or event.result in replayed, event
+        for name in self._failed():
+            failed = self.cluster.results[name][0]
+            assert isinstance(failed, ProposalFailed)
+            assert failed.sent or name not in outcomes, failed
+
+    def _replay(self) -> dict[str, list[Message]]:
+        """Apply the committed commands to one state, and check the outcomes by simple rules."""
+        self.oracle = CatalogState()
+        outcomes: dict[str, list[Message]] = defaultdict(list)
+        holders: dict[str, str] = {}
+        fences = [0]
+        winners: dict[Revision, RequestId] = {}
+        committed = self.cluster.committed
+        assert sorted(committed) == list(range(1, len(committed) + 1))
+        for index in sorted(committed):
+            entry = committed[index]
+            if entry.kind is not EntryKind.COMMAND:
+                continue
+            logged = decode('catalog.logged_command', entry.body)
+            assert isinstance(logged, LoggedCommand)
+            command = decode(logged.kind, logged.body)
+            outcome = apply_logged(self.oracle, logged, entry.time)
+            outcomes[logged.proposal_id].append(outcome)
+            if isinstance(command, Claim) and outcome == ClaimGranted():
+                assert holders.setdefault(command.key, command.attempt_id) == command.attempt_id
+            if isinstance(command, ReleaseClaim) and holders.get(command.key) == command.attempt_id:
+                holders.pop(command.key)
+            if isinstance(command, ApplyDocument) and isinstance(outcome, DocumentApplied):
+                assert winners.setdefault(outcome.revision, command.request_id) == command.request_id
+            if isinstance(outcome, LeaseGranted) and len(outcomes[logged.proposal_id]) == 1:
+                assert outcome.fence > fences[-1]
+                fences.append(outcome.fence)
+        return outcomes
+
+    def _propose(self, name: str, command: Message, patience: float = 5) -> None:
+        self.commands[name] = command
+        self.cluster.propose(name, command, patience)
+
+    def _answers(self) -> list[Proposed]:
+        return [
+            event
+            for events in self.cluster.results.values()
+            for event in events
+            if isinstance(event, Proposed)
+        ]
+
+    def _known(self, outcome: type[Message]) -> list[str]:
+        return sorted(event.proposal_id for event in self._answers() if isinstance(event.result, outcome))
+
+    def _failed(self) -> list[str]:
+        results = self.cluster.results
+        return sorted(name for name, events in results.items() if isinstance(events[0], ProposalFailed))
+
+    def _heal(self) -> None:
+        self.cluster.partition()
+        self.cluster.loss = 0
+        self.cluster.duplication = 0
+        self.cluster.delay = (0.001, 0.003)
+        for name, host in tuple(self.cluster.hosts.items()):
+            if host.frozen:
+                self.cluster.thaw(name)
+            if host.consensus.standing is Standing.FAILED:
+                self.cluster.kill(name)
+        self.restart_all()
+
+    def _is_whole(self) -> bool:
+        """Tell whether all first members run with identities that are committed voters."""
+        entries = self.cluster.committed.values()
+        groups = [Members.decode(entry.body) for entry in entries if entry.kind is EntryKind.MEMBERS]
+        voters = groups[-1].voters() if groups else ()
+        hosts = [self.cluster.hosts.get(name) for name in self.cluster.bootstrap]
+        return all(host is not None and host.consensus.member in voters for host in hosts)
+
+    def _is_settled(self) -> bool:
+        """Tell whether no question is open and all members have applied all that is committed."""
+        applied = {host.consensus.commit for host in self.cluster.hosts.values() if self._is_member(host)}
+        pending = self.cluster.client.node.part(ClientState).pending
+        return not pending and applied == {len(self.cluster.committed)}
+
+    def _is_member(self, host: Host) -> bool:
+        leader = self.cluster.elect()
+        return host.consensus.member in {member.member for member in leader.consensus.members.members}
