Route by sampled candidates, refuse what would be served last

A trace of running and waiting attempts per engine showed (1) urgent attempts piled up on single engines, as the thin router sees no load of others and a total of work hides the urgent part behind batch work; (2) batch attempts that start in a short lull of urgent demand keep the slots for 20 s; (3) a priority at its floor kept one attempt of each team waiting, which outlived the flood.

--- a/basilcove/admission/const.py
+++ b/basilcove/admission/const.py
@@ -13,9 +13,18 @@
 # Time constant of the measured demand and service of each priority.
 RATE_TIME_CONSTANT_S: Final = 5.0
 
+# Time constant of the demand by which slots are held free. Long attempts that start in a short lull would
+# hold the slots for longer than the lull lasts, so it is of the order of their service time. A rate counts
+# at most as this factor of the average, or this fraction of the speed, so that the start of a flood counts
+# in part only.
+DEMAND_TIME_CONSTANT_S: Final = 30.0
+DEMAND_WARM_UP_S: Final = 5.0
+DEMAND_FACTOR: Final = 1.5
+DEMAND_FRACTION: Final = 0.5
+
 # Slots held free for higher priorities: their mean concurrent demand plus this many standard deviations of
 # a Poisson distribution.
-HEADROOM_DEVIATIONS: Final = 1.5
+HEADROOM_DEVIATIONS: Final = 0.5
 
 # An upstream with fewer slots holds none free while no urgent attempt has been seen.
 MIN_SLOTS_FOR_HEADROOM: Final = 4
--- a/basilcove/admission/fair.py
+++ b/basilcove/admission/fair.py
@@ -29,9 +29,9 @@
         return not self.waiting and not self.running
 
     @property
-    def usage(self) -> float:
-        """Queued work in relation to the team's share."""
-        return self.work / self.share
+    def last_tag(self) -> float:
+        """Virtual time at which all of its attempts have been served."""
+        return self.tag + self.work / self.share
 
 
 class FairQueue:
@@ -45,9 +45,9 @@
         self._virtual = 0.0
         self._last_tag = 0.0
         self._teams: dict[TeamName, TeamQueue] = {}
-        # Entries are out of date when the team's tag or usage has changed since; they are dropped when met.
+        # Entries are out of date when the team's tag has changed since; they are dropped when met.
         self._ready: list[tuple[float, TeamName]] = []
-        self._longest: list[tuple[float, TeamName]] = []
+        self._last: list[tuple[float, TeamName]] = []
         self._idle: list[tuple[float, TeamName]] = []
 
     def __len__(self) -> int:
@@ -69,7 +69,7 @@
         team.waiting[entry.attempt_id] = entry
         self._change_work(team, entry.work)
         self.count += 1
-        self._push_longest(team)
+        self._push_last(team)
 
     def peek(self, is_allowed: Callable[[TeamName], bool]) -> QueueItem | None:
         """Return the next attempt of the team that is served next; teams not allowed are set aside."""
@@ -118,7 +118,7 @@
         team = self._teams[entry.team]
         team.waiting[entry.attempt_id] = changed
         self._change_work(team, changed.work - entry.work)
-        self._push_longest(team)
+        self._push_last(team)
 
     def charge(self, name: TeamName, work: float) -> None:
         """Charge a team for work; negative work is credited."""
@@ -148,16 +148,17 @@
             own = team.work + max(team.tag - self._virtual, 0) * team.share
         return min(own * shares / share, self.work)
 
-    def longest(self) -> TeamQueue | None:
-        """Return the team with the most queued work for its share."""
-        while self._longest:
-            usage, name = self._longest[0]
+    def last(self) -> QueueItem | None:
+        """Return the attempt that would be served last: the newest of the team furthest above its share."""
+        while self._last:
+            tag, name = self._last[0]
             team = self._teams.get(name)
-            if team is not None and team.waiting and team.usage == -usage:
-                return team
-            heapq.heappop(self._longest)
-            if team is not None and team.waiting and team.usage < -usage:
-                self._push_longest(team)
+            if team is not None and team.waiting:
+                if team.last_tag >= -tag:
+                    return next(reversed(team.waiting.values()))
+                heapq.heapreplace(self._last, (-team.last_tag, name))
+                continue
+            heapq.heappop(self._last)
         return None
 
     def _change_work(self, team: TeamQueue, work: float) -> None:
@@ -171,11 +172,11 @@
             heapq.heapify(self._ready)
         heapq.heappush(self._ready, (team.tag, team.name))
 
-    def _push_longest(self, team: TeamQueue) -> None:
-        if len(self._longest) > 2 * len(self._teams) + HEAP_SLACK:
-            self._longest = [(-other.usage, other.name) for other in self._teams.values() if other.waiting]
-            heapq.heapify(self._longest)
-        heapq.heappush(self._longest, (-team.usage, team.name))
+    def _push_last(self, team: TeamQueue) -> None:
+        if len(self._last) > 2 * len(self._teams) + HEAP_SLACK:
+            self._last = [(-other.last_tag, other.name) for other in self._teams.values() if other.waiting]
+            heapq.heapify(self._last)
+        heapq.heappush(self._last, (-team.last_tag, team.name))
 
     def _forget_idle(self, team: TeamQueue) -> None:
         # A team is forgotten once its past service no longer changes its place: its tag is passed by the
--- a/basilcove/admission/levels.py
+++ b/basilcove/admission/levels.py
@@ -11,7 +11,7 @@
     MIN_SLOTS_FOR_HEADROOM,
 )
 from basilcove.admission.fair import FairQueue
-from basilcove.admission.meters import Rate, Ratio
+from basilcove.admission.meters import Demand, Rate, Ratio
 from basilcove.admission.models import QueueItem
 from basilcove.core.ids import PriorityName, TeamName
 from basilcove.environment.models import Priority
@@ -32,7 +32,7 @@
     served: float = 0
     running: int = 0
     running_work: float = 0
-    demand: Rate = field(default_factory=Rate)
+    demand: Demand = field(default_factory=Demand)
     service: Rate = field(default_factory=Rate)
     ratio: Ratio = field(default_factory=Ratio)
 
@@ -73,6 +73,11 @@
         """Work that waits or runs, in tokens."""
         return self.waiting_work + sum(cls.running_work for cls in self.classes.values())
 
+    @property
+    def work_by_level(self) -> tuple[tuple[int, float], ...]:
+        """Work that waits or runs in each level, in tokens."""
+        return tuple((cls.level, cls.queue.work + cls.running_work) for cls in self.classes.values())
+
     @property
     def expected_running(self) -> float:
         """Work that runs, corrected by the ratio of real to estimated work."""
@@ -167,7 +172,7 @@
             return 0
         wanted = 1
         if slot_speed:
-            mean = sum(other.demand.per_s(now) for other in higher) / slot_speed
+            mean = sum(other.demand.per_s(slots * slot_speed, now) for other in higher) / slot_speed
             wanted = max(math.ceil(mean + HEADROOM_DEVIATIONS * math.sqrt(mean)), 1)
         least = max(math.ceil(slots * cls.floor), 1)
         return max(min(wanted, slots - least) - sum(other.running for other in higher), 0)
--- a/basilcove/admission/queue.py
+++ b/basilcove/admission/queue.py
@@ -60,6 +60,7 @@
             return late
         self._add(entry, now)
         while self._is_over_bounds(entry.priority, now):
+            self._levels.classes[entry.priority].demand.hold(now)
             victim = self._find_victim(entry.priority)
             if victim is None:
                 break
@@ -67,7 +68,7 @@
             if victim.attempt_id == entry.attempt_id:
                 return self.refusal(entry, now)
             self._dropped[victim.attempt_id] = victim
-        self._levels.classes[entry.priority].demand.add(self._expected(entry), now)
+        self._levels.classes[entry.priority].demand.add(self._expected(entry), self.tokens_per_s, now)
         return Admitted()
 
     def take(self, now: float) -> QueueItem | None:
@@ -148,6 +149,11 @@
         """Work that waits or runs, in tokens."""
         return self._levels.queued_work
 
+    @property
+    def work_by_level(self) -> tuple[tuple[int, float], ...]:
+        """Work that waits or runs in each level of priority, in tokens."""
+        return self._levels.work_by_level
+
     @property
     def tokens_per_s(self) -> float:
         """Measured speed over all slots in tokens per second; 0 while unknown."""
@@ -214,21 +220,19 @@
         cls = self._levels.classes[priority]
         if not total:
             return False
-        longest = cls.queue.longest()
-        if longest is None or len(longest.waiting) < 2:
+        if cls.queue.count < 2:
             return False
         wait = self._levels.wait(cls, cls.queue.work * cls.ratio.bounded, total, now)
         return wait > QUEUE_TIME_S
 
     def _find_victim(self, priority: PriorityName) -> QueueItem | None:
-        # The newest attempt of the longest team: of the offering priority if it exceeds its own bound in
-        # time, otherwise of the priority that uses most of the queue.
+        # The attempt that would be served last: of the offering priority if it exceeds its own bound in time,
+        # otherwise of the priority that uses most of the queue.
         full = len(self._waiting) > self._max_attempts or self._levels.waiting_work > self._max_work
         cls = self._levels.classes[priority]
         if full:
             cls = max(self._levels.classes.values(), key=self._usage)
-        longest = cls.queue.longest()
-        return None if longest is None else next(reversed(longest.waiting.values()))
+        return cls.queue.last()
 
     def _usage(self, cls: PriorityClass) -> float:
         return max(cls.queue.work / self._max_work, cls.queue.count / self._max_attempts)
--- /dev/null
+++ b/basilcove/routing/pools.py
@@ -0,0 +1,57 @@
+"""Sets of upstreams from which a few are taken without a scan."""
+
+from collections.abc import Collection, Iterator
+
+from basilcove.core.ids import UpstreamName
+from basilcove.routing.const import MIX_BITS, MIX_INCREMENT, MIX_LAST_SHIFT, MIX_STEPS
+
+_MASK = (1 << MIX_BITS) - 1
+
+
+def mix(number: int) -> int:
+    """Spread a counter over 64 bits (the finalizer of SplitMix64)."""
+    number = (number * MIX_INCREMENT) & _MASK
+    for shift, factor in MIX_STEPS:
+        number = ((number ^ (number >> shift)) * factor) & _MASK
+    return number ^ (number >> MIX_LAST_SHIFT)
+
+
+class Pool:
+    """Set of upstreams with constant-time insertion, removal and access by position."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._names: list[UpstreamName] = []
+        self._positions: dict[UpstreamName, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of upstreams."""
+        return len(self._names)
+
+    def __contains__(self, name: UpstreamName) -> bool:
+        """Tell whether an upstream is in the pool."""
+        return name in self._positions
+
+    def add(self, name: UpstreamName) -> None:
+        """Add an upstream; nothing changes if it is there."""
+        if name not in self._positions:
+            self._positions[name] = len(self._names)
+            self._names.append(name)
+
+    def discard(self, name: UpstreamName) -> None:
+        """Remove an upstream; nothing changes if it isn't there."""
+        position = self._positions.pop(name, None)
+        if position is None:
+            return
+        last = self._names.pop()
+        if last != name:
+            self._names[position] = last
+            self._positions[last] = position
+
+    def around(self, start: int, excluded: Collection[UpstreamName] = ()) -> Iterator[UpstreamName]:
+        """Yield all upstreams that are not excluded once, from this position on."""
+        size = len(self._names)
+        for step in range(size):
+            name = self._names[(start + step) % size]
+            if name not in excluded:
+                yield name
--- a/benchmarks/fakes/fleet.py
+++ b/benchmarks/fakes/fleet.py
@@ -57,7 +57,7 @@
     hosts = []
     for number in range(entries):
         zone = ZONES[number % len(ZONES)]
-        hosts.append(Entry(Router(zone) if is_policy else RoundRobin(), zone))
+        hosts.append(Entry(Router(zone, f'entry-{number}') if is_policy else RoundRobin(), zone))
     return World(loop, upstreams, hosts, seed)
 
 
--- a/benchmarks/fakes/round_robin.py
+++ b/benchmarks/fakes/round_robin.py
@@ -34,7 +34,7 @@
     def finished(self, attempt_id: AttemptId, latency_s: float, now: float) -> None:
         """Ignore the end."""
 
-    def failed(self, attempt_id: AttemptId, now: float) -> None:
+    def failed(self, attempt_id: AttemptId, now: float, refused: bool = False) -> None:
         """Ignore the failure."""
 
     def report(self, upstream: UpstreamName, load: UpstreamLoad, now: float) -> None:
--- a/benchmarks/fakes/upstream.py
+++ b/benchmarks/fakes/upstream.py
@@ -97,7 +97,8 @@
     @property
     def load(self) -> UpstreamLoad:
         """The load as the upstream reports it."""
-        return UpstreamLoad(self.queue.queued_work, self.running, self.slots * self.slot_speed)
+        by_level = getattr(self.queue, 'work_by_level', ())
+        return UpstreamLoad(self.queue.queued_work, self.running, self.slots * self.slot_speed, by_level)
 
     def offer(self, attempt: Attempt) -> None:
         """Take in an attempt; its end is reported through ``on_end``."""
