--- a/basilcove/admission/const.py
+++ b/basilcove/admission/const.py
@@ -6,6 +6,10 @@
 # for recovery is 10 s, of which the last attempts of the flood need a part to run.
 QUEUE_TIME_S: Final = 5.0
 
+# Attempts of a priority that may wait in any case. With fewer, long attempts are refused on ordinary days,
+# as a single one may exceed the time.
+QUEUE_TIME_EXEMPT: Final = 2
+
 # Service above its floor counts against a priority for this long, so that a priority that has just been
 # served well doesn't take slots held free for urgent attempts.
 FLOOR_WINDOW_S: Final = 2.0
--- a/basilcove/admission/queue.py
+++ b/basilcove/admission/queue.py
@@ -8,6 +8,7 @@
     DEFAULT_MAX_QUEUED_WORK,
     DEFAULT_RETRY_AFTER_S,
     HEAP_SLACK,
+    QUEUE_TIME_EXEMPT,
     QUEUE_TIME_S,
 )
 from basilcove.admission.levels import Levels, PriorityClass
@@ -220,7 +221,7 @@
         cls = self._levels.classes[priority]
         if not total:
             return False
-        if cls.queue.count < 2:
+        if cls.queue.count <= QUEUE_TIME_EXEMPT:
             return False
         wait = self._levels.wait(cls, cls.queue.work * cls.ratio.bounded, total, now)
         return wait > QUEUE_TIME_S
--- a/basilcove/routing/const.py
+++ b/basilcove/routing/const.py
@@ -6,17 +6,14 @@
 # decide by the same lagged reports don't all choose the same upstream.
 LOCAL_CHOICES: Final = 2
 REMOTE_CHOICES: Final = 2
-PREFIX_CHOICES: Final = 4
+PREFIX_CHOICES: Final = 3
 
-# Upstreams in slow start that are passed over before the sample is taken as it is.
+# Further upstreams that are looked at while some are in slow start and may give up their turn.
 SAMPLE_SLACK: Final = 4
 
 # An upstream in another availability zone must be better by this much.
 REMOTE_PENALTY_S: Final = 0.5
 
-# Weight of work that has a free slot to run in: it delays nothing yet but makes a wait more likely.
-BUSY_WEIGHT: Final = 1.0
-
 # A report older than this says nothing any more; agents report each 0.5 s.
 REPORT_LIFETIME_S: Final = 5.0
 
@@ -26,8 +23,6 @@
 
 # Speed of a slot while no report has arrived, in tokens per second.
 DEFAULT_SLOT_SPEED: Final = 50.0
-DEFAULT_WORK: Final = 256.0
-MEAN_WORK_GAIN: Final = 0.02
 
 # Prefix index: bound on the entries in total, positions of a prefix looked at, and the weight of entries
 # that may be out of date. An entry takes about 200 bytes, so that all take about 10 MB.
--- a/basilcove/routing/health.py
+++ b/basilcove/routing/health.py
@@ -62,7 +62,7 @@
     failures_in_row: int = 0
     ejections: int = 0
     is_ejected: bool = False
-    started: float | None = None
+    started: float = 0
 
     def reset(self) -> None:
         """Forget what was measured."""
@@ -89,6 +89,7 @@
         self._seed = seed
         self._conditions: dict[UpstreamName, _Condition] = {}
         self._peers: dict[Capability, _Peers] = {}
+        self.starting: set[UpstreamName] = set()
         self._due: dict[Capability, list[tuple[float, UpstreamName]]] = {}
 
     def update(self, candidates: Iterable[Candidate], now: float) -> list[UpstreamName]:
@@ -99,14 +100,17 @@
         for candidate in candidates:
             condition = known.get(candidate.name)
             if condition is None:
-                condition = _Condition((), started=None if is_first else now)
+                condition = _Condition((), started=now)
+                if not is_first:
+                    self.starting.add(candidate.name)
             condition.capabilities = tuple(candidate.capabilities)
             self._conditions[candidate.name] = condition
+        self.starting &= self._conditions.keys()
         self._count_peers()
         returned = []
         for name, condition in self._conditions.items():
             if condition.is_ejected and any(self._exceeds(key) for key in condition.capabilities):
-                self._restore(condition, now)
+                self._restore(name, condition, now)
                 returned.append(name)
         return returned
 
@@ -123,14 +127,12 @@
 
     def ramp(self, name: UpstreamName, now: float) -> float:
         """Return the part of its turns that an upstream takes, below 1 during slow start."""
-        condition = self._conditions[name]
-        if condition.started is None:
+        if name not in self.starting:
             return 1
-        ramp = max((now - condition.started) / SLOW_START_S, SLOW_START_LEAST)
-        if ramp < 1:
-            return ramp
-        condition.started = None
-        return 1
+        ramp = max((now - self._conditions[name].started) / SLOW_START_S, SLOW_START_LEAST)
+        if ramp >= 1:
+            self.starting.discard(name)
+        return min(ramp, 1)
 
     def due_probe(self, capability: Capability, now: float) -> UpstreamName | None:
         """Return an ejected upstream whose time is over, once per probe."""
@@ -154,7 +156,7 @@
             if self._is_slow(condition, latency):
                 self._postpone(name, condition, now)
                 return False, False
-            self._restore(condition, now)
+            self._restore(name, condition, now)
             return False, True
         condition.note(is_error=False)
         condition.note_latency(latency)
@@ -208,7 +210,8 @@
             heapq.heapify(due)
             self._due[key] = due
 
-    def _restore(self, condition: _Condition, now: float) -> None:
+    def _restore(self, name: UpstreamName, condition: _Condition, now: float) -> None:
+        self.starting.add(name)
         condition.is_ejected = False
         condition.started = now
         condition.reset()
--- a/basilcove/routing/pools.py
+++ b/basilcove/routing/pools.py
@@ -1,6 +1,7 @@
 """Sets of upstreams from which a few are taken without a scan."""
 
 from collections.abc import Collection, Iterator
+from itertools import chain
 
 from basilcove.core.ids import UpstreamName
 from basilcove.routing.const import MIX_BITS, MIX_INCREMENT, MIX_LAST_SHIFT, MIX_STEPS
@@ -22,7 +23,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self._names: list[UpstreamName] = []
-        self._positions: dict[UpstreamName, int] = {}
+        self.positions: dict[UpstreamName, int] = {}
 
     def __len__(self) -> int:
         """Return the number of upstreams."""
@@ -30,28 +31,28 @@
 
     def __contains__(self, name: UpstreamName) -> bool:
         """Tell whether an upstream is in the pool."""
-        return name in self._positions
+        return name in self.positions
 
     def add(self, name: UpstreamName) -> None:
         """Add an upstream; nothing changes if it is there."""
-        if name not in self._positions:
-            self._positions[name] = len(self._names)
+        if name not in self.positions:
+            self.positions[name] = len(self._names)
             self._names.append(name)
 
     def discard(self, name: UpstreamName) -> None:
         """Remove an upstream; nothing changes if it isn't there."""
-        position = self._positions.pop(name, None)
+        position = self.positions.pop(name, None)
         if position is None:
             return
         last = self._names.pop()
         if last != name:
             self._names[position] = last
-            self._positions[last] = position
+            self.positions[last] = position
 
     def around(self, start: int, excluded: Collection[UpstreamName] = ()) -> Iterator[UpstreamName]:
         """Yield all upstreams that are not excluded once, from this position on."""
-        size = len(self._names)
-        for step in range(size):
-            name = self._names[(start + step) % size]
+        first = start % len(self._names) if self._names else 0
+        for position in chain(range(first, len(self._names)), range(first)):
+            name = self._names[position]
             if name not in excluded:
                 yield name
--- a/basilcove/routing/prefixes.py
+++ b/basilcove/routing/prefixes.py
@@ -85,24 +85,15 @@
         cached = self._cached.get(upstream)
         return cached is not None and not cached.missing and not cached.is_lost
 
-    def depth(self, upstream: UpstreamName, prefix: tuple[int, ...]) -> int:
-        """Return how many leading blocks of a prefix an upstream holds; a block implies the ones before."""
-        low, high = 0, min(len(prefix), MAX_PREFIX_BLOCKS)
-        while low < high:
-            middle = (low + high + 1) // 2
-            holders = self._holders.get(prefix[middle - 1])
-            if holders is not None and upstream in holders:
-                low = middle
-            else:
-                high = middle - 1
-        return low
-
-    def holders(self, prefix: tuple[int, ...], start: int) -> Iterator[UpstreamName]:
-        """Yield upstreams by falling depth of what they hold; one may come more than once."""
-        for block in reversed(prefix[:MAX_PREFIX_BLOCKS]):
+    def chain(self, prefix: tuple[int, ...]) -> list[Pool]:
+        """Return the holders of each leading block of a prefix, up to the first block that none holds."""
+        pools: list[Pool] = []
+        for block in prefix[:MAX_PREFIX_BLOCKS]:
             pool = self._holders.get(block)
-            if pool is not None:
-                yield from pool.around(start)
+            if pool is None:
+                break
+            pools.append(pool)
+        return pools
 
     def _insert(self, upstream: UpstreamName, cached: _Cached, prefix: tuple[int, ...]) -> None:
         # The first blocks are inserted last, as the engine forgets the ends of chains first.
@@ -136,6 +127,24 @@
             self._remove(upstream, cached, block)
 
 
+def depth(chain: list[Pool], upstream: UpstreamName) -> int:
+    """Return how many leading blocks of a chain an upstream holds; a block implies the ones before."""
+    low, high = 0, len(chain)
+    while low < high:
+        middle = (low + high + 1) // 2
+        if upstream in chain[middle - 1].positions:
+            low = middle
+        else:
+            high = middle - 1
+    return low
+
+
+def deepest(chain: list[Pool], start: int) -> Iterator[UpstreamName]:
+    """Yield upstreams by falling depth of what they hold; one may come more than once."""
+    for pool in reversed(chain):
+        yield from pool.around(start)
+
+
 def _advance(cached: _Cached, sequence: int) -> bool:
     # Returns False for an event that has been seen. Events that arrive late fill their gap; a gap that is
     # too wide to track is lost for good.
--- a/basilcove/routing/router.py
+++ b/basilcove/routing/router.py
@@ -7,12 +7,9 @@
 from basilcove.core.ids import AttemptId, UpstreamName, Zone
 from basilcove.helpers.hashing import stable_hash
 from basilcove.routing.const import (
-    BUSY_WEIGHT,
     DEFAULT_PREFIX_FRACTION,
     DEFAULT_SLOT_SPEED,
-    DEFAULT_WORK,
     LOCAL_CHOICES,
-    MEAN_WORK_GAIN,
     PREFIX_CHOICES,
     REFUSED_PENALTY_S,
     REFUSED_TIME_S,
@@ -25,7 +22,7 @@
 from basilcove.routing.health import Capability, Health
 from basilcove.routing.models import Candidate, RouteRequest, UpstreamLoad
 from basilcove.routing.pools import Pool, mix
-from basilcove.routing.prefixes import PrefixIndex
+from basilcove.routing.prefixes import PrefixIndex, deepest, depth
 
 _SPREAD_BITS = 32
 _FRACTION_RANGE = 1 << _SPREAD_BITS
@@ -36,6 +33,9 @@
     """What this entry knows of the load of one upstream; work in tokens."""
 
     candidate: Candidate
+    is_local: bool
+    slots: float
+    speed: float
     own: dict[int, float] = field(default_factory=dict)
     attempts: int = 0
     # Work of others by level of the request: what the last report says beyond this entry's own work.
@@ -47,7 +47,7 @@
 
     def outstanding(self, now: float, level: int | None) -> float:
         """Return the work ahead of this level: as reported, corrected by what was sent and ended since."""
-        own = _work_until(self.own, level)
+        own = _work_until(self.own, level) if self.own else 0.0
         if self.load is None or now - self.reported > REPORT_LIFETIME_S:
             return own
         others = self.others.get(level)
@@ -56,13 +56,6 @@
             self.others[level] = others
         return own + others
 
-    @property
-    def speed(self) -> float:
-        """Speed of all slots in tokens per second."""
-        if self.load is not None and self.load.tokens_per_s > 0:
-            return self.load.tokens_per_s
-        return self.candidate.slots * DEFAULT_SLOT_SPEED
-
 
 @dataclass(slots=True)
 class _Sent:
@@ -73,9 +66,11 @@
 
 
 def _work_until(works: dict[int, float], level: int | None) -> float:
-    if level is None:
-        return sum(works.values())
-    return sum(work for own, work in works.items() if own <= level)
+    total = 0.0
+    for own, work in works.items():
+        if level is None or own <= level:
+            total += work
+    return total
 
 
 class Router:
@@ -90,7 +85,6 @@
         self._prefixes = PrefixIndex()
         self._health = Health(seed)
         self._probes: set[UpstreamName] = set()
-        self._mean_work = DEFAULT_WORK
         self._salt = stable_hash(zone, seed)
         self._turn = 0
         self.candidates_seen = 0
@@ -100,8 +94,11 @@
         known = self._known
         self._known = {}
         for candidate in candidates:
-            kept = known.get(candidate.name, _Known(candidate))
+            speed = candidate.slots * DEFAULT_SLOT_SPEED
+            kept = known.get(candidate.name, _Known(candidate, False, 0, speed))
             kept.candidate = candidate
+            kept.is_local = candidate.zone == self._zone
+            kept.slots = candidate.slots
             self._known[candidate.name] = kept
         self._health.update([kept.candidate for kept in self._known.values()], now)
         self._prefixes.update(self._known)
@@ -126,8 +123,9 @@
             return probe
         best: UpstreamName | None = None
         best_cost = 0.0
-        for name in self._sample(capability, req, now, excluded):
-            cost = self._cost(name, req, now)
+        chain = self._prefixes.chain(req.prefix)
+        for name in self._sample(capability, chain, now, excluded):
+            cost = self._cost(self._known[name], req, chain, now)
             if best is None or cost < best_cost:
                 best = name
                 best_cost = cost
@@ -140,7 +138,6 @@
         self._forget(attempt_id)
         self._attempts[attempt_id] = _Sent(upstream, req.work, req.level or 0, upstream in self._probes)
         self._probes.discard(upstream)
-        self._mean_work += MEAN_WORK_GAIN * (req.work - self._mean_work)
         known = self._known.get(upstream)
         if known is None:
             return
@@ -180,6 +177,7 @@
         known = self._known.get(upstream)
         if known is not None:
             known.load = load
+            known.speed = load.tokens_per_s or known.speed
             known.reported = now
             known.own_at_report = known.own.copy()
             known.others.clear()
@@ -223,16 +221,17 @@
         return sent
 
     def _sample(
-        self, capability: Capability, req: RouteRequest, now: float, excluded: Collection[UpstreamName]
+        self, capability: Capability, chain: list[Pool], now: float, excluded: Collection[UpstreamName]
     ) -> list[UpstreamName]:
         # The order is that of the picks, so that ties are decided alike in every process.
         spread = mix(self._salt + self._turn)
         found = self._pick(self._pools.get((capability, self._zone)), LOCAL_CHOICES, spread, now, excluded)
         everywhere = self._pools.get((capability, None))
         found += self._pick(everywhere, REMOTE_CHOICES, spread >> _SPREAD_BITS, now, excluded)
-        if req.prefix and everywhere is not None:
-            holders = islice(self._prefixes.holders(req.prefix, spread), PREFIX_CHOICES)
-            found += [name for name in holders if name in everywhere and name not in excluded]
+        if chain and everywhere is not None:
+            holders = islice(deepest(chain, spread), PREFIX_CHOICES)
+            found += [name for name in holders if name in everywhere.positions and name not in excluded]
+        found = list(dict.fromkeys(found))
         self.candidates_seen += len(found)
         return found
 
@@ -241,40 +240,34 @@
     ) -> list[UpstreamName]:
         # Takes neighbours in the pool from a spread position on. An upstream in slow start gives up some of
         # its turns; if there are only such upstreams, they are taken all the same.
-        found: list[UpstreamName] = []
-        starting: list[UpstreamName] = []
         if pool is None:
-            return found
-        for name in pool.around(spread, excluded):
-            is_turn = self._is_turn(name, spread + len(found) + len(starting), now)
-            (found if is_turn else starting).append(name)
-            if len(found) == wanted or len(starting) == SAMPLE_SLACK:
-                break
-        return found or starting
+            return []
+        names = pool.around(spread, excluded)
+        if not self._health.starting:
+            return list(islice(names, wanted))
+        near = list(islice(names, wanted + SAMPLE_SLACK))
+        found = [name for step, name in enumerate(near) if self._is_turn(name, spread + step, now)]
+        return (found or near)[:wanted]
 
     def _is_turn(self, name: UpstreamName, spread: int, now: float) -> bool:
         ramp = self._health.ramp(name, now)
         return ramp >= 1 or mix(spread) % _FRACTION_RANGE < ramp * _FRACTION_RANGE
 
-    def _cost(self, name: UpstreamName, req: RouteRequest, now: float) -> float:
-        # Expected time to the whole answer in seconds.
-        known = self._known[name]
-        speed = known.speed
-        slots = known.candidate.slots
-        outstanding = known.outstanding(now, req.level)
-        waiting = max(outstanding - slots * self._mean_work, 0)
-        cost = (waiting + BUSY_WEIGHT * (outstanding - waiting)) / speed
-        cost += (req.work - self._saved(name, req)) * slots / speed
+    def _cost(self, known: _Known, req: RouteRequest, chain: list[Pool], now: float) -> float:
+        # Expected time to the whole answer in seconds: the work ahead at the speed of all slots, and the
+        # request's own at the speed of one.
+        own = req.work - self._saved(known.candidate.name, req, chain) if chain else req.work
+        cost = (known.outstanding(now, req.level) + own * known.slots) / known.speed
         if now - known.refused < REFUSED_TIME_S:
             cost += REFUSED_PENALTY_S
-        return cost if known.candidate.zone == self._zone else cost + REMOTE_PENALTY_S
+        return cost if known.is_local else cost + REMOTE_PENALTY_S
 
-    def _saved(self, name: UpstreamName, req: RouteRequest) -> float:
-        if not req.prefix:
+    def _saved(self, name: UpstreamName, req: RouteRequest, chain: list[Pool]) -> float:
+        blocks = depth(chain, name)
+        if not blocks:
             return 0
-        depth = self._prefixes.depth(name, req.prefix)
         whole = req.work * DEFAULT_PREFIX_FRACTION if req.prefix_work is None else req.prefix_work
-        saved = whole * depth / len(req.prefix)
+        saved = whole * blocks / len(req.prefix)
         return saved if self._prefixes.is_certain(name) else saved * UNCERTAIN_WEIGHT
 
     def _last_resort(self, capability: Capability, excluded: Collection[UpstreamName]) -> UpstreamName | None:
--- a/benchmarks/fakes/upstream.py
+++ b/benchmarks/fakes/upstream.py
@@ -100,6 +100,10 @@
         by_level = getattr(self.queue, 'work_by_level', ())
         return UpstreamLoad(self.queue.queued_work, self.running, self.slots * self.slot_speed, by_level)
 
+    def set_failing(self, is_failing: bool) -> None:
+        """Fail every attempt from now on, or no longer."""
+        self.failing = is_failing
+
     def offer(self, attempt: Attempt) -> None:
         """Take in an attempt; its end is reported through ``on_end``."""
         if self.failing:
