Plan expert maps by incremental swaps

Cause: the slowest rank delays its group, and a map that is solved anew each time moves nearly all weights. Before: no planner.

--- /dev/null
+++ b/basilcove/experts/models.py
@@ -0,0 +1,79 @@
+"""Expert maps, popularity and plans."""
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+# Experts in the slots of each rank, in one layer.
+Layer: TypeAlias = tuple[tuple[int, ...], ...]
+MutableLayer: TypeAlias = list[list[int]]
+# Popularity of each expert, in one layer, in any unit.
+Shares: TypeAlias = tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ExpertMap:
+    """Which experts each rank holds in each layer; replicas share an expert's tokens evenly."""
+
+    version: int
+    layers: tuple[Layer, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Popularity:
+    """Decayed counts per layer and expert."""
+
+    layers: tuple[Shares, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """One expert's weights that a rank has to fetch into a slot."""
+
+    layer: int
+    rank: int
+    slot: int
+    expert: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Price of moving weights and bounds of one plan.
+
+    ``horizon_s`` is the time over which a plan has to pay off, ``move_s`` the group's
+    time lost to fetching one expert's weights, ``capacity`` the relative speed of each
+    rank (empty: all equal).
+    """
+
+    horizon_s: float = 120.0
+    move_s: float = 0.002
+    max_moves: int = 1200
+    max_evaluations: int = 2_500_000
+    capacity: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A map and how to get there; without moves the current map stays.
+
+    ``gain_s`` is the group's time saved over the horizon, ``cost_s`` the time lost to
+    the moves, skews are expected slowest over mean steps.
+    """
+
+    target: ExpertMap
+    moves: tuple[Move, ...] = ()
+    gain_s: float = 0
+    cost_s: float = 0
+    skew_before: float = 1
+    skew_after: float = 1
+    evaluated: int = 0
+
+
+@dataclass(slots=True)
+class LayerChange:
+    """A better placement of one layer, with its gain in seconds over the horizon."""
+
+    layer: int
+    placement: Layer
+    moves: tuple[Move, ...]
+    gain_s: float
+    skew: float
