Test that growing experts are divided

Cause: the test of the escape from a local optimum passed without the escape. Ruled out: a single large expert, which plain swaps solve. Change: two experts grow over eight plans.

--- a/tests/experts/test_planner.py
+++ b/tests/experts/test_planner.py
@@ -66,14 +66,15 @@
         made = plan(Popularity((tuple(reversed(shares)),)), current, Cost(move_s=move_s))
         assert bool(made.moves) == is_planned
 
-    def test_large_expert_with_cold_replicas_is_divided(self) -> None:
-        """Guards against a search that ends while cold experts use up the spare slots."""
-        flat = (1.0,) * _EXPERTS
-        hot = (40.0, *flat[1:])
-        current = ExpertMap(1, (greedy(flat, _EVEN, _SLOTS),))
-        made = plan(Popularity((hot,)), current, Cost())
-        assert made.skew_before > 2
-        assert made.skew_after < _BALANCED
+    def test_growing_experts_are_divided(self) -> None:
+        """Guards against a search that ends where no exchange helps an expert that is too large."""
+        shares = tuple(1 / (1 + expert) for expert in range(_EXPERTS))
+        current = ExpertMap(1, (greedy(shares, _EVEN, _SLOTS),))
+        for _ in range(8):
+            shares = (*shares[:3], 1.4 * shares[3], 1.4 * shares[4], *shares[5:])
+            made = plan(Popularity((shares,)), current, Cost())
+            current = made.target
+            assert made.skew_after < _BALANCED
 
 
 class TestLayerState:
