Keep requests that a planned stop or a long wait has moved

Cause: with the bound on queueing time, 7 of 30 waiting requests were refused after one of three upstreams left (test_leaving_upstream_ends_no_request). A trace shows two paths: the agent they were moved to refused or evicted them by its bound of 5 s, and attempts that were moved because they waited too long lost their place in the same way; neither had retry budget left. Ruled out: leaving the queue to drain at the upstream that leaves (it would start new work there); a larger retry budget (it would amplify floods). Change: an attempt says that another agent had admitted it before; the bound in time neither refuses nor evicts it, and it goes to the front of its team. The bounds in work and in number still hold.

--- a/basilcove/admission/fair.py
+++ b/basilcove/admission/fair.py
@@ -67,6 +67,8 @@
             self.shares += team.share
             self._push_ready(team)
         team.waiting[entry.attempt_id] = entry
+        if entry.admitted_before:
+            team.waiting.move_to_end(entry.attempt_id, last=False)
         self._change_work(team, entry.work)
         self.count += 1
         self._push_last(team)
--- a/basilcove/admission/models.py
+++ b/basilcove/admission/models.py
@@ -7,13 +7,18 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueItem:
-    """One attempt that waits; work in tokens, deadline on the monotonic clock."""
+    """One attempt that waits; work in tokens, deadline on the monotonic clock.
+
+    ``admitted_before`` marks an attempt that another upstream had admitted and handed back; the bound
+    on queueing time does not apply to it.
+    """
 
     attempt_id: AttemptId
     team: TeamName
     priority: PriorityName
     work: float
     deadline: float
+    admitted_before: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/admission/queue.py
+++ b/basilcove/admission/queue.py
@@ -11,11 +11,11 @@
     QUEUE_TIME_EXEMPT,
     QUEUE_TIME_S,
 )
-from basilcove.admission.levels import Levels, PriorityClass
+from basilcove.admission.levels import Levels
 from basilcove.admission.limits import TeamLimits
 from basilcove.admission.meters import Ratio
 from basilcove.admission.models import Admitted, QueueItem, Refused, Running
-from basilcove.core.ids import AttemptId, PriorityName
+from basilcove.core.ids import AttemptId
 from basilcove.environment.models import Environment
 
 
@@ -60,9 +60,9 @@
         if late is not None:
             return late
         self._add(entry, now)
-        while self._is_over_bounds(entry.priority, now):
+        while self._is_over_bounds(entry, now):
             self._levels.classes[entry.priority].demand.hold(now)
-            victim = self._find_victim(entry.priority)
+            victim = self._find_victim(entry)
             if victim is None:
                 break
             self._remove_waiting(victim)
@@ -214,29 +214,34 @@
         self._waiting.pop(entry.attempt_id)
         self._levels.classes[entry.priority].queue.remove(entry)
 
-    def _is_over_bounds(self, priority: PriorityName, now: float) -> bool:
-        if len(self._waiting) > self._max_attempts or self._levels.waiting_work > self._max_work:
+    @property
+    def _is_full(self) -> bool:
+        return len(self._waiting) > self._max_attempts or self._levels.waiting_work > self._max_work
+
+    def _is_over_bounds(self, entry: QueueItem, now: float) -> bool:
+        if self._is_full:
             return True
         total = self.tokens_per_s
-        cls = self._levels.classes[priority]
-        if not total:
+        cls = self._levels.classes[entry.priority]
+        if not total or entry.admitted_before:
             return False
         if cls.queue.count <= QUEUE_TIME_EXEMPT:
             return False
         wait = self._levels.wait(cls, cls.queue.work * cls.ratio.bounded, total, now)
         return wait > QUEUE_TIME_S
 
-    def _find_victim(self, priority: PriorityName) -> QueueItem | None:
+    def _find_victim(self, entry: QueueItem) -> QueueItem | None:
         # The attempt that would be served last: of the offering priority if it exceeds its own bound in time,
-        # otherwise of the priority that uses most of the queue.
-        full = len(self._waiting) > self._max_attempts or self._levels.waiting_work > self._max_work
-        cls = self._levels.classes[priority]
-        if full:
-            cls = max(self._levels.classes.values(), key=self._usage)
-        return cls.queue.last()
-
-    def _usage(self, cls: PriorityClass) -> float:
-        return max(cls.queue.work / self._max_work, cls.queue.count / self._max_attempts)
+        # otherwise of the priority that uses most of the queue. The bound in time never evicts an attempt
+        # that was admitted before, so that a planned stop ends no request.
+        if self._is_full:
+            fullest = max(
+                self._levels.classes.values(),
+                key=lambda cls: max(cls.queue.work / self._max_work, cls.queue.count / self._max_attempts),
+            )
+            return fullest.queue.last()
+        victim = self._levels.classes[entry.priority].queue.last()
+        return entry if victim is not None and victim.admitted_before else victim
 
     def _start(self, entry: QueueItem, by_floor: bool, now: float) -> None:
         self._waiting.pop(entry.attempt_id)
--- a/basilcove/agents/coordinator.py
+++ b/basilcove/agents/coordinator.py
@@ -52,7 +52,7 @@
     deadline = ctx.now + msg.timeout_s
     retry_after_s = DEFAULT_RETRY_AFTER_S
     if reason is None:
-        offer = QueueItem(msg.attempt_id, msg.team, msg.priority, msg.work, deadline)
+        offer = QueueItem(msg.attempt_id, msg.team, msg.priority, msg.work, deadline, msg.admitted_before)
         verdict = state.queue.offer(offer, ctx.now)
         if not isinstance(verdict, Refused):
             state.attempts[msg.attempt_id] = AgentAttempt(msg, event.peer, deadline)
--- a/basilcove/requests/attempts.py
+++ b/basilcove/requests/attempts.py
@@ -117,6 +117,7 @@
         stream=req.stream,
         token_offset=record.tokens,
         traceparent=req.traceparent,
+        admitted_before=record.admitted_before,
     )
     kind = 'first' if len(record.tried) == 1 else 'retry'
     return [Send(joined.agent, msg), Count('attempts_sent', (('kind', kind),))]
--- a/basilcove/requests/coordinator.py
+++ b/basilcove/requests/coordinator.py
@@ -138,6 +138,7 @@
         state.pause(attempt.upstream, ctx.now + LEAVING_PAUSE_S)
         record.has_paid_retry |= not record.has_moved
         record.has_moved = True
+    record.admitted_before |= msg.leaving or attempt.is_moving
     record.retry_after_s = msg.retry_after_s
     drop_attempt(state, record, ctx.now, is_failure=True)
     return start_attempt(state, record, ctx.now, msg.reason)
--- a/basilcove/requests/messages.py
+++ b/basilcove/requests/messages.py
@@ -25,7 +25,8 @@
     ``incarnation`` is the agent's. ``number`` rises with every attempt of the entry's
     process start. ``timeout_s`` is the time that remains until the request's deadline. ``work`` is the
     estimate in tokens, of which ``prompt_work`` are the prompt's.
-    ``token_offset`` is how many tokens the caller already has. Header names are in lower case.
+    ``token_offset`` is how many tokens the caller already has. ``admitted_before`` is set where another
+    agent had admitted the request and handed it back. Header names are in lower case.
     """
 
     attempt_id: AttemptId
@@ -48,6 +49,7 @@
     stream: bool = False
     token_offset: int = 0
     traceparent: str = ''
+    admitted_before: bool = False
 
 
 @message('requests.cancel_attempt', pb.CancelAttempt)
--- a/basilcove/requests/models.py
+++ b/basilcove/requests/models.py
@@ -69,7 +69,8 @@
     ``has_paid_retry`` holds while a retry is allowed but not sent. One
     retry of each request is free of the budget, if its upstream leaves: a planned stop must not end
     requests that wait. This can't amplify a flood, because the upstream is then paused; ``has_moved``
-    holds once it was used.
+    holds once it was used. ``admitted_before`` holds once an agent that had admitted the request handed
+    it back.
     """
 
     request: Request
@@ -88,6 +89,7 @@
     confirm_by: float | None = None
     has_paid_retry: bool = False
     has_moved: bool = False
+    admitted_before: bool = False
 
     @property
     def route(self) -> RouteRequest:
--- a/tests/requests/test_validation.py
+++ b/tests/requests/test_validation.py
@@ -15,7 +15,8 @@
         """Guards against a caller who names a priority that its team has not been given."""
         environment = make_environment(priorities=['batch'])
         found = choose_priority(environment, 'kiosk', wanted)
-        assert (found.status if isinstance(found, Refusal) else found) == chosen
+        outcome = found.status if isinstance(found, Refusal) else found
+        assert outcome == chosen
 
 
 class TestChooseTimeout:
@@ -25,7 +26,8 @@
     def test_timeout_is_bounded(self, wanted: str | None, chosen: float | None) -> None:
         """Guards against a request without a deadline."""
         found = choose_timeout(make_environment(), wanted)
-        assert (None if isinstance(found, Refusal) else found) == chosen
+        outcome = None if isinstance(found, Refusal) else found
+        assert outcome == chosen
 
 
 class TestIsRepeatable:
