Carry large requests to agents; refuse content that raised in the parser

Cause: agents dial entries, and the client side of a gRPC channel takes messages of 4 MiB at most by default, while a body may have 4 MiB. Such a request ended the link, and with it every other request on the link, and was then sent to the next agent. Two kinds of JSON content raised in the parser: a prompt with lone surrogates (hash of the prefix) and a max_tokens of 400 digits. Ruled out: a smaller body limit alone, as settings could still raise it. Change: both ends of a link take 16 MiB; settings allow bodies of 15 MiB at most; hashes pass surrogates; max_tokens is bounded. Tests: a body of 15 MiB both ways, and any JSON content and any bytes through the parser. Conclusion: a caller's content can't break a link or raise in the parser, as far as these tests reach.

--- a/basilcove/const.py
+++ b/basilcove/const.py
@@ -9,6 +9,9 @@
 HEARTBEAT_INTERVAL_S: Final = 0.5
 PEER_TIMEOUT_S: Final = 2.0
 
+# A request's body must fit into one message to an agent, beside its headers.
+MAX_REQUEST_BYTES: Final = 15 * 1024 * 1024
+
 MICROSECONDS_PER_S: Final = 1_000_000
 MILLISECONDS_PER_S: Final = 1000
 
--- a/basilcove/helpers/hashing.py
+++ b/basilcove/helpers/hashing.py
@@ -10,7 +10,7 @@
 def stable_hash(*parts: object) -> int:
     """Hash the parts' texts to an unsigned 64-bit number, equal in every process."""
     text = '\x1f'.join(str(part) for part in parts)
-    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
+    digest = hashlib.blake2b(text.encode(errors='surrogatepass'), digest_size=_DIGEST_BYTES).digest()
     return int.from_bytes(digest)
 
 
--- a/basilcove/http/config.py
+++ b/basilcove/http/config.py
@@ -2,6 +2,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from basilcove.const import MAX_REQUEST_BYTES
 from basilcove.http.const import MAX_BODY_BYTES
 
 
@@ -12,7 +13,7 @@
 
     listen: str
     max_streams: int = Field(64, gt=0, le=4096)
-    max_body_bytes: int = Field(MAX_BODY_BYTES, gt=0)
+    max_body_bytes: int = Field(MAX_BODY_BYTES, gt=0, le=MAX_REQUEST_BYTES)
 
 
 class AnnounceConfig(BaseModel):
--- a/basilcove/http/parsing.py
+++ b/basilcove/http/parsing.py
@@ -19,6 +19,7 @@
 SERVICES_PREFIX: Final = '/services/'
 
 _DEFAULT_MAX_TOKENS: Final = 256
+_MAX_TOKENS: Final = 10_000_000
 _CHARACTERS_PER_TOKEN: Final = 4
 _PREFIX_BLOCK_CHARACTERS: Final = 512
 _MAX_PREFIX_BLOCKS: Final = 16
@@ -115,8 +116,10 @@
     if not isinstance(prompt, str | list) or not prompt:
         return _fault(HTTPStatus.BAD_REQUEST, 'the body has no messages or prompt')
     max_tokens = content.get('max_tokens', _DEFAULT_MAX_TOKENS)
-    if isinstance(max_tokens, bool) or not isinstance(max_tokens, int) or max_tokens < 1:
-        return _fault(HTTPStatus.BAD_REQUEST, 'max_tokens must be a positive integer')
+    if isinstance(max_tokens, bool) or not isinstance(max_tokens, int):
+        return _fault(HTTPStatus.BAD_REQUEST, 'max_tokens must be an integer')
+    if not 0 < max_tokens <= _MAX_TOKENS:
+        return _fault(HTTPStatus.BAD_REQUEST, f'max_tokens must be from 1 to {_MAX_TOKENS}')
     if not isinstance(content.get('stream', False), bool):
         return _fault(HTTPStatus.BAD_REQUEST, 'stream must be true or false')
     text = prompt if isinstance(prompt, str) else json.dumps(prompt)
--- a/basilcove/rpc/tls.py
+++ b/basilcove/rpc/tls.py
@@ -4,6 +4,7 @@
 
 from basilcove.core.ids import Role
 from basilcove.rpc.config import RpcConfig, TlsConfig
+from basilcove.rpc.const import MAX_ENVELOPE_BYTES
 from basilcove.rpc.seeds import Seed
 
 
@@ -23,7 +24,10 @@
     a reconnect never reuses a connection that went silent. With TLS the
     server's certificate must carry the DNS name ``roles.node`` of the seed.
     """
-    options: list[tuple[str, str | int]] = [('grpc.use_local_subchannel_pool', 1)]
+    options: list[tuple[str, str | int]] = [
+        ('grpc.use_local_subchannel_pool', 1),
+        ('grpc.max_receive_message_length', MAX_ENVELOPE_BYTES),
+    ]
     if cfg.tls is None:
         return grpc.aio.insecure_channel(seed.address, options=options)
     options.append(('grpc.ssl_target_name_override', seed.server_name))
--- a/tests/http/test_parsing.py
+++ b/tests/http/test_parsing.py
@@ -2,6 +2,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 
 from basilcove.core.ids import PriorityName, TeamName
 from basilcove.environment.models import Environment, Group, Model, Priority, Service, Team
@@ -34,6 +36,17 @@
     return parse_call(call, ENVIRONMENT, changes.pop('team', TeamName('kiosk')))
 
 
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=10,
+)
+_TEXTS = st.text() | st.sampled_from(['inf', 'nan', '1e400', '-0', 'urgent'])
+_HEADERS = st.dictionaries(
+    st.sampled_from(['x-request-timeout', 'x-basilcove-priority', 'idempotency-key', 'traceparent']), _TEXTS
+)
+
+
 class TestFaults:
     @pytest.mark.parametrize(
         ('status', 'changes'),
@@ -68,6 +81,26 @@
         assert isinstance(fault, Refusal)
         assert fault.status == status
 
+    @given(prompt=_JSON, max_tokens=_JSON, stream=_JSON, headers=_HEADERS)
+    @example(prompt='\ud800' * 600, max_tokens=1, stream=False, headers={})
+    @example(prompt='x', max_tokens=10**400, stream=False, headers={})
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    def test_any_content_is_a_request_or_a_fault(
+        self, prompt: object, max_tokens: object, stream: object, headers: dict[str, str]
+    ) -> None:
+        """Guards against content of a caller that ends in an exception."""
+        content = {'prompt': prompt, 'max_tokens': max_tokens, 'stream': stream}
+        found = _parse('/v1/completions', content=content, headers=headers)
+        assert isinstance(found, Request) or 400 <= found.status < 500
+
+    @given(body=st.binary())
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    def test_any_body_is_a_fault(self, body: bytes) -> None:
+        """Guards against a body that ends in an exception."""
+        found = _parse(body=body)
+        assert isinstance(found, Refusal)
+        assert 400 <= found.status < 500
+
 
 class TestRequest:
     def test_priority_defaults_to_the_least_urgent_of_the_team(self) -> None:
--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -5,9 +5,10 @@
 
 import trustme
 
+from basilcove.const import MAX_REQUEST_BYTES
 from basilcove.core.events import Event, PeerFound, PeerLost, Received
-from basilcove.core.ids import Incarnation, NodeId, Role, Zone
-from basilcove.requests.messages import CancelAttempt
+from basilcove.core.ids import AttemptId, Incarnation, NodeId, Role, Zone
+from basilcove.requests.messages import AnswerChunk, CancelAttempt
 from basilcove.rpc.config import RpcConfig, TlsConfig
 from basilcove.rpc.dialer import Dialer
 from basilcove.rpc.envelopes import Identity
@@ -51,6 +52,15 @@
         await dialer.unload()
 
 
+@asynccontextmanager
+async def _linked() -> AsyncIterator[tuple[_Node, _Node]]:
+    address = free_address()
+    entry, agent = _Node('entry-1', Role.ENTRY), _Node('agent-1', Role.AGENT)
+    async with _serve(entry, _plain(address)), _dial(agent, _plain('', address)):
+        await _until(lambda: entry.seen(PeerFound) and agent.seen(PeerFound))
+        yield entry, agent
+
+
 async def _until(condition: Callable[[], object]) -> None:
     async with asyncio.timeout(20):
         while not condition():
@@ -70,16 +80,26 @@
         """Guards against a link that only the dialing side can use."""
 
         async def scenario() -> None:
-            address = free_address()
-            entry, agent = _Node('entry-1', Role.ENTRY), _Node('agent-1', Role.AGENT)
-            async with _serve(entry, _plain(address)), _dial(agent, _plain('', address)):
-                await _until(lambda: entry.seen(PeerFound) and agent.seen(PeerFound))
+            async with _linked() as (entry, agent):
                 entry.table.send(NodeId('agent-1'), SAMPLE)
                 agent.table.send(NodeId('entry-1'), SAMPLE)
                 await _until(lambda: entry.seen(Received) and agent.seen(Received))
 
         _run(scenario)
 
+    def test_large_messages_travel_both_ways(self) -> None:
+        """Guards against a large request that breaks the link, and with it all others on the link."""
+
+        async def scenario() -> None:
+            large = AnswerChunk(AttemptId('a'), 0, bytes(MAX_REQUEST_BYTES))
+            async with _linked() as (entry, agent):
+                entry.table.send(NodeId('agent-1'), large)
+                agent.table.send(NodeId('entry-1'), large)
+                await _until(lambda: entry.seen(Received) and agent.seen(Received))
+                assert not entry.seen(PeerLost)
+
+        _run(scenario)
+
     def test_silent_connection_is_replaced_by_a_new_one(self) -> None:
         """Guards against waiting for TCP timeouts when something between the ends lost the connection."""
 
