Refuse methods and queries that can't be sent on

Cause: a service call with a non-ASCII method raised only at the agent, so that the caller got an unknown outcome for a call that could never be sent. Change: the parser refuses such methods (405) and queries with control characters, spaces or non-ASCII bytes (400). Ruled out: encoding the query anew, as the caller's server may read it differently. Before and after: three new cases of the parser test fail before and pass after. Conclusion: the caller learns of its own fault at the entry.

--- a/basilcove/http/parsing.py
+++ b/basilcove/http/parsing.py
@@ -24,6 +24,8 @@
 _PREFIX_BLOCK_CHARACTERS: Final = 512
 _MAX_PREFIX_BLOCKS: Final = 16
 _IDEMPOTENCY_KEY: Final = re.compile(r'^[\x21-\x7e]{1,255}$')
+_METHOD: Final = re.compile('^[A-Z]{1,32}$')
+_QUERY: Final = re.compile(r'^[\x21-\x7e]*$')
 _TRACEPARENT: Final = re.compile('^00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}$')
 _PRIVATE_HEADERS: Final = frozenset(
     (
@@ -141,6 +143,10 @@
     path = f'/{rest}'
     if normal_path(path) is None:
         return _fault(HTTPStatus.BAD_REQUEST, 'two servers may read the path differently')
+    if not _METHOD.match(call.method):
+        return _fault(HTTPStatus.METHOD_NOT_ALLOWED, 'the method is no word of capital letters')
+    if not _QUERY.match(call.query):
+        return _fault(HTTPStatus.BAD_REQUEST, 'the query must be printable ASCII without spaces')
     query = f'?{call.query}' if call.query else ''
     return _build(
         call,
--- a/tests/http/test_parsing.py
+++ b/tests/http/test_parsing.py
@@ -65,6 +65,8 @@
             (400, {'path': '/services/hire/%2e%2e/stock'}),
             (400, {'path': '/services/hire/a%2fb'}),
             (400, {'path': '/services/hire/a;b'}),
+            (400, {'path': '/services/hire/stock', 'query': 'a=\x01'}),
+            (400, {'path': '/services/hire/stock', 'query': 'a=é'}),
             (401, {'team': None}),
             (403, {'headers': {'x-basilcove-priority': 'drafting'}}),
             (404, {'content': {'model': 'other'}}),
@@ -72,6 +74,7 @@
             (404, {'path': '/v1/other'}),
             (404, {'path': '/services/other/x'}),
             (405, {'method': 'GET'}),
+            (405, {'path': '/services/hire/stock', 'method': 'É'}),
             (413, {'body': b' ' * 2_000_000}),
         ],
     )
