Test the whole path with mutual TLS

Cause: TLS was tested between two links only; no run showed daemons, callers and the operators' tool with it. The test of links uses the same certificates. Ruled out: certificates in the repository, which expire.

--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -11,6 +11,7 @@
 import urllib3
 import yaml
 
+from tests.harness.certificates import Certificates
 from tests.harness.processes import ROOT, Process, free_address, wait_for
 
 ZONES = ('collie-depot', 'donnybrook-depot', 'bunbury-office')
@@ -52,8 +53,10 @@
         entries: int = 2,
         upstreams: Sequence[UpstreamSpec] = DEMO_UPSTREAMS,
         first_entry: str | None = None,
+        certificates: Certificates | None = None,
     ) -> None:
-        """Choose addresses and write settings; nothing is started yet."""
+        """Choose addresses and write settings; nothing is started yet. Without certificates, use no TLS."""
+        self.certificates = certificates
         self.folder = folder
         self.upstreams = {spec.name: spec for spec in upstreams}
         self.control = [f'control-{number}' for number in range(1, control + 1)]
@@ -140,8 +143,10 @@
         url = f'http://{self.addresses[entry].http}{path}'
         return self.http.request(method, url, json=body, headers=all_headers, **options)
 
-    def cli(self, *arguments: str, check: bool = True, node: str | None = None) -> dict[str, Any]:
-        """Run the operators' tool; return its exit status and JSON output."""
+    def cli(
+        self, *arguments: str, check: bool = True, node: str | None = None, name: str = 'operator:anna'
+    ) -> dict[str, Any]:
+        """Run the operators' tool with a certificate of this name; return its exit status and JSON output."""
         nodes = [node] if node else [*self.entries, *self.control]
         target = ','.join(self.addresses[name].rpc for name in nodes)
         command = [
@@ -152,7 +157,7 @@
             '--node',
             target,
             '--json',
-            '--insecure',
+            *self._security_of(name),
         ]
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
         if check and done.returncode:
@@ -182,9 +187,13 @@
             'environment': ENVIRONMENT,
             'stage': 'trial',
             'control_nodes': self.control,
-            'rpc': {'listen': self.addresses[name].rpc, 'insecure': True, 'seeds': self._seeds_of(name)},
+            'rpc': {'listen': self.addresses[name].rpc, 'seeds': self._seeds_of(name)},
             'stop_timeout_s': 20,
         }
+        if self.certificates is None:
+            content['rpc']['insecure'] = True
+        else:
+            content['rpc']['tls'] = self.certificates.issue(self._common_name(name))
         if name in self.control:
             content['roles'] = ['control']
             data = str(self.folder / name)
@@ -205,7 +214,18 @@
         return ZONES[(int(name.rpartition('-')[2]) - 1) % len(ZONES)]
 
     def _seeds_of(self, name: str) -> list[str]:
-        peers = list(self.control)
+        peers = [peer for peer in self.control if peer != name]
         if name in self.agents:
             peers += self.entries
-        return [self.addresses[peer].rpc for peer in peers if peer != name]
+        if self.certificates is None:
+            return [self.addresses[peer].rpc for peer in peers]
+        return [f'{self._common_name(peer)}@{self.addresses[peer].rpc}' for peer in peers]
+
+    def _common_name(self, name: str) -> str:
+        return f'{name.partition("-")[0]}:{name}'
+
+    def _security_of(self, name: str) -> list[str]:
+        if self.certificates is None:
+            return ['--insecure']
+        files = self.certificates.issue(name)
+        return [part for option, path in files.items() for part in (f'--{option}', path)]
--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -14,6 +14,7 @@
 from basilcove.rpc.envelopes import Identity
 from basilcove.rpc.links import LinkTable
 from basilcove.rpc.server import OperatorServicer, RpcServer
+from tests.harness.certificates import Certificates
 from tests.harness.forwarder import Forwarder
 from tests.harness.processes import free_address
 
@@ -173,14 +174,5 @@
 
 
 def _secure(folder: Path, authority: trustme.CA, name: str, listen: str, *seeds: str) -> RpcConfig:
-    cert = authority.issue_cert(name.replace(':', '.').replace('+', '-'), common_name=name)
-    stem = folder / name.replace(':', '-')
-    cert.private_key_pem.write_to_path(stem.with_suffix('.key'))
-    cert.cert_chain_pems[0].write_to_path(stem.with_suffix('.pem'))
-    authority.cert_pem.write_to_path(folder / 'authority.pem')
-    tls = TlsConfig(
-        certificate=stem.with_suffix('.pem'),
-        key=stem.with_suffix('.key'),
-        authority=folder / 'authority.pem',
-    )
-    return RpcConfig(listen=listen, seeds=seeds, tls=tls)
+    files = Certificates(folder, authority).issue(name)
+    return RpcConfig(listen=listen, seeds=seeds, tls=TlsConfig.model_validate(files))
