Hand over leadership on a planned stop and report failed storage

Cause: a control process ended at once on SIGTERM. Its pending proposals got no answer and the others waited for an election timeout. A replica whose disk refused a write stopped acknowledging, but said so only in its log: readiness and status still called it ready, and its counter carried the prefix twice (basilcove_basilcove_storage_failures).

Ruled out: ending leadership by silence only, since the followers then wait for their election timeout, and handing over before the pending proposals are answered, since their answers are lost with the leadership.

Change: a stopping replica refuses new questions as not carried out, answers those under way, asks the voter that holds its whole log to take over (HandOver; VoteRequest.handover lets voters skip the check for a live leader) and reports the role as completed, which the daemon now awaits for control as well. A stopping member never campaigns. Failed storage appears in /readyz, in the operators' status and as the gauge basilcove_storage_failed. The settings snapshot_after_entries and kept_entries bound the log of a control host. The harness can cut off an availability zone through forwarders.

The fuzz also cuts one direction, slows syncs, stops members, restarts all at once, freezes the leader and resends changes.

--- a/basilcove/catalog/control.py
+++ b/basilcove/catalog/control.py
@@ -28,6 +28,8 @@
     catalog: CatalogState = field(default_factory=CatalogState)
     applied: int = 0
     is_announced: bool = False
+    is_stopping: bool = False
+    is_stopped: bool = False
     waiting: dict[str, Waiting] = field(default_factory=dict)
     tokens: dict[int, str] = field(default_factory=dict)
     reads: dict[str, Waiting] = field(default_factory=dict)
--- a/basilcove/catalog/coordinator.py
+++ b/basilcove/catalog/coordinator.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from basilcove.catalog import evidence
+from basilcove.catalog import stopping as _stopping  # noqa: F401
 from basilcove.catalog.apply import apply_logged
 from basilcove.catalog.commands import AdmitHost, ApplyDocument, PromoteDocument, RemoveHost
 from basilcove.catalog.const import COMMAND_LIFETIME_S, SEEN_RETENTION_S
@@ -45,6 +46,8 @@
         return []
     waiting = Waiting(ask, event.peer.node)
     consensus = ctx.node.part(ConsensusState)
+    if state.is_stopping:
+        return _refuse(state, waiting, 'the host is stopping', consensus.leader_node)
     if consensus.is_leader:
         return _take(state, waiting, ctx)
     leader = consensus.leader_node
--- /dev/null
+++ b/basilcove/catalog/stopping.py
@@ -0,0 +1,44 @@
+"""A planned stop of a control replica.
+
+It takes no new question, answers those under way, and lets another voter lead
+before the process ends, so that no proposal waits for an election timeout.
+"""
+
+from basilcove.catalog.client import ClientState
+from basilcove.catalog.control import ControlState
+from basilcove.consensus.events import HandOverRequested
+from basilcove.consensus.models import ConsensusState
+from basilcove.core.events import Effect, Emit, StopRequested, Tick
+from basilcove.core.ids import Role
+from basilcove.core.reducer import Context, handles
+from basilcove.requests.events import StopCompleted
+
+
+@handles(StopRequested, ControlState)
+def _on_stop(state: ControlState, event: StopRequested, ctx: Context) -> list[Effect]:
+    state.is_stopping = True
+    return _continue_stop(state, ctx)
+
+
+@handles(Tick, ControlState)
+def _on_tick(state: ControlState, event: Tick, ctx: Context) -> list[Effect]:
+    return _continue_stop(state, ctx)
+
+
+def _continue_stop(state: ControlState, ctx: Context) -> list[Effect]:
+    if not state.is_stopping or state.is_stopped:
+        return []
+    if state.waiting or state.reads:
+        return []
+    if ctx.node.part(ConsensusState).is_leader:
+        return [Emit(HandOverRequested())]
+    if _has_own_proposals(ctx):
+        return []
+    state.is_stopped = True
+    return [StopCompleted(Role.CONTROL)]
+
+
+def _has_own_proposals(ctx: Context) -> bool:
+    if not ctx.node.has(ClientState):
+        return False
+    return any(not pending.read for pending in ctx.node.part(ClientState).pending.values())
--- a/basilcove/consensus/coordinator.py
+++ b/basilcove/consensus/coordinator.py
@@ -1,5 +1,6 @@
 """Time, durable writes, proposals and reads of a control host."""
 
+from basilcove.consensus import handover as _handover  # noqa: F401
 from basilcove.consensus import snapshots as _snapshots  # noqa: F401
 from basilcove.consensus.const import ELECTION_TIMEOUT_S, HEARTBEAT_INTERVAL_S, MAX_UNCOMMITTED_ENTRIES
 from basilcove.consensus.durability import confirm, is_hard_state_durable
@@ -77,9 +78,10 @@
 def _on_storage_failed(state: ConsensusState, event: StorageFailed, ctx: Context) -> list[Effect]:
     effects = follow(state, '', ctx.now)
     state.standing = Standing.FAILED
+    state.failure = event.reason
     state.durability.held.clear()
     log = Log('error', 'storage failed; this replica acknowledges nothing', (('reason', event.reason),))
-    return [*effects, log, Count('basilcove_storage_failures')]
+    return [*effects, log, Count('storage_failures')]
 
 
 @handles(EntriesCommitted, ConsensusState)
@@ -92,6 +94,8 @@
     reason = ''
     if not state.is_leader:
         reason = 'not the leader'
+    elif state.is_stopping:
+        reason = 'the leader is stopping'
     elif state.log.last_index - state.commit >= MAX_UNCOMMITTED_ENTRIES:
         reason = 'too many uncommitted entries'
     if reason:
--- a/basilcove/consensus/elections.py
+++ b/basilcove/consensus/elections.py
@@ -15,7 +15,9 @@
     """Begin a trial vote if no leader was heard for too long."""
     if state.campaign_at is None:
         postpone_campaign(state, ctx.now)
-    if ctx.now < (state.campaign_at or 0) or state.member not in state.members.voters():
+    if state.is_stopping or state.member not in state.members.voters():
+        return []
+    if ctx.now < (state.campaign_at or 0):
         return []
     state.campaigns += 1
     effects = follow(state, '', ctx.now)
@@ -35,19 +37,26 @@
     return []
 
 
-def _campaign(state: ConsensusState, ctx: Context) -> list[Effect]:
+def take_over(state: ConsensusState, ctx: Context) -> list[Effect]:
+    """Begin an election that the leader asked for; no trial vote is needed."""
+    log = Log('info', 'taking over from the leader', (('term', str(state.term)),))
+    return [log, *follow(state, '', ctx.now), *_campaign(state, ctx, handover=True)]
+
+
+def _campaign(state: ConsensusState, ctx: Context, handover: bool = False) -> list[Effect]:
     state.standing = Standing.CANDIDATE
     state.term += 1
     state.vote = state.member
     # The own vote counts once it is synced; see the handler of ``Persisted``.
     state.votes.clear()
     postpone_campaign(state, ctx.now)
-    return [persist(state, (), hard=True), *_request_votes(state, trial=False)]
+    return [persist(state, (), hard=True), *_request_votes(state, trial=False, handover=handover)]
 
 
-def _request_votes(state: ConsensusState, trial: bool) -> list[Effect]:
+def _request_votes(state: ConsensusState, trial: bool, handover: bool = False) -> list[Effect]:
     term = state.term + 1 if trial else state.term
-    request = VoteRequest(state.cluster, state.member, term, state.log.last_index, state.log.last_term, trial)
+    last = (state.log.last_index, state.log.last_term)
+    request = VoteRequest(state.cluster, state.member, term, *last, trial, handover)
     effects: list[Effect] = []
     for member in state.members.members:
         if member.voter and member.member != state.member:
@@ -73,7 +82,7 @@
     msg = event.message
     if not isinstance(msg, VoteRequest) or not is_from_cluster(state, event):
         return []
-    if _has_leader(state, ctx.now) and msg.term > state.term:
+    if not msg.handover and _has_leader(state, ctx.now) and msg.term > state.term:
         # A member that can't hear the leader must not depose it while others do.
         return []
     effects: list[Effect] = []
--- a/basilcove/consensus/events.py
+++ b/basilcove/consensus/events.py
@@ -77,6 +77,11 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class HandOverRequested(Event):
+    """Asks this node, as the leader, to let another voter lead."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReadIndex(Event):
     """Asks when state is at least as new as every answer given before now."""
--- a/basilcove/consensus/membership.py
+++ b/basilcove/consensus/membership.py
@@ -71,6 +71,8 @@
 def _refusal(state: ConsensusState, event: ChangeMembers, known: Member | None) -> str:
     if not state.is_leader:
         return 'not the leader'
+    if state.is_stopping:
+        return 'the leader is stopping'
     if not may_change(state):
         return 'another change of members is under way'
     if event.admit:
--- a/basilcove/consensus/messages.py
+++ b/basilcove/consensus/messages.py
@@ -11,7 +11,10 @@
 @message('consensus.vote_request', pb.VoteRequest)
 @dataclass(frozen=True, slots=True)
 class VoteRequest(Message):
-    """Asks for a vote, or on ``trial`` whether a vote would be given."""
+    """Asks for a vote, or on ``trial`` whether a vote would be given.
+
+    ``handover`` says that the leader itself asked for this election.
+    """
 
     cluster: str
     sender: str
@@ -19,6 +22,18 @@
     last_index: int
     last_term: int
     trial: bool
+    handover: bool = False
+
+
+@message('consensus.hand_over', pb.HandOver)
+@dataclass(frozen=True, slots=True)
+class HandOver(Message):
+    """Asks a voter that holds the leader's whole log to take over."""
+
+    cluster: str
+    sender: str
+    target: str
+    term: int
 
 
 @message('consensus.vote_answer', pb.VoteAnswer)
--- a/basilcove/consensus/models.py
+++ b/basilcove/consensus/models.py
@@ -173,6 +173,7 @@
     """State of one member; ``commit`` entries are applied as soon as they are committed.
 
     Entries up to ``matched`` are known to equal those of the current leader.
+    ``failure`` says why the storage failed.
     """
 
     node: NodeId
@@ -202,6 +203,8 @@
     forming: Forming = field(default_factory=Forming)
     leading: Leading = field(default_factory=Leading)
     peers: dict[NodeId, None] = field(default_factory=dict)
+    is_stopping: bool = False
+    failure: str = ''
 
     @classmethod
     def from_recovered(
--- a/basilcove/consensus/snapshots.py
+++ b/basilcove/consensus/snapshots.py
@@ -7,7 +7,7 @@
 from basilcove.consensus.replication import hear_leader, replicate
 from basilcove.consensus.terms import is_from_cluster, observe_term
 from basilcove.consensus.transfer import send_chunk
-from basilcove.core.events import Effect, Emit, Received
+from basilcove.core.events import Effect, Emit, Log, Received
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.storage.models import LogEntry, Snapshot
 
@@ -79,7 +79,8 @@
     state.durability.synced_index = 0
     for write in state.durability.pending:
         write.last_index = 0
-    return [persist_snapshot(state, snapshot), Emit(SnapshotInstalled(snapshot.index, snapshot.body))]
+    log = Log('info', 'snapshot installed', (('index', str(snapshot.index)),))
+    return [log, persist_snapshot(state, snapshot), Emit(SnapshotInstalled(snapshot.index, snapshot.body))]
 
 
 @handles_message(SnapshotAnswer, ConsensusState)
--- a/basilcove/daemon.py
+++ b/basilcove/daemon.py
@@ -146,8 +146,7 @@
             logger.warning('work in flight did not end within {} s', self._settings.stop_timeout_s)
 
     def _is_idle(self) -> bool:
-        expected = {role for role in self._settings.roles if role is not Role.CONTROL}
-        if not expected <= self._tracker.completed:
+        if not set(self._settings.roles) <= self._tracker.completed:
             return False
         return all(check() for check in self._assembly.idle_checks)
 
--- a/basilcove/roles/control.py
+++ b/basilcove/roles/control.py
@@ -22,7 +22,16 @@
     recovered = journal.open()
     identity = assembly.identity
     node = assembly.runtime.node
-    node.add(ConsensusState.from_recovered(identity.node, identity.incarnation, cfg.bootstrap, recovered))
+    consensus = ConsensusState.from_recovered(identity.node, identity.incarnation, cfg.bootstrap, recovered)
+    consensus.snapshot_after = cfg.snapshot_after_entries
+    consensus.kept_entries = cfg.kept_entries
+    node.add(consensus)
+    assembly.readiness.append(lambda: f'storage failed: {consensus.failure}' if consensus.failure else None)
+    assembly.metrics.gauge(
+        'storage_failed',
+        'Whether a write or sync failed, 0 or 1; the replica acknowledges nothing until it restarts.',
+        lambda: float(bool(consensus.failure)),
+    )
     node.add(ControlState.from_recovered(identity.node, recovered))
     node.add(CatchUp(identity.node))
     storage = StorageDriver(journal, assembly.runtime.post)
--- a/basilcove/wiring/operators.py
+++ b/basilcove/wiring/operators.py
@@ -179,12 +179,16 @@
     documents = ctx.node.part(DistributionState)
     leader = ctx.node.part(ClientState).leader
     members: tuple[Member, ...] = ()
+    reasons: tuple[str, ...] = ()
     if ctx.node.has(ConsensusState):
         consensus = ctx.node.part(ConsensusState)
         leader = consensus.leader_node or leader
         members = consensus.members.members
+        if consensus.failure:
+            reasons = (f'storage failed: {consensus.failure}',)
     reply = StatusReply(
         accepted=True,
+        reasons=reasons,
         revision=documents.own.revision,
         node=state.identity.node,
         roles=state.identity.roles,
@@ -192,7 +196,7 @@
         version=VERSION,
         environment=state.environment,
         stage=state.stage,
-        ready=documents.ready,
+        ready=documents.ready and not reasons,
         leader=leader or NodeId(''),
         control_nodes=state.control_nodes,
         peers=tuple(sorted(documents.peers)),
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -27,11 +27,13 @@
     PeerLost,
     Received,
     Send,
+    StopRequested,
     Tick,
 )
 from basilcove.core.ids import Incarnation, NodeId, Role, Zone
 from basilcove.core.reducer import Context, Node, handles, reduce
 from basilcove.helpers.codec import decode, encode
+from basilcove.requests.events import StopCompleted
 from basilcove.storage.events import Persist, Persisted, PersistSnapshot, StorageFailed
 from basilcove.storage.models import LogEntry, Recovered
 from tests.storage.fake_disk import FakeDisk
@@ -96,11 +98,13 @@
         self.delay = (0.001, 0.003)
         self.sync_time = 0.002
         self.cut: set[frozenset[NodeId]] = set()
+        self.cut_one_way: set[tuple[NodeId, NodeId]] = set()
         self.bytes_sent: dict[tuple[NodeId, str], int] = defaultdict(int)
         self.logs: list[tuple[NodeId, Log]] = []
         self.committed: dict[int, LogEntry] = {}
         self.leaders: dict[int, str] = {}
         self.results: dict[str, list[Event]] = defaultdict(list)
+        self.stopped: set[NodeId] = set()
         self._order = itertools.count()
         self._incarnations = itertools.count(1)
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -144,6 +148,11 @@
         self.hosts.pop(name, None)
         self.disks[name].crash(torn)
 
+    def stop(self, name: NodeId) -> None:
+        """Ask a process to stop; ``stopped`` holds its name once it may end."""
+        self.stopped.discard(name)
+        self.apply(self.hosts[name], StopRequested())
+
     def lose_disk(self, name: NodeId) -> None:
         """End a process and lose its disk."""
         self.hosts.pop(name, None)
@@ -190,6 +199,7 @@
         """Cut these nodes off from all others; without names, heal the network."""
         others = [name for name in (*self.disks, CLIENT) if name not in names]
         self.cut = {frozenset((name, other)) for name in names for other in others}
+        self.cut_one_way.clear()
         for name in self.disks:
             event = PeerLost if frozenset((name, CLIENT)) in self.cut else PeerFound
             self.apply(self.client, event(self._peer(name)))
@@ -231,7 +241,11 @@
                 self.apply(host, StorageFailed('no space left'))
                 return
             disk.write(effect)
-            self._schedule(self.sync_time, lambda: self._sync(host, disk, effect.ticket))
+            # Syncs end in order, also if the time of a sync has changed since.
+            disk.synced_at = max(disk.synced_at, self.now + self.sync_time)
+            self._schedule(disk.synced_at - self.now, lambda: self._sync(host, disk, effect.ticket))
+        elif isinstance(effect, StopCompleted):
+            self.stopped.add(host.name)
         elif isinstance(effect, Log):
             self.logs.append((host.name, effect))
 
@@ -251,7 +265,8 @@
 
     def _deliver(self, peer: Peer, target: NodeId, kind: str, body: bytes) -> None:
         host = self.client if target == CLIENT else self.hosts.get(target)
-        if host is not None and frozenset((peer.node, target)) not in self.cut:
+        is_cut = frozenset((peer.node, target)) in self.cut or (peer.node, target) in self.cut_one_way
+        if host is not None and not is_cut:
             self.apply(host, Received(peer, decode(kind, body)))
 
     def _peer(self, name: NodeId, incarnation: Incarnation | None = None) -> Peer:
--- a/tests/consensus/machine.py
+++ b/tests/consensus/machine.py
@@ -21,7 +21,7 @@
 from basilcove.catalog.events import ProposalFailed, Proposed
 from basilcove.catalog.messages import LoggedCommand
 from basilcove.catalog.models import CatalogState
-from basilcove.catalog.outcomes import ClaimGranted, DocumentApplied, LeaseGranted
+from basilcove.catalog.outcomes import ClaimGranted, CommandRefused, DocumentApplied, LeaseGranted
 from basilcove.catalog.snapshot import decode_state, encode_state
 from basilcove.consensus.models import Members, Standing
 from basilcove.core.events import Message
@@ -92,6 +92,14 @@
             if resend:
                 self._propose(f'apply-{number}-{operator}-again', command)
 
+    @rule(data=st.data())
+    def resend_change(self, data: st.DataObject) -> None:
+        """An operator who lost the answer to a change sends it again."""
+        names = sorted(name for name, command in self.commands.items() if isinstance(command, ApplyDocument))
+        if names:
+            command = self.commands[data.draw(st.sampled_from(names))]
+            self._propose(f'resend-{len(self.commands)}', command)
+
     @rule(name=st.sampled_from(['lease-a', 'lease-b']), duration=st.sampled_from([0.5, 5]))
     def acquire_lease(self, name: str, duration: float) -> None:
         number = len(self.commands)
@@ -123,6 +131,37 @@
         self.cluster.partition(*names, *([CLIENT] if with_client else []))
         self.cluster.run(seconds)
 
+    @rule(data=st.data(), incoming=st.booleans(), seconds=st.sampled_from([0.3, 3]))
+    def cut_one_direction(self, data: st.DataObject, incoming: bool, seconds: float) -> None:
+        """A host sends without hearing anything, or hears without being heard."""
+        name = data.draw(st.sampled_from(self.cluster.bootstrap))
+        others = [other for other in (*self.cluster.disks, CLIENT) if other != name]
+        self.cluster.cut_one_way = {(other, name) if incoming else (name, other) for other in others}
+        self.cluster.run(seconds)
+
+    @rule(seconds=st.sampled_from([0.002, 0.3]))
+    def change_disks(self, seconds: float) -> None:
+        """Slow syncs leave time for a crash between a promise and its record."""
+        self.cluster.sync_time = seconds
+
+    @rule(data=st.data())
+    def stop(self, data: st.DataObject) -> None:
+        """A planned stop; the process ends when it says so, or by the bound of its settings."""
+        running = [name for name, host in self.cluster.hosts.items() if not host.frozen]
+        if not running:
+            return
+        name = data.draw(st.sampled_from(sorted(running)))
+        self.cluster.stop(name)
+        self.cluster.run(1)
+        self.cluster.kill(name)
+
+    @rule()
+    def kill_all(self) -> None:
+        """All members lose power at once and start again."""
+        for name in tuple(self.cluster.hosts):
+            self.cluster.kill(name)
+        self.restart_all()
+
     @rule(data=st.data(), torn=st.booleans())
     def kill(self, data: st.DataObject, torn: bool) -> None:
         name = data.draw(st.sampled_from(sorted(self.cluster.disks)))
@@ -134,10 +173,11 @@
             if name not in self.cluster.hosts:
                 self.cluster.start(name)
 
-    @rule(data=st.data(), seconds=st.sampled_from([0.2, 2.5]))
-    def freeze(self, data: st.DataObject, seconds: float) -> None:
+    @rule(data=st.data(), only_leader=st.booleans(), seconds=st.sampled_from([0.2, 2.5]))
+    def freeze(self, data: st.DataObject, only_leader: bool, seconds: float) -> None:
         """A frozen process wakes with its old state and handles what came in late."""
-        running = [name for name, host in self.cluster.hosts.items() if not host.frozen]
+        hosts = self.cluster.hosts.items()
+        running = [name for name, host in hosts if not host.frozen and (host.is_leader or not only_leader)]
         if not running:
             return
         name = data.draw(st.sampled_from(sorted(running)))
@@ -195,6 +235,7 @@
         holders: dict[str, str] = {}
         fences = [0]
         winners: dict[Revision, RequestId] = {}
+        answers: dict[RequestId, Message] = {}
         committed = self.cluster.committed
         assert sorted(committed) == list(range(1, len(committed) + 1))
         for index in sorted(committed):
@@ -210,6 +251,8 @@
                 assert holders.setdefault(command.key, command.attempt_id) == command.attempt_id
             if isinstance(command, ReleaseClaim) and holders.get(command.key) == command.attempt_id:
                 holders.pop(command.key)
+            if isinstance(command, ApplyDocument) and not isinstance(outcome, CommandRefused):
+                assert answers.setdefault(command.request_id, outcome) == outcome
             if isinstance(command, ApplyDocument) and isinstance(outcome, DocumentApplied):
                 assert winners.setdefault(outcome.revision, command.request_id) == command.request_id
             if isinstance(outcome, LeaseGranted) and len(outcomes[logged.proposal_id]) == 1:
@@ -241,10 +284,11 @@
         self.cluster.loss = 0
         self.cluster.duplication = 0
         self.cluster.delay = (0.001, 0.003)
+        self.cluster.sync_time = 0.002
         for name, host in tuple(self.cluster.hosts.items()):
             if host.frozen:
                 self.cluster.thaw(name)
-            if host.consensus.standing is Standing.FAILED:
+            if host.consensus.standing is Standing.FAILED or host.consensus.is_stopping:
                 self.cluster.kill(name)
         self.restart_all()
 
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -11,6 +11,7 @@
 import urllib3
 import yaml
 
+from tests.harness.forwarder import Forwarder
 from tests.harness.processes import ROOT, Process, free_address, wait_for
 
 ZONES = ('collie-depot', 'donnybrook-depot', 'bunbury-office')
@@ -52,8 +53,13 @@
         entries: int = 2,
         upstreams: Sequence[UpstreamSpec] = DEMO_UPSTREAMS,
         first_entry: str | None = None,
+        cut_zone: str | None = None,
+        control_settings: dict[str, Any] | None = None,
     ) -> None:
-        """Choose addresses and write settings; nothing is started yet."""
+        """Choose addresses and write settings; nothing is started yet.
+
+        Links into and out of ``cut_zone`` pass through forwarders that ``cut`` and ``heal`` control.
+        """
         self.folder = folder
         self.upstreams = {spec.name: spec for spec in upstreams}
         self.control = [f'control-{number}' for number in range(1, control + 1)]
@@ -63,19 +69,36 @@
         self.addresses = {name: Addresses() for name in names}
         if first_entry is not None:
             self.addresses[self.entries[0]].http = first_entry
+        self.cut_zone = cut_zone
+        self.control_settings = control_settings or {}
+        self.forwarders: dict[str, Forwarder] = {}
         self.processes: dict[str, Process] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=2, read=30))
         for name in (*self.control, *self.entries, *self.agents):
             self._write_settings(name)
 
     def __enter__(self) -> 'Cluster':
-        """Return the cluster itself."""
+        """Start the forwarders."""
+        for forwarder in self.forwarders.values():
+            forwarder.__enter__()
         return self
 
     def __exit__(self, *_: object) -> None:
         """End every process that was started."""
         for process in self.processes.values():
             process.kill()
+        for forwarder in self.forwarders.values():
+            forwarder.__exit__()
+
+    def cut(self) -> None:
+        """Let all links into and out of the availability zone fall silent."""
+        for forwarder in self.forwarders.values():
+            forwarder.silence()
+
+    def heal(self) -> None:
+        """Let new links between the availability zones work."""
+        for forwarder in self.forwarders.values():
+            forwarder.resume()
 
     def start_all(self, document: Path) -> None:
         """Start everything, apply the document and wait until all is ready."""
@@ -189,7 +212,11 @@
             content['roles'] = ['control']
             data = str(self.folder / name)
             content['status'] = {'listen': self.addresses[name].http}
-            content['control'] = {'data_folder': data, 'bootstrap': self.control}
+            content['control'] = {
+                'data_folder': data,
+                'bootstrap': self.control,
+                **self.control_settings,
+            }
         elif name in self.entries:
             content['roles'] = ['entry']
             content['http'] = {'listen': self.addresses[name].http}
@@ -208,4 +235,15 @@
         peers = list(self.control)
         if name in self.agents:
             peers += self.entries
-        return [self.addresses[peer].rpc for peer in peers if peer != name]
+        return [self._address_for(name, peer) for peer in peers if peer != name]
+
+    def _address_for(self, name: str, peer: str) -> str:
+        """Return where one node dials another."""
+        address = self.addresses[peer].rpc
+        if (self._zone_of(name) == self.cut_zone) == (self._zone_of(peer) == self.cut_zone):
+            return address
+        forwarder = self.forwarders.get(peer)
+        if forwarder is None:
+            forwarder = Forwarder(free_address(), address)
+            self.forwarders[peer] = forwarder
+        return forwarder.listen
--- a/tests/harness/forwarder.py
+++ b/tests/harness/forwarder.py
@@ -14,7 +14,7 @@
 
     def __init__(self, listen: str, target: str) -> None:
         """Forward once started."""
-        self._listen = listen
+        self.listen = listen
         self._target = target
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -30,8 +30,10 @@
 
     def __exit__(self, *_: object) -> None:
         """Stop forwarding."""
+        asyncio.run_coroutine_threadsafe(self._end_copies(), self._loop).result()
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
+        self._loop.close()
 
     def silence(self, keep_new: bool = False) -> None:
         """Stop copying on all open connections and, unless ``keep_new``, on new ones."""
@@ -44,11 +46,17 @@
 
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
-        host, _, port = self._listen.rpartition(':')
+        host, _, port = self.listen.rpartition(':')
         self._loop.run_until_complete(asyncio.start_server(self._accept, host, int(port)))
         self._listening.set()
         self._loop.run_forever()
 
+    async def _end_copies(self) -> None:
+        copies = asyncio.all_tasks() - {asyncio.current_task()}
+        for copy in copies:
+            copy.cancel()
+        await asyncio.gather(*copies, return_exceptions=True)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         generation = self._generation
         host, _, port = self._target.rpartition(':')
--- a/tests/storage/fake_disk.py
+++ b/tests/storage/fake_disk.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         self.is_full = False
+        self.synced_at = 0.0
         self._synced: list[Batch] = []
         self._snapshot: Snapshot | None = None
         self._unsynced: list[Persist | PersistSnapshot] = []
--- a/tests/system/conftest.py
+++ b/tests/system/conftest.py
@@ -23,3 +23,12 @@
     with Cluster(tmp_path, upstreams=UPSTREAMS) as running:
         running.start_all(documents.write(tmp_path, documents.document(UPSTREAMS)))
         yield running
+
+
+@pytest.fixture
+def divided(tmp_path: Path) -> Iterator[Cluster]:
+    """Return a deployment whose first availability zone can be cut off; snapshots are taken often."""
+    settings = {'snapshot_after_entries': 40, 'kept_entries': 10}
+    with Cluster(tmp_path, upstreams=UPSTREAMS, cut_zone=ZONES[0], control_settings=settings) as running:
+        running.start_all(documents.write(tmp_path, documents.document(UPSTREAMS)))
+        yield running
