--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -12,6 +12,7 @@
 import yaml
 
 from tests.harness.certificates import Certificates
+from tests.harness.forwarder import Forwarder
 from tests.harness.processes import ROOT, Process, free_address, wait_for
 
 ZONES = ('collie-depot', 'donnybrook-depot', 'bunbury-office')
@@ -54,8 +55,14 @@
         upstreams: Sequence[UpstreamSpec] = DEMO_UPSTREAMS,
         first_entry: str | None = None,
         certificates: Certificates | None = None,
+        cut_zone: str | None = None,
+        control_settings: dict[str, Any] | None = None,
     ) -> None:
-        """Choose addresses and write settings; nothing is started yet. Without certificates, use no TLS."""
+        """Choose addresses and write settings; nothing is started yet.
+
+        Without certificates, use no TLS. Links into and out of ``cut_zone`` pass through forwarders that
+        ``cut`` and ``heal`` control.
+        """
         self.certificates = certificates
         self.folder = folder
         self.upstreams = {spec.name: spec for spec in upstreams}
@@ -66,19 +73,36 @@
         self.addresses = {name: Addresses() for name in names}
         if first_entry is not None:
             self.addresses[self.entries[0]].http = first_entry
+        self.cut_zone = cut_zone
+        self.control_settings = control_settings or {}
+        self.forwarders: dict[str, Forwarder] = {}
         self.processes: dict[str, Process] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=2, read=30))
         for name in (*self.control, *self.entries, *self.agents):
             self._write_settings(name)
 
     def __enter__(self) -> 'Cluster':
-        """Return the cluster itself."""
+        """Start the forwarders."""
+        for forwarder in self.forwarders.values():
+            forwarder.__enter__()
         return self
 
     def __exit__(self, *_: object) -> None:
         """End every process that was started."""
         for process in self.processes.values():
             process.kill()
+        for forwarder in self.forwarders.values():
+            forwarder.__exit__()
+
+    def cut(self) -> None:
+        """Let all links into and out of the availability zone fall silent."""
+        for forwarder in self.forwarders.values():
+            forwarder.silence()
+
+    def heal(self) -> None:
+        """Let new links between the availability zones work."""
+        for forwarder in self.forwarders.values():
+            forwarder.resume()
 
     def start_all(self, document: Path) -> None:
         """Start everything, apply the document and wait until all is ready."""
@@ -198,7 +222,11 @@
             content['roles'] = ['control']
             data = str(self.folder / name)
             content['status'] = {'listen': self.addresses[name].http}
-            content['control'] = {'data_folder': data, 'bootstrap': self.control}
+            content['control'] = {
+                'data_folder': data,
+                'bootstrap': self.control,
+                **self.control_settings,
+            }
         elif name in self.entries:
             content['roles'] = ['entry']
             content['http'] = {'listen': self.addresses[name].http}
@@ -217,9 +245,10 @@
         peers = [peer for peer in self.control if peer != name]
         if name in self.agents:
             peers += self.entries
+        addresses = {peer: self._address_for(name, peer) for peer in peers}
         if self.certificates is None:
-            return [self.addresses[peer].rpc for peer in peers]
-        return [f'{self._common_name(peer)}@{self.addresses[peer].rpc}' for peer in peers]
+            return list(addresses.values())
+        return [f'{self._common_name(peer)}@{address}' for peer, address in addresses.items()]
 
     def _common_name(self, name: str) -> str:
         return f'{name.partition("-")[0]}:{name}'
@@ -229,3 +258,14 @@
             return ['--insecure']
         files = self.certificates.issue(name)
         return [part for option, path in files.items() for part in (f'--{option}', path)]
+
+    def _address_for(self, name: str, peer: str) -> str:
+        """Return where one node dials another."""
+        address = self.addresses[peer].rpc
+        if (self._zone_of(name) == self.cut_zone) == (self._zone_of(peer) == self.cut_zone):
+            return address
+        forwarder = self.forwarders.get(peer)
+        if forwarder is None:
+            forwarder = Forwarder(free_address(), address)
+            self.forwarders[peer] = forwarder
+        return forwarder.listen
