Trace the queue, the attempt, the agent and the upstream

Only the entry recorded a span, so a trace did not show where a request's time went. The reducers now emit RecordSpan when an attempt ends at the entry, and when it leaves the queue, the upstream or the agent. Reducers use no random numbers, so the id of a span that others are below is a hash of its parent's context and its name; Tracing gives the exported span that id. The entry passes the attempt's context to the agent, and the upstream is called with that of its own span. RecordSpan had no user and now takes monotonic seconds like every other time of the reducers; Tracing converts them.

--- a/basilcove/agents/attempts.py
+++ b/basilcove/agents/attempts.py
@@ -4,6 +4,7 @@
 from basilcove.agents.events import CallUpstream, CancelCall
 from basilcove.agents.memory import make_ended
 from basilcove.agents.models import AgentAttempt, AgentState
+from basilcove.agents.tracing import trace_end, trace_waiting
 from basilcove.core.events import Count, Effect, Log, Message, Peer, Send
 from basilcove.core.ids import AttemptId
 from basilcove.requests.messages import AttemptFailed, AttemptRefused, AttemptStarted
@@ -38,30 +39,35 @@
     state.queue.cancel(attempt_id)
     state.attempts.pop(attempt_id, None)
     bar(state, attempt.entry, attempt_id, attempt.start.number, now)
-    return answer(
+    told = answer(
         attempt, AttemptRefused(attempt_id, reason, DEFAULT_RETRY_AFTER_S, state.leaving is not None)
     )
+    return [*told, *trace_waiting(attempt, now), *trace_end(attempt, now)]
 
 
-def end_running(state: AgentState, attempt: AgentAttempt, now: float, *, has_started: bool = True) -> None:
-    """Free the slot of an attempt; it never starts again."""
+def end_running(
+    state: AgentState, attempt: AgentAttempt, now: float, *, has_started: bool = True
+) -> list[Effect]:
+    """Free the slot of an attempt, which never starts again; return its spans."""
     start = attempt.start
     state.attempts.pop(start.attempt_id, None)
     state.running.pop(start.attempt_id, None)
     state.queue.finish(start.attempt_id, attempt.work, now)
     ended = make_ended(attempt.entry, start.number, now, has_started=has_started)
     state.memory.add(start.attempt_id, ended)
+    return trace_end(attempt, now)
 
 
 def abort(state: AgentState, attempt: AgentAttempt, now: float, reason: str) -> list[Effect]:
     """End a running attempt before its answer is complete; whether it took effect is unknown."""
     attempt_id = attempt.start.attempt_id
-    end_running(state, attempt, now)
+    spans = end_running(state, attempt, now)
     fields = (('request_id', attempt.start.request_id), ('attempt_id', attempt_id))
     return [
         CancelCall(attempt_id),
         Log('info', f'call ended: {reason}', fields),
         *answer(attempt, AttemptFailed(attempt_id, reason)),
+        *spans,
     ]
 
 
@@ -89,9 +95,11 @@
         return []
     attempt.is_running = True
     attempt.progressed_at = now
+    attempt.called_at = now
     state.running[attempt_id] = attempt
     return [
         CallUpstream(attempt.entry.node, attempt.start, attempt.deadline - now),
         *answer(attempt, AttemptStarted(attempt_id)),
         Count('calls_started'),
+        *trace_waiting(attempt, now),
     ]
--- a/basilcove/agents/calls.py
+++ b/basilcove/agents/calls.py
@@ -39,9 +39,9 @@
     attempt = state.running.get(event.attempt_id)
     if attempt is None:
         return [_drop(event)]
-    end_running(state, attempt, ctx.now)
+    spans = end_running(state, attempt, ctx.now)
     end = AnswerEnd(event.attempt_id, event.chunks, event.length)
-    return [*answer(attempt, end), *start_waiting(state, ctx.now)]
+    return [*answer(attempt, end), *spans, *start_waiting(state, ctx.now)]
 
 
 @handles(UpstreamFailed, AgentState)
@@ -50,12 +50,12 @@
     attempt = state.running.get(event.attempt_id)
     if attempt is None:
         return [_drop(event)]
-    end_running(state, attempt, ctx.now, has_started=event.sent)
+    spans = end_running(state, attempt, ctx.now, has_started=event.sent)
     if event.sent:
         told = answer(attempt, AttemptFailed(event.attempt_id, event.reason))
     else:
         told = answer(attempt, AttemptRefused(event.attempt_id, event.reason, DEFAULT_RETRY_AFTER_S))
-    return [*told, *start_waiting(state, ctx.now)]
+    return [*told, *spans, *start_waiting(state, ctx.now)]
 
 
 def _drop(event: UpstreamAnswered | UpstreamProgressed | UpstreamFinished | UpstreamFailed) -> Count:
--- a/basilcove/agents/coordinator.py
+++ b/basilcove/agents/coordinator.py
@@ -55,7 +55,7 @@
         offer = QueueItem(msg.attempt_id, msg.team, msg.priority, msg.work, deadline, msg.admitted_before)
         verdict = state.queue.offer(offer, ctx.now)
         if not isinstance(verdict, Refused):
-            state.attempts[msg.attempt_id] = AgentAttempt(msg, event.peer, deadline)
+            state.attempts[msg.attempt_id] = AgentAttempt(msg, event.peer, deadline, ctx.now)
             return start_waiting(state, ctx.now)
         reason, retry_after_s = verdict.reason, verdict.retry_after_s
     bar(state, event.peer, msg.attempt_id, msg.number, ctx.now)
@@ -86,8 +86,8 @@
         return refuse_waiting(state, attempt, ctx.now, 'cancelled')
     if msg.only_if_waiting:
         return []
-    end_running(state, attempt, ctx.now)
-    return [CancelCall(msg.attempt_id), *start_waiting(state, ctx.now)]
+    spans = end_running(state, attempt, ctx.now)
+    return [CancelCall(msg.attempt_id), *spans, *start_waiting(state, ctx.now)]
 
 
 @handles(PeerFound, AgentState)
@@ -199,9 +199,9 @@
             continue
         attempt.is_orphaned = True
         if not attempt.is_running:
-            refuse_waiting(state, attempt, now, 'the entry was lost')
+            effects.extend(refuse_waiting(state, attempt, now, 'the entry was lost'))
         elif attempt.start.repeatable:
-            end_running(state, attempt, now)
+            effects.extend(end_running(state, attempt, now))
             effects.append(CancelCall(attempt.start.attempt_id))
     return [*effects, *start_waiting(state, now)]
 
--- a/basilcove/agents/models.py
+++ b/basilcove/agents/models.py
@@ -23,7 +23,9 @@
     start: StartAttempt
     entry: Peer
     deadline: float
+    arrived_at: float
     is_running: bool = False
+    called_at: float = 0
     is_orphaned: bool = False
     progressed_at: float = 0
     tokens: int = 0
--- a/basilcove/core/events.py
+++ b/basilcove/core/events.py
@@ -100,10 +100,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordSpan(Effect):
-    """Records a finished trace span below a W3C trace context; times since the epoch, in seconds."""
+    """Records a finished trace span below a W3C trace context; times in monotonic seconds.
+
+    ``context`` is that of the span itself, where other spans are below it.
+    """
 
     name: str
     traceparent: str
     started_at: float
     ended_at: float
     fields: tuple[tuple[str, str], ...] = ()
+    context: str = ''
--- a/basilcove/helpers/spans.py
+++ b/basilcove/helpers/spans.py
@@ -2,12 +2,15 @@
 
 import json
 import sys
-from collections.abc import Sequence
+import threading
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 from typing import TextIO
 
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
 from opentelemetry.sdk.trace.export import BatchSpanProcessor, SpanExporter, SpanExportResult
+from opentelemetry.sdk.trace.id_generator import RandomIdGenerator
 
 
 class JsonLinesExporter(SpanExporter):
@@ -31,9 +34,30 @@
             self._output.close()
 
 
+class SpanIds(RandomIdGenerator):
+    """Generates random ids, but for spans whose id other processes already know."""
+
+    def __init__(self) -> None:
+        """Start without a known id; each thread has its own."""
+        self._known = threading.local()
+
+    @contextmanager
+    def use(self, span_id: int) -> Iterator[None]:
+        """Give spans that this thread starts meanwhile this id; 0 for a random one."""
+        self._known.span_id = span_id
+        try:
+            yield
+        finally:
+            self._known.span_id = 0
+
+    def generate_span_id(self) -> int:
+        """Return the known id or a random one."""
+        return getattr(self._known, 'span_id', 0) or super().generate_span_id()
+
+
 def start_provider(output: TextIO, node: str) -> TracerProvider:
     """Return a provider that exports to a text file in batches."""
     resource = Resource.create({'service.name': 'basilcove', 'service.instance.id': node})
-    provider = TracerProvider(resource=resource, shutdown_on_exit=False)
+    provider = TracerProvider(resource=resource, id_generator=SpanIds(), shutdown_on_exit=False)
     provider.add_span_processor(BatchSpanProcessor(JsonLinesExporter(output)))
     return provider
--- a/basilcove/helpers/traces.py
+++ b/basilcove/helpers/traces.py
@@ -3,6 +3,7 @@
 import enum
 import importlib
 import sys
+import time
 from collections.abc import Mapping
 from pathlib import Path
 from typing import TYPE_CHECKING, Final, TextIO
@@ -13,6 +14,7 @@
 
 from basilcove.core.events import RecordSpan
 from basilcove.core.runtime import carries_out
+from basilcove.helpers.contexts import span_id_of
 
 if TYPE_CHECKING:
     from opentelemetry.sdk.trace import TracerProvider
@@ -69,13 +71,15 @@
             return
         parent = _PROPAGATOR.extract({'traceparent': effect.traceparent})
         tracer = self._provider.get_tracer('basilcove')
-        span = tracer.start_span(
-            effect.name,
-            context=parent,
-            attributes=dict(effect.fields),
-            start_time=int(effect.started_at * _NANOSECONDS_PER_S),
-        )
-        span.end(int(effect.ended_at * _NANOSECONDS_PER_S))
+        offset_s = time.time() - time.monotonic()
+        with self._provider.id_generator.use(span_id_of(effect.context)):  # type: ignore[attr-defined]
+            span = tracer.start_span(
+                effect.name,
+                context=parent,
+                attributes=dict(effect.fields),
+                start_time=int((effect.started_at + offset_s) * _NANOSECONDS_PER_S),
+            )
+        span.end(int((effect.ended_at + offset_s) * _NANOSECONDS_PER_S))
 
     def unload(self) -> None:
         """Export what is buffered and close the output."""
--- a/basilcove/http/upstreams.py
+++ b/basilcove/http/upstreams.py
@@ -21,6 +21,7 @@
 )
 from basilcove.core.events import Event
 from basilcove.core.ids import AttemptId, NodeId
+from basilcove.helpers.contexts import upstream_context
 from basilcove.http.const import (
     BUFFERED_READ_S,
     CHUNK_INTERVAL_S,
@@ -232,7 +233,7 @@
     if attempt.token_offset:
         headers['x-resume-token-offset'] = str(attempt.token_offset)
     if attempt.traceparent:
-        headers['traceparent'] = attempt.traceparent
+        headers['traceparent'] = upstream_context(attempt.traceparent)
     return headers
 
 
--- a/basilcove/requests/attempts.py
+++ b/basilcove/requests/attempts.py
@@ -2,10 +2,11 @@
 
 from basilcove.core.events import Count, Effect, Log, Send
 from basilcove.core.ids import UpstreamName
+from basilcove.helpers.contexts import child_of
 from basilcove.requests.const import CONFIRM_TIMEOUT_S, MAX_ATTEMPTS
 from basilcove.requests.messages import CancelAttempt, StartAttempt
 from basilcove.requests.models import Attempt, AttemptPhase, RequestRecord, RequestsState
-from basilcove.requests.outcomes import drop_attempt, give_up
+from basilcove.requests.outcomes import drop_attempt, give_up, trace_attempt
 
 
 def start_attempt(state: RequestsState, record: RequestRecord, now: float, cause: str = '') -> list[Effect]:
@@ -37,12 +38,13 @@
         ('attempt_id', attempt.attempt_id if attempt else ''),
     )
     log = Log('warning', f'attempt failed: {cause}', fields)
+    spans = trace_attempt(record, now, 'failed')
     drop_attempt(state, record, now, is_failure=True)
     record.may_have_run = True
     may_continue = record.repeatable and (not record.head_sent or record.can_resume)
     if may_continue:
-        return [log, *start_attempt(state, record, now, cause)]
-    return [log, *give_up(state, record, now, cause)]
+        return [log, *spans, *start_attempt(state, record, now, cause)]
+    return [log, *spans, *give_up(state, record, now, cause)]
 
 
 def cancel(record: RequestRecord, *, only_if_waiting: bool) -> list[Effect]:
@@ -116,7 +118,7 @@
         repeatable=record.repeatable,
         stream=req.stream,
         token_offset=record.tokens,
-        traceparent=req.traceparent,
+        traceparent=child_of(req.traceparent, attempt_id),
         admitted_before=record.admitted_before,
     )
     kind = 'first' if len(record.tried) == 1 else 'retry'
--- a/basilcove/requests/coordinator.py
+++ b/basilcove/requests/coordinator.py
@@ -20,7 +20,7 @@
     AttemptStarted,
 )
 from basilcove.requests.models import Attempt, AttemptPhase, ClaimPhase, RequestRecord, RequestsState
-from basilcove.requests.outcomes import complete, drop_attempt, forget, give_up, refuse
+from basilcove.requests.outcomes import complete, drop_attempt, forget, give_up, refuse, trace_attempt
 from basilcove.requests.validation import find_fault, is_repeatable
 
 
@@ -69,6 +69,7 @@
         return effects
     if record.claim is not None:
         effects.append(ReleaseClaim(record.claim.key, record.claim.attempt_id))
+    effects.extend(trace_attempt(record, ctx.now, 'caller_gone'))
     drop_attempt(state, record, ctx.now, is_failure=False)
     forget(state, record)
     return [*effects, Count('requests_ended', (('outcome', 'caller_gone'),))]
@@ -140,8 +141,9 @@
         record.has_moved = True
     record.admitted_before |= msg.leaving or attempt.is_moving
     record.retry_after_s = msg.retry_after_s
+    spans = trace_attempt(record, ctx.now, 'refused')
     drop_attempt(state, record, ctx.now, is_failure=True)
-    return start_attempt(state, record, ctx.now, msg.reason)
+    return [*spans, *start_attempt(state, record, ctx.now, msg.reason)]
 
 
 @handles_message(AttemptFailed, RequestsState)
@@ -196,6 +198,7 @@
         return deliver_answer(state, record, record.claim.answer)
     effects = cancel(record, only_if_waiting=not record.repeatable)
     record.may_have_run |= record.attempt is not None
+    effects.extend(trace_attempt(record, now, 'stopped'))
     drop_attempt(state, record, now, is_failure=False)
     return [*effects, *give_up(state, record, now, 'the entry stopped')]
 
--- a/basilcove/requests/keyed.py
+++ b/basilcove/requests/keyed.py
@@ -30,7 +30,7 @@
 )
 from basilcove.requests.events import EndAnswer, Refusal, Request, StartAnswer, WriteAnswer
 from basilcove.requests.models import ClaimPhase, KeyClaim, RequestRecord, RequestsState
-from basilcove.requests.outcomes import drop_attempt, forget, refuse
+from basilcove.requests.outcomes import drop_attempt, forget, refuse, trace_attempt
 
 _KEY_BYTES = 16
 
@@ -79,13 +79,15 @@
 
 def record_answer(state: RequestsState, record: RequestRecord, claim: KeyClaim, now: float) -> list[Effect]:
     """Record the whole answer of a keyed call before the caller gets it."""
+    spans = trace_attempt(record, now, 'answered')
     body = drop_attempt(state, record, now, is_failure=record.status >= SERVER_ERROR)
     claim.answer = StoredAnswer(record.status, record.headers, body)
     if len(body) > MAX_STORED_ANSWER_BYTES:
-        return [AbandonClaim(claim.key, claim.attempt_id), *deliver_answer(state, record, claim.answer)]
+        abandon = AbandonClaim(claim.key, claim.attempt_id)
+        return [*spans, abandon, *deliver_answer(state, record, claim.answer)]
     claim.phase = ClaimPhase.RECORDING
     claim.answer_by = now + RECORD_TIMEOUT_S
-    return [CompleteClaim(claim.key, claim.attempt_id, claim.answer)]
+    return [*spans, CompleteClaim(claim.key, claim.attempt_id, claim.answer)]
 
 
 def deliver_answer(state: RequestsState, record: RequestRecord, answer: StoredAnswer) -> list[Effect]:
--- a/basilcove/requests/outcomes.py
+++ b/basilcove/requests/outcomes.py
@@ -2,8 +2,9 @@
 
 from http import HTTPStatus
 
-from basilcove.core.events import Count, Effect, Log
+from basilcove.core.events import Count, Effect, Log, RecordSpan
 from basilcove.core.ids import Outcome
+from basilcove.helpers.contexts import child_of
 from basilcove.requests.claims import AbandonClaim, ReleaseClaim
 from basilcove.requests.const import DEFAULT_RETRY_AFTER_S, SERVER_ERROR
 from basilcove.requests.events import BreakAnswer, EndAnswer, Refusal, RefuseRequest, Request
@@ -15,6 +16,17 @@
     return [RefuseRequest(req.request_id, refusal), _count(refusal.outcome.value)]
 
 
+def trace_attempt(record: RequestRecord, now: float, outcome: str) -> list[Effect]:
+    """Record the span of the attempt in flight, which ends now."""
+    attempt = record.attempt
+    if attempt is None or not record.request.traceparent:
+        return []
+    fields = (('attempt_id', attempt.attempt_id), ('upstream', attempt.upstream), ('outcome', outcome))
+    traceparent = record.request.traceparent
+    context = child_of(traceparent, attempt.attempt_id)
+    return [RecordSpan('attempt', traceparent, attempt.sent_at, now, fields, context)]
+
+
 def drop_attempt(state: RequestsState, record: RequestRecord, now: float, *, is_failure: bool) -> bytes:
     """Forget the attempt in flight; what arrives of it later is dropped.
 
@@ -57,9 +69,10 @@
 
 def complete(state: RequestsState, record: RequestRecord, now: float) -> list[Effect]:
     """End a request whose whole answer went to the caller."""
+    spans = trace_attempt(record, now, 'answered')
     drop_attempt(state, record, now, is_failure=record.status >= SERVER_ERROR)
     forget(state, record)
-    return [EndAnswer(record.request.request_id), _count('answered')]
+    return [EndAnswer(record.request.request_id), _count('answered'), *spans]
 
 
 def _find_refusal(record: RequestRecord, reason: str, *, is_late: bool) -> Refusal:
--- a/tests/requests/network.py
+++ b/tests/requests/network.py
@@ -20,7 +20,18 @@
 )
 from basilcove.agents.models import AgentState
 from basilcove.const import PEER_TIMEOUT_S, TICK_INTERVAL_S
-from basilcove.core.events import Effect, Event, Message, Peer, PeerFound, PeerLost, Received, Send, Tick
+from basilcove.core.events import (
+    Effect,
+    Event,
+    Message,
+    Peer,
+    PeerFound,
+    PeerLost,
+    Received,
+    RecordSpan,
+    Send,
+    Tick,
+)
 from basilcove.core.ids import Incarnation, ModelName, NodeId, Revision, Role, ServiceName, UpstreamName, Zone
 from basilcove.core.reducer import Node, reduce
 from basilcove.environment.events import EnvironmentChanged
@@ -151,6 +162,7 @@
         self.cancelled: set[str] = set()
         self.claims: dict[str, Claim] = {}
         self.claims_fault = ''
+        self.spans: list[RecordSpan] = []
         self.history: list[tuple[NodeId, Received]] = []
         self._redial_at: defaultdict[tuple[NodeId, NodeId], float] = defaultdict(float)
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
@@ -331,6 +343,8 @@
                 self._send(proc, name, msg)
             case CallUpstream():
                 self._call(proc, effect)
+            case RecordSpan():
+                self.spans.append(effect)
             case CancelCall(attempt_id):
                 self.cancelled.add(attempt_id)
             case StartAnswer() | WriteAnswer() | EndAnswer() | BreakAnswer() | RefuseRequest():
