--- a/basilcove/rpc/links.py
+++ b/basilcove/rpc/links.py
@@ -14,7 +14,12 @@
 from basilcove.core.ids import NodeId
 from basilcove.exceptions import BasilcoveError
 from basilcove.rpc import rpc_pb2 as pb
-from basilcove.rpc.const import HEARTBEAT_AFTER_S, LINK_CHECK_INTERVAL_S, MAX_QUEUED_ENVELOPES
+from basilcove.rpc.const import (
+    HEARTBEAT_AFTER_S,
+    LINK_CHECK_INTERVAL_S,
+    MAX_BATCH_BYTES,
+    MAX_QUEUED_ENVELOPES,
+)
 from basilcove.rpc.envelopes import Identity, unwrap, wrap_next
 from basilcove.rpc.exceptions import LinkError, PeerRefusedError
 from basilcove.rpc.messages import Heartbeat
@@ -43,8 +48,8 @@
     size_bytes: int = 0
 
     def add(self, envelope: pb.Envelope) -> None:
-        """Count an envelope."""
-        self.messages += 1
+        """Count an envelope and those that share its frame."""
+        self.messages += 1 + len(envelope.more)
         self.size_bytes += envelope.ByteSize()
 
     def plus(self, others: Iterable['Traffic']) -> 'Traffic':
@@ -104,21 +109,34 @@
     async def _write(self, stream: Stream) -> None:
         while True:
             envelope = await self._queue.get()
+            if envelope is _HEARTBEAT and not self._queue.empty():
+                # The next message is a sign of life too, and the heartbeat is shared by all links.
+                continue
+            self._batch(envelope)
             self.sent.add(envelope)
             self._sent_at = time.monotonic()
             await stream.write(envelope)
 
+    def _batch(self, envelope: pb.Envelope) -> None:
+        """Add what else is ready to an envelope, so that a frame carries it together."""
+        size = envelope.ByteSize()
+        while size < MAX_BATCH_BYTES and not self._queue.empty():
+            following = self._queue.get_nowait()
+            size += following.ByteSize()
+            envelope.more.append(following)
+
     async def _read(self, stream: Stream, deliver: Callable[[pb.Envelope], None]) -> None:
         while True:
             envelope = await stream.read()
             if envelope is grpc.aio.EOF:
                 return
-            named = (envelope.sender, envelope.incarnation)
-            if envelope.sender and named != (self.peer.node, self.peer.incarnation):
-                raise PeerRefusedError(f'{envelope.sender} speaks on the link of {self.peer.node}')
             self.last_heard = time.monotonic()
             self.received.add(envelope)
-            deliver(envelope)
+            for one in (envelope, *envelope.more):
+                named = (one.sender, one.incarnation)
+                if one.sender and named != (self.peer.node, self.peer.incarnation):
+                    raise PeerRefusedError(f'{one.sender} speaks on the link of {self.peer.node}')
+                deliver(one)
 
     def beat(self, now: float) -> None:
         """Send a heartbeat if nothing else was sent lately; close a link whose peer is silent."""
--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -106,6 +106,19 @@
 
         _run(scenario)
 
+    def test_messages_that_are_ready_together_keep_their_order(self) -> None:
+        """Guards against messages that are lost or overtaken where several share a frame."""
+
+        async def scenario() -> None:
+            async with _linked() as (entry, agent):
+                for number in range(500):
+                    agent.table.send(NodeId('entry-1'), CancelAttempt('a', number, 2, only_if_waiting=True))
+                await _until(lambda: len(entry.seen(Received)) >= 500)
+                numbers = [event.message.number for event in entry.seen(Received)]
+                assert numbers == list(range(500))
+
+        _run(scenario)
+
     def test_silent_connection_is_replaced_by_a_new_one(self) -> None:
         """Guards against waiting for TCP timeouts when something between the ends lost the connection."""
 
@@ -172,6 +185,22 @@
 
         _run(scenario)
 
+    def test_heartbeat_carries_no_other_message(self) -> None:
+        """Guards against a message that stays in the heartbeat, which all links share."""
+
+        async def scenario() -> None:
+            wire = _Wire()
+            link = Link(_peer('agent-1'))
+            link.beat(time.monotonic() + HEARTBEAT_AFTER_S)
+            link.send(SAMPLE)
+            link.send(SAMPLE)
+            running = asyncio.create_task(link.run(wire, lambda envelope: None))
+            await _until(lambda: wire.written)
+            running.cancel()
+            assert [(one.kind, len(one.more)) for one in wire.written] == [('requests.cancel_attempt', 1)]
+
+        _run(scenario)
+
     def test_silent_peer_is_given_up_within_the_timeout(self) -> None:
         """Guards against a check that finds the silence only after the timeout."""
 
