--- a/basilcove/helpers/hashing.py
+++ b/basilcove/helpers/hashing.py
@@ -1,6 +1,7 @@
 """Stable hashes, for jitter and placement without a random number generator."""
 
 import hashlib
+from collections.abc import Iterable
 from typing import Final
 
 _DIGEST_BYTES: Final = 8
@@ -17,3 +18,12 @@
 def stable_fraction(*parts: object) -> float:
     """Hash the parts' texts to a number in [0, 1)."""
     return stable_hash(*parts) / _HASH_RANGE
+
+
+def rendezvous(owner: str, names: Iterable[str], count: int) -> frozenset[str]:
+    """Return the names that this owner draws: those with the highest hashes together with the owner.
+
+    A name that is added or removed changes one place of a sample at most.
+    """
+    ranked = sorted(names, key=lambda name: stable_hash(owner, name), reverse=True)
+    return frozenset(ranked[:count])
--- a/basilcove/roles/agent.py
+++ b/basilcove/roles/agent.py
@@ -15,6 +15,7 @@
 from basilcove.requests.messages import AnswerChunk
 from basilcove.roles.common import add_common
 from basilcove.wiring.agents import LoadTimer
+from basilcove.wiring.sampling import EntrySample
 
 
 @builds(Role.AGENT)
@@ -30,7 +31,9 @@
     )
     state = AgentState.from_config(agents_cfg, UpstreamName(''), identity.incarnation)
     runtime.node.add(state)
-    runtime.node.add(AnnouncerState(identity.node, identity.zone, identity.incarnation))
+    announcer = AnnouncerState(identity.node, identity.zone, identity.incarnation)
+    runtime.node.add(announcer)
+    assembly.links.limit(EntrySample(announcer, settings.rpc.max_sampled_upstreams).is_wanted)
     runtime.node.add(LoadTimer())
     client = UpstreamClient(cfg.max_calls, cfg.progress_timeout_s)
     runtime.add_driver(client)
--- a/basilcove/rpc/config.py
+++ b/basilcove/rpc/config.py
@@ -2,7 +2,9 @@
 
 from pathlib import Path
 
-from pydantic import BaseModel, ConfigDict, model_validator
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from basilcove.rpc.const import MAX_SAMPLED_UPSTREAMS
 
 
 class TlsConfig(BaseModel):
@@ -16,12 +18,17 @@
 
 
 class RpcConfig(BaseModel):
-    """Where a node listens and which addresses it dials."""
+    """Where a node listens and which addresses it dials.
+
+    ``max_sampled_upstreams`` bounds the upstreams of the same work and availability zone that an entry
+    watches; all agents of an availability zone must have the same bound.
+    """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
     listen: str
     seeds: tuple[str, ...] = ()
+    max_sampled_upstreams: int = Field(MAX_SAMPLED_UPSTREAMS, gt=0)
     tls: TlsConfig | None = None
     insecure: bool = False
 
--- a/basilcove/rpc/const.py
+++ b/basilcove/rpc/const.py
@@ -12,6 +12,10 @@
 # idle link is silent for 0.85 s at most, so a peer that is late by a whole heartbeat is not given up.
 HEARTBEAT_AFTER_S: Final = 0.6
 
+# Above the 12 engines of today's largest application, so that every entry links to all of them.
+MAX_SAMPLED_UPSTREAMS: Final = 64
+SAMPLE_CHECK_INTERVAL_S: Final = 1.0
+
 # A link whose queue is full is closed: its peer doesn't read, and every protocol resends.
 MAX_QUEUED_ENVELOPES: Final = 20_000
 MAX_ENVELOPE_BYTES: Final = 16 * 1024 * 1024
--- a/basilcove/rpc/dialer.py
+++ b/basilcove/rpc/dialer.py
@@ -7,15 +7,20 @@
 from loguru import logger
 
 from basilcove.core.events import Peer
-from basilcove.core.ids import NodeId
 from basilcove.exceptions import BasilcoveError
 from basilcove.rpc import rpc_pb2 as pb
 from basilcove.rpc import rpc_pb2_grpc
 from basilcove.rpc.config import RpcConfig
-from basilcove.rpc.const import CONNECT_TIMEOUT_S, LINK_CHECK_INTERVAL_S, RECONNECT_MAX_S, RECONNECT_MIN_S
+from basilcove.rpc.const import (
+    CONNECT_TIMEOUT_S,
+    LINK_CHECK_INTERVAL_S,
+    RECONNECT_MAX_S,
+    RECONNECT_MIN_S,
+    SAMPLE_CHECK_INTERVAL_S,
+)
 from basilcove.rpc.envelopes import introduce
 from basilcove.rpc.exceptions import LinkError
-from basilcove.rpc.links import LinkTable
+from basilcove.rpc.links import LinkTable, Stream
 from basilcove.rpc.messages import Heartbeat
 from basilcove.rpc.seeds import Seed
 from basilcove.rpc.tls import open_channel
@@ -57,29 +62,45 @@
                 delay = min(delay * 2, RECONNECT_MAX_S)
             else:
                 delay = RECONNECT_MIN_S
-                await self._while_linked(other)
+                await self._while_needless(other)
             await asyncio.sleep(delay)
 
-    async def _while_linked(self, node: NodeId | None) -> None:
-        while node is not None and self._table.has_link(node):
+    async def _while_needless(self, peer: Peer | None) -> None:
+        while peer is not None and self._is_linked_by(peer):
             await asyncio.sleep(LINK_CHECK_INTERVAL_S)
+        while peer is not None and not self._table.is_wanted(peer):
+            await asyncio.sleep(SAMPLE_CHECK_INTERVAL_S)
 
-    async def _dial(self, seed: Seed) -> NodeId | None:
-        """Run a link until it ends; return a node that keeps a link of its own to this one."""
+    async def _dial(self, seed: Seed) -> Peer | None:
+        """Run a link until it ends; return a peer that needs no link from this process for now."""
         channel = open_channel(self._cfg, seed)
         try:
             await asyncio.wait_for(channel.channel_ready(), CONNECT_TIMEOUT_S)
             call = rpc_pb2_grpc.NodeStub(channel).Link()
             await call.write(self._table.identity.wrap(Heartbeat(self._table.identity.zone)))
-            first = await asyncio.wait_for(call.read(), CONNECT_TIMEOUT_S)
-            if not isinstance(first, pb.Envelope):
-                raise LinkError(f'{seed.address} closed the link at once')
-            peer = introduce(first, seed.common_name)
-            if self._is_linked_by(peer):
-                return peer.node
-            await self._table.run(peer, call)
+            peer = await self._introduced(seed, call)
+            if self._is_linked_by(peer) or not self._table.is_wanted(peer):
+                return peer
+            return await self._run_while_wanted(peer, call)
         finally:
             await channel.close()
+
+    async def _introduced(self, seed: Seed, call: Stream) -> Peer:
+        first = await asyncio.wait_for(call.read(), CONNECT_TIMEOUT_S)
+        if not isinstance(first, pb.Envelope):
+            raise LinkError(f'{seed.address} closed the link at once')
+        return introduce(first, seed.common_name)
+
+    async def _run_while_wanted(self, peer: Peer, call: Stream) -> Peer | None:
+        running = asyncio.create_task(self._table.run(peer, call))
+        try:
+            while not running.done():
+                await asyncio.wait((running,), timeout=SAMPLE_CHECK_INTERVAL_S)
+                if not running.done() and not self._table.is_wanted(peer):
+                    return peer
+            await running
+        finally:
+            running.cancel()
         return None
 
     def _is_linked_by(self, peer: Peer) -> bool:
--- a/basilcove/rpc/links.py
+++ b/basilcove/rpc/links.py
@@ -135,6 +135,7 @@
     def __init__(self, identity: Identity, apply: Callable[[Event], None]) -> None:
         """Deliver events to ``apply``, on the loop's thread."""
         self.identity = identity
+        self.is_wanted: Callable[[Peer], bool] = lambda _: True
         self._apply = apply
         self._links: dict[NodeId, list[Link]] = {}
         self._direct: dict[type, DirectHandler] = {}
@@ -145,6 +146,10 @@
         """Hand messages of this type to a function instead of the reducer."""
         self._direct[message_type] = handler
 
+    def limit(self, is_wanted: Callable[[Peer], bool]) -> None:
+        """Let this process dial only the peers for which the function is true."""
+        self.is_wanted = is_wanted
+
     def send(self, node: NodeId, msg: Message) -> bool:
         """Queue a message on the newest link to a node; False without a link."""
         links = self._links.get(node)
--- a/benchmarks/fakes/peers.py
+++ b/benchmarks/fakes/peers.py
@@ -98,3 +98,8 @@
 async def _set_up_after(peer: FakePeer, pause_s: float) -> None:
     await asyncio.sleep(pause_s)
     await peer.setup()
+
+
+async def unload_all(peers: Sequence[FakePeer]) -> None:
+    """End the links of all peers."""
+    await asyncio.gather(*(peer.unload() for peer in peers))
--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -102,6 +102,23 @@
 
         _run(scenario)
 
+    def test_unwanted_peer_is_left_and_linked_again(self) -> None:
+        """Guards against an agent that stays linked to entries that have not drawn it, or never returns."""
+
+        async def scenario() -> None:
+            address = free_address()
+            entry, agent = _Node('entry-1', Role.ENTRY), _Node('agent-1', Role.AGENT)
+            wanted = True
+            agent.table.limit(lambda _: wanted)
+            async with _serve(entry, _plain(address)), _dial(agent, _plain('', address)):
+                await _until(lambda: entry.seen(PeerFound))
+                wanted = False
+                await _until(lambda: agent.seen(PeerLost) and entry.seen(PeerLost))
+                wanted = True
+                await _until(lambda: len(agent.seen(PeerFound)) == 2)
+
+        _run(scenario)
+
     def test_older_incarnation_is_refused(self) -> None:
         """Guards against a process that was replaced and still speaks for its node."""
 
