--- a/tests/distribution/fleet.py
+++ b/tests/distribution/fleet.py
@@ -7,7 +7,7 @@
 from basilcove.core.reducer import Context, handles
 from basilcove.distribution import coordinator, pulling  # noqa: F401
 from basilcove.distribution.config import DistributionConfig
-from basilcove.distribution.events import DocumentAccepted, ReplicaCaughtUp
+from basilcove.distribution.events import DistributionReady, DocumentAccepted, ReplicaCaughtUp
 from basilcove.distribution.models import DistributionState
 from basilcove.environment.canonical import canonical
 from basilcove.environment.events import EnvironmentChanged
@@ -19,9 +19,10 @@
 
 @dataclass
 class InEffect:
-    """Revisions that came into effect in one process, with their documents."""
+    """Revisions that came into effect in one process, with their documents; when it became ready."""
 
     seen: list[tuple[Revision, str]] = field(default_factory=list)
+    ready: list[tuple[float, Revision]] = field(default_factory=list)
 
 
 @handles(EnvironmentChanged, InEffect)
@@ -30,6 +31,12 @@
     return []
 
 
+@handles(DistributionReady, InEffect)
+def _on_ready(state: InEffect, event: DistributionReady, ctx: Context) -> list[Effect]:
+    state.ready.append((ctx.now, event.revision))
+    return []
+
+
 def make_document(revision: int, teams: int = 2) -> str:
     """Return a canonical document that differs in one team from that of any other revision."""
     content = {
@@ -54,7 +61,9 @@
         self.config = DistributionConfig(
             environment=ENVIRONMENT, control_nodes=tuple(NodeId(f'control-{number}') for number in (1, 2, 3))
         )
+        # Revisions on each control host's disk, and those that its process has applied.
         self.applied: dict[str, int] = {}
+        self.replayed: dict[str, int] = {}
         for name, zone in self.layout().items():
             self.start(name, zone)
 
@@ -71,15 +80,22 @@
             'agent-2': 'tibasosa',
         }
 
-    def start(self, name: str, zone: str) -> None:
-        """Start a process without memory; a control host replays what its disk holds."""
+    def start(self, name: str, zone: str, known: int | None = None) -> None:
+        """Start a process without memory; a control host replays what its disk holds.
+
+        With ``known``, it replays that many documents only, since the commit
+        index of the others is not on its disk, and has to hear a leader.
+        """
         roles = (Role(name.split('-')[0]),)
         self.net.start(name, zone, roles, self._build)
         if Role.CONTROL not in roles:
             return
-        for revision in range(1, self.applied.get(name, 0) + 1):
+        durable = self.applied.get(name, 0)
+        self.replayed[name] = durable if known is None else min(known, durable)
+        for revision in range(1, self.replayed[name] + 1):
             self.replay(name, revision)
-        self.net.apply(name, ReplicaCaughtUp())
+        if known is None:
+            self.net.apply(name, ReplicaCaughtUp())
 
     def accept(self, replicas: list[str], teams: int = 2) -> int:
         """Accept the next document; the given replicas apply it, a majority of the group."""
@@ -91,10 +107,12 @@
 
     def catch_up(self, name: str) -> None:
         """Let a control replica apply all that is accepted."""
-        for revision in range(self.applied.get(name, 0) + 1, len(self.accepted) + 1):
-            self.applied[name] = revision
-            if self.net.hosts[NodeId(name)].running:
-                self.replay(name, revision)
+        self.applied[name] = len(self.accepted)
+        for revision in range(self.replayed[name] + 1, len(self.accepted) + 1):
+            self.replayed[name] = revision
+            self.replay(name, revision)
+        if not self.state(name).caught_up:
+            self.net.apply(name, ReplicaCaughtUp())
 
     def replay(self, name: str, revision: int) -> None:
         """Hand one accepted document to a control host's process."""
@@ -109,7 +127,15 @@
 
     def in_effect(self, name: str) -> list[tuple[Revision, str]]:
         """Return what came into effect in a node's present process."""
-        return self.net.hosts[NodeId(name)].node.part(InEffect).seen
+        return self.in_effect_state(name).seen
+
+    def in_effect_state(self, name: str) -> InEffect:
+        """Return what is recorded of a node's present process."""
+        return self.net.hosts[NodeId(name)].node.part(InEffect)
+
+    def is_running(self, name: str) -> bool:
+        """Tell whether the node's process runs."""
+        return self.net.hosts[NodeId(name)].running
 
     def _build(self, peer: Peer) -> tuple[object, ...]:
         state = DistributionState.from_config(self.config, peer.node, peer.zone, peer.roles)
--- a/tests/distribution/network.py
+++ b/tests/distribution/network.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -22,8 +23,10 @@
 
     peer: Peer
     node: Node
+    started_at: float
     running: bool = True
     links: dict[NodeId, Peer] = field(default_factory=dict)
+    linked_at: dict[NodeId, float] = field(default_factory=dict)
 
 
 class FakeNetwork:
@@ -36,9 +39,13 @@
         self.may_link = may_link
         self.loss = 0.0
         self.duplication = 0.0
+        self.corruption = 0.0
+        self.corrupt: Callable[[Message], Message | None] = lambda message: None
         self.max_delay_s = 0.01
         self.cut: set[frozenset[NodeId]] = set()
+        # Sizes in bytes of all that was sent, by kind of message.
         self.sent: dict[str, list[int]] = {}
+        self.history: deque[tuple[NodeId, Received]] = deque(maxlen=200)
         self._incarnations = itertools.count(1)
         self._order = itertools.count()
         self._queue: list[tuple[float, int, NodeId, Incarnation, Event]] = []
@@ -50,7 +57,7 @@
         """Start a process under a new incarnation; its former one is gone."""
         self.stop(NodeId(name))
         peer = Peer(NodeId(name), tuple(roles), Incarnation(next(self._incarnations)), Zone(zone))
-        self.hosts[peer.node] = Host(peer, Node(*build(peer)))
+        self.hosts[peer.node] = Host(peer, Node(*build(peer)), self.now)
         return self.hosts[peer.node]
 
     def stop(self, name: NodeId) -> None:
@@ -102,7 +109,14 @@
         for _ in range(2 if self.rng.random() < self.duplication else 1):
             if self.rng.random() >= self.loss:
                 delay = self.rng.uniform(0.001, self.max_delay_s)
-                self._post(delay, other, Received(host.peer, decode(kind, body)))
+                received = Received(host.peer, self._carry(decode(kind, body)))
+                self.history.append((target, received))
+                self._post(delay, other, received)
+
+    def _carry(self, message: Message) -> Message:
+        if self.corruption and self.rng.random() < self.corruption:
+            return self.corrupt(message) or message
+        return message
 
     def _post(self, delay_s: float, host: Host, event: Event) -> None:
         entry = (self.now + delay_s, next(self._order), host.peer.node, host.peer.incarnation, event)
@@ -116,10 +130,12 @@
     def _update_link(self, one: Host, other: Host) -> None:
         pair = frozenset((one.peer.node, other.peer.node))
         is_wanted = one.running and other.running and pair not in self.cut
-        is_linked = (
-            one.links.get(other.peer.node) == other.peer and other.links.get(one.peer.node) == one.peer
-        )
-        if is_wanted == is_linked:
+        near, far = one.links.get(other.peer.node), other.links.get(one.peer.node)
+        # One side may still hold a link to a former process of the other.
+        is_linked = (near, far) == (other.peer, one.peer)
+        is_clear = near is None and far is None
+        is_settled = is_linked if is_wanted else is_clear
+        if is_settled:
             self._pending_links.pop(pair, None)
             return
         # A broken connection is noticed by its silence, a new one takes a moment to come up.
@@ -128,12 +144,13 @@
         if self.now < due:
             return
         del self._pending_links[pair]
-        for near, far in ((one, other), (other, one)):
-            former = near.links.pop(far.peer.node, None)
-            if near.running and former is not None:
-                self.apply(near.peer.node, PeerLost(former))
+        for host, peer in ((one, other.peer), (other, one.peer)):
+            former = host.links.pop(peer.node, None)
+            if host.running and former is not None:
+                self.apply(host.peer.node, PeerLost(former))
             if is_wanted:
-                near.links[far.peer.node] = far.peer
+                host.links[peer.node] = peer
+                host.linked_at[peer.node] = self.now
         if is_wanted:
             self.apply(one.peer.node, PeerFound(other.peer))
             self.apply(other.peer.node, PeerFound(one.peer))
--- /dev/null
+++ b/tests/distribution/test_pulling.py
@@ -0,0 +1,56 @@
+import dataclasses
+
+from basilcove.core.ids import NodeId
+from basilcove.distribution.messages import Chunk
+from tests.distribution.fleet import Fleet
+from tests.distribution.machine import corrupt
+
+
+class TestFallback:
+    def test_a_delta_that_does_not_fit_is_followed_by_a_whole_copy(self) -> None:
+        """Guards against a node that asks for the same damaged delta for ever."""
+        fleet = Fleet()
+        fleet.accept(['control-1', 'control-2', 'control-3'], teams=60)
+        fleet.net.run(5)
+        for other in fleet.layout():
+            if other != 'control-1':
+                fleet.net.cut.add(frozenset((NodeId('entry-1'), NodeId(other))))
+        fleet.net.cut.add(frozenset((NodeId('entry-1'), NodeId('control-1'))))
+        fleet.accept(['control-1', 'control-2', 'control-3'], teams=60)
+        fleet.net.run(3)
+        steps = fleet.state('control-1').own.history.steps
+        base, step = steps[-1]
+        steps[-1] = (base, dataclasses.replace(step, patch=step.patch.replace('10', '11')))
+        fleet.net.cut.discard(frozenset((NodeId('entry-1'), NodeId('control-1'))))
+        fleet.net.run(4)
+        assert fleet.in_effect('entry-1')[-1] == (2, fleet.accepted[2])
+
+
+class TestLoss:
+    def test_a_change_is_everywhere_in_time_over_links_that_lose_a_fifth(self) -> None:
+        """Guards against an offer or request whose loss delays a change beyond 4 s."""
+        for seed in range(10):
+            fleet = Fleet(seed)
+            fleet.accept(['control-1', 'control-2'])
+            fleet.net.run(6)
+            fleet.net.loss = 0.2
+            fleet.accept(['control-1', 'control-2'])
+            fleet.net.run(4)
+            late = [name for name in fleet.layout() if fleet.in_effect(name)[-1][0] != 2]
+            assert not late, f'seed {seed}: {late}'
+
+
+class TestDigests:
+    def test_a_whole_copy_with_another_content_is_not_taken(self) -> None:
+        """Guards against a readable document that nobody accepted."""
+        fleet = Fleet()
+        fleet.accept(['control-1', 'control-2', 'control-3'])
+        fleet.net.run(3)
+        fleet.net.corruption = 1
+        fleet.net.corrupt = lambda message: corrupt(message, 0) if isinstance(message, Chunk) else None
+        fleet.start('entry-1', 'nobsa')
+        fleet.net.run(4)
+        assert not fleet.in_effect('entry-1')
+        fleet.net.corruption = 0
+        fleet.net.run(4)
+        assert fleet.in_effect('entry-1') == [(1, fleet.accepted[1])]
--- /dev/null
+++ b/tests/membership/test_announcer.py
@@ -0,0 +1,52 @@
+from basilcove.core.events import Received
+from basilcove.core.ids import NodeId
+from basilcove.membership.messages import Announce
+from tests.membership.world import World
+
+
+class TestReturn:
+    def test_a_process_that_left_stays_out_after_a_silence(self) -> None:
+        """Guards against new work for an upstream that paused for longer than its agent waits."""
+        world = World()
+        world.announce('agent-0', 'engine-0', 'engine-0-key', 1)
+        world.leave('agent-0', 'engine-0')
+        world.net.run(4)
+        assert world.announce('agent-0', 'engine-0', 'engine-0-key', 1)
+        world.net.run(1)
+        assert not world.witness('entry-0').open
+
+    def test_its_next_process_comes_back(self) -> None:
+        """Guards against a name that stays shut after its process was replaced."""
+        world = World()
+        world.announce('agent-0', 'engine-0', 'engine-0-key', 1)
+        world.leave('agent-0', 'engine-0')
+        world.net.run(4)
+        world.announce('agent-0', 'engine-0', 'engine-0-key', 2)
+        world.net.run(1)
+        assert set(world.witness('entry-0').open) == {'engine-0'}
+
+
+class TestFormerAgent:
+    def test_an_entry_that_restarted_refuses_a_former_agents_announcement(self) -> None:
+        """Guards against an announcement in flight that outlives its agent's process."""
+        world = World()
+        world.announce('agent-0', 'engine-0', 'engine-0-key', 1)
+        world.net.run(1)
+        former = [event for _, event in world.net.history if isinstance(event.message, Announce)][-1]
+        world.start('agent-0')
+        world.start('entry-0')
+        world.net.run(1)
+        present = world.net.hosts[NodeId('agent-0')].peer
+        world.net.apply('entry-0', Received(present, former.message))
+        assert not world.witness('entry-0').open
+
+
+class TestDocument:
+    def test_an_upstream_that_the_document_drops_gets_no_work(self) -> None:
+        """Guards against upstreams that outlive their place in the document."""
+        world = World()
+        world.announce('agent-0', 'engine-0', 'engine-0-key', 1)
+        world.net.run(1)
+        world.change(('engine-1',))
+        assert not world.witness('entry-0').open
+        assert not world.announce('agent-0', 'engine-0', 'engine-0-key', 1)
