--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -6,6 +6,8 @@
 from basilcove.requests.limits import TeamLimits
 from tests.requests.network import RETRY_SHARE, World, answer_parts, make_environment, make_request
 
+IN_PROGRESS = 'a call with this key is in progress'
+
 
 class TestPath:
     def test_each_kind_of_request_gets_its_whole_answer(self) -> None:
@@ -141,10 +143,10 @@
     @pytest.mark.parametrize(
         ('died_at_s', 'fault', 'reason', 'runs'),
         [
-            (0.005, 'before', None, 1),  # before the claim is recorded
-            (0.015, '', 'a call with this key is in progress', 0),  # before the call is sent
-            (0.035, '', 'a call with this key is in progress', 1),  # before the answer is recorded
-            (0.5, 'silent', None, 1),  # before the caller has the answer
+            pytest.param(0.005, 'before', None, 1, id='before_the_claim_is_recorded'),
+            pytest.param(0.015, '', IN_PROGRESS, 0, id='before_the_call_is_sent'),
+            pytest.param(0.035, '', IN_PROGRESS, 1, id='before_the_answer_is_recorded'),
+            pytest.param(0.5, 'silent', None, 1, id='before_the_caller_has_the_answer'),
         ],
     )
     def test_second_request_has_a_defined_outcome(
--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -3,9 +3,10 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import grpc
 import trustme
 
-from basilcove.core.events import Event, PeerFound, PeerLost, Received
+from basilcove.core.events import Event, Peer, PeerFound, PeerLost, Received
 from basilcove.core.ids import Incarnation, NodeId, Role, Zone
 from basilcove.requests.messages import CancelAttempt
 from basilcove.rpc.config import RpcConfig, TlsConfig
@@ -69,6 +70,22 @@
     asyncio.run(scenario())
 
 
+class _OpenStream:
+    """A stream on which nothing arrives until it ends."""
+
+    def __init__(self) -> None:
+        self.ended = asyncio.Event()
+        self.is_read = False
+
+    async def read(self) -> object:
+        self.is_read = True
+        await self.ended.wait()
+        return grpc.aio.EOF
+
+    async def write(self, _: object) -> None:
+        await asyncio.sleep(0)
+
+
 class TestLink:
     def test_messages_travel_both_ways(self) -> None:
         """Guards against a link that only the dialing side can use."""
@@ -116,6 +133,24 @@
 
         _run(scenario)
 
+    def test_lost_link_is_reported_although_another_is_open(self) -> None:
+        """Guards against attempts that wait for a silent link because the peer has dialed again."""
+
+        async def scenario() -> None:
+            node = _Node('entry-1', Role.ENTRY)
+            peer = Peer(NodeId('agent-1'), (Role.AGENT,), Incarnation(1), Zone('nobsa'))
+            streams = (_OpenStream(), _OpenStream())
+            runs = [asyncio.create_task(node.table.run(peer, stream)) for stream in streams]
+            await _until(lambda: all(stream.is_read for stream in streams))
+            streams[0].ended.set()
+            await _until(runs[0].done)
+            assert node.events == [PeerFound(peer), PeerLost(peer), PeerFound(peer)]
+            streams[1].ended.set()
+            await _until(runs[1].done)
+            assert node.events[3:] == [PeerLost(peer)]
+
+        _run(scenario)
+
     def test_older_incarnation_is_refused(self) -> None:
         """Guards against a process that was replaced and still speaks for its node."""
 
