--- a/basilcove/rpc/links.py
+++ b/basilcove/rpc/links.py
@@ -247,7 +247,10 @@
         self._received_before = self._received_before.plus((link.received,))
         if not links:
             self._links.pop(link.peer.node)
-            self._apply(PeerLost(link.peer))
+        # What was in flight on this link may be lost even if the peer has opened another one meanwhile.
+        self._apply(PeerLost(link.peer))
+        if links:
+            self._apply(PeerFound(links[-1].peer))
 
     def _deliver(self, peer: Peer, envelope: pb.Envelope) -> None:
         if envelope.kind == _HEARTBEAT.kind:
--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import grpc
 import pytest
 import trustme
 
@@ -73,6 +74,10 @@
             await asyncio.sleep(0.01)
 
 
+def _is_replaced(node: _Node) -> bool:
+    return bool(node.seen(PeerLost)) and len(node.seen(PeerFound)) == 2
+
+
 def _plain(listen: str, *seeds: str) -> RpcConfig:
     return RpcConfig(listen=listen, seeds=seeds, insecure=True)
 
@@ -81,6 +86,22 @@
     asyncio.run(scenario())
 
 
+class _OpenStream:
+    """A stream on which nothing arrives until it ends."""
+
+    def __init__(self) -> None:
+        self.ended = asyncio.Event()
+        self.is_read = False
+
+    async def read(self) -> object:
+        self.is_read = True
+        await self.ended.wait()
+        return grpc.aio.EOF
+
+    async def write(self, _: object) -> None:
+        await asyncio.sleep(0)
+
+
 class TestLink:
     def test_messages_travel_both_ways(self) -> None:
         """Guards against a link that only the dialing side can use."""
@@ -129,7 +150,7 @@
                 async with _serve(entry, _plain(target)), _dial(agent, _plain('', between)):
                     await _until(lambda: agent.seen(PeerFound))
                     forwarder.silence(keep_new=True)
-                    await _until(lambda: agent.seen(PeerLost) and len(agent.seen(PeerFound)) == 2)
+                    await _until(lambda: _is_replaced(agent) and _is_replaced(entry))
                     agent.table.send(NodeId('entry-1'), SAMPLE)
                     await _until(lambda: entry.seen(Received))
 
@@ -152,6 +173,24 @@
 
         _run(scenario)
 
+    def test_lost_link_is_reported_although_another_is_open(self) -> None:
+        """Guards against attempts that wait for a silent link because the peer has dialed again."""
+
+        async def scenario() -> None:
+            node = _Node('entry-1', Role.ENTRY)
+            peer = Peer(NodeId('agent-1'), (Role.AGENT,), Incarnation(1), Zone('nobsa'))
+            streams = (_OpenStream(), _OpenStream())
+            runs = [asyncio.create_task(node.table.run(peer, stream)) for stream in streams]
+            await _until(lambda: all(stream.is_read for stream in streams))
+            streams[0].ended.set()
+            await _until(runs[0].done)
+            assert node.events == [PeerFound(peer), PeerLost(peer), PeerFound(peer)]
+            streams[1].ended.set()
+            await _until(runs[1].done)
+            assert node.events[3:] == [PeerLost(peer)]
+
+        _run(scenario)
+
     def test_older_incarnation_is_refused(self) -> None:
         """Guards against a process that was replaced and still speaks for its node."""
 
