Activate expert maps in all ranks at one step, or in none

Change: orders are a subsystem of the agent (handlers, messages, rules on leases for drivers); the coordinator of a group settles, prepares, arms, records the decision by DecideMap and passes it on. A rank that is armed and hears nothing reads the decision itself. A Hypothesis machine runs agents, engines and the catalog's own state machine under loss, delay, duplication, reordering, partitions, kills, freezes and stalls. Ruled out: a decision after each other version without settling first (the catalog keeps only the newest decision of a group, so an armed rank could lose the one that it waits for); orders to engines in parallel (their sequence would not be known after a timeout).

--- /dev/null
+++ b/basilcove/experts/activation/lease.py
@@ -0,0 +1,116 @@
+"""Handlers that acquire, renew and lose the lease of a group."""
+
+from basilcove.catalog.commands import AcquireLease, ReadMap, RenewLease
+from basilcove.catalog.events import ProposalFailed, Propose, Proposed, Query, QueryAnswered, QueryFailed
+from basilcove.catalog.outcomes import LeaseGranted, LeaseHeld, MapDecided
+from basilcove.core.events import Effect, Emit, Message, Tick
+from basilcove.core.reducer import Context, handles
+from basilcove.experts.activation.const import (
+    LEASE_MARGIN_S,
+    LEASE_S,
+    PROPOSAL_TIMEOUT_S,
+    RENEW_AFTER_S,
+    RETRY_S,
+)
+from basilcove.experts.activation.models import ActivationState, Decision, Lease, Phase
+from basilcove.helpers.hashing import stable_fraction
+from basilcove.orders.rules import lease_name
+
+
+@handles(Tick, ActivationState)
+def on_tick(state: ActivationState, event: Tick, ctx: Context) -> list[Effect]:
+    """Ask for the lease or its renewal in time, and for the decision to start from."""
+    if state.lease is not None and ctx.now >= state.lease.until:
+        state.drop_lease()
+    if not state.members:
+        return []
+    effects: list[Effect] = []
+    if not state.lease_id and ctx.now >= _next_ask(state):
+        effects.append(_ask_lease(state, ctx.now))
+    if state.phase is Phase.READING and not state.decision_id and ctx.now >= state.decide_at:
+        state.decision_id = state.next_name('read')
+        query = Query(state.decision_id, ReadMap(state.group), ctx.now + PROPOSAL_TIMEOUT_S)
+        effects.append(Emit(query))
+    return effects
+
+
+@handles(Proposed, ActivationState)
+def on_proposed(state: ActivationState, event: Proposed, ctx: Context) -> list[Effect]:
+    """Hold the lease from when it was asked for, or try again when the holder's has ended."""
+    if not state.lease_id or event.proposal_id != state.lease_id:
+        return []
+    state.lease_id = ''
+    outcome = event.result
+    if isinstance(outcome, LeaseGranted):
+        _hold(state, outcome, ctx.now)
+    elif state.lease is None:
+        state.lease_at = ctx.now + _wait_after(state, outcome)
+    else:
+        state.drop_lease()
+    return []
+
+
+@handles(ProposalFailed, ActivationState)
+def on_proposal_failed(state: ActivationState, event: ProposalFailed, ctx: Context) -> list[Effect]:
+    """Try again; a lease that can not be renewed ends by itself."""
+    if state.lease_id and event.proposal_id == state.lease_id:
+        state.lease_id = ''
+        state.lease_at = ctx.now + RETRY_S
+    return []
+
+
+@handles(QueryAnswered, ActivationState)
+def on_map_read(state: ActivationState, event: QueryAnswered, ctx: Context) -> list[Effect]:
+    """Start from the newest decision, which no older coordinator can change any more."""
+    if state.phase is not Phase.READING or event.query_id != state.decision_id:
+        return []
+    decided = event.answer
+    state.decision = Decision()
+    if isinstance(decided, MapDecided):
+        state.decision = Decision(decided.version, decided.step, decided.accepted)
+    state.enter(Phase.SETTLING)
+    return []
+
+
+@handles(QueryFailed, ActivationState)
+def on_read_failed(state: ActivationState, event: QueryFailed, ctx: Context) -> list[Effect]:
+    """Read again."""
+    if state.phase is Phase.READING and event.query_id == state.decision_id:
+        state.decision_id = ''
+        state.decide_at = ctx.now + RETRY_S
+    return []
+
+
+def _next_ask(state: ActivationState) -> float:
+    return state.lease_at if state.lease is None else max(state.lease.renew_at, state.lease_at)
+
+
+def _ask_lease(state: ActivationState, now: float) -> Effect:
+    state.lease_id = state.next_name('lease')
+    state.lease_asked_at = now
+    name = lease_name(state.group)
+    command: Message
+    if state.lease is None:
+        command = AcquireLease(name, state.holder, LEASE_S)
+    else:
+        command = RenewLease(name, state.holder, state.lease.fence, LEASE_S)
+    return Emit(Propose(state.lease_id, command, now + PROPOSAL_TIMEOUT_S))
+
+
+def _hold(state: ActivationState, granted: LeaseGranted, now: float) -> None:
+    asked_at = state.lease_asked_at
+    lease = Lease(granted.fence, asked_at + granted.duration_s - LEASE_MARGIN_S, asked_at + RENEW_AFTER_S)
+    if now >= lease.until:
+        state.drop_lease()
+        return
+    is_new = state.lease is None or state.lease.fence != granted.fence
+    state.lease = lease
+    if is_new:
+        state.enter(Phase.READING)
+
+
+def _wait_after(state: ActivationState, outcome: Message) -> float:
+    # Agents of a group do not all ask in the same moment.
+    jitter_s = RETRY_S * (1 + stable_fraction(state.holder, state.numbers))
+    remaining_s = outcome.remaining_s if isinstance(outcome, LeaseHeld) else 0
+    return jitter_s + remaining_s
--- /dev/null
+++ b/basilcove/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines under a fencing token."""
--- /dev/null
+++ b/basilcove/orders/engine.py
@@ -0,0 +1,52 @@
+"""The form in which engines take orders and report their status."""
+
+import dataclasses
+from typing import Any
+
+from basilcove.core.ids import Step
+from basilcove.orders.messages import EngineStatus, LayerSlots, Order, RankSlots
+
+
+def order_to_json(order: Order) -> dict[str, Any]:
+    """Return the content of an order as engines take it; only what is set."""
+    content: dict[str, Any] = {
+        'fence': order.fence,
+        'kind': order.kind.value,
+        'model': order.model,
+        'adapter': order.adapter,
+        'model_version': order.model_version,
+        'role': order.role,
+        'map_version': order.map_version,
+        'step': order.step,
+        'accepted': order.accepted,
+        'layers': layers_to_json(order.layers),
+        'wants_layers': order.wants_layers,
+    }
+    always = {'fence', 'kind'}
+    return {key: entry for key, entry in content.items() if entry or key in always}
+
+
+def status_from_json(content: dict[str, Any]) -> EngineStatus:
+    """Return a status as the engine reports it; ValueError or TypeError if malformed."""
+    numbers = {key: int(content.get(key, 0)) for key in ('active', 'prepared', 'armed', 'decided')}
+    return EngineStatus(
+        **numbers,
+        armed_step=Step(int(content.get('armed_step', 0))),
+        step=Step(int(content.get('step', 0))),
+        layers=_layers_from_json(content.get('layers', ())),
+    )
+
+
+def status_to_json(status: EngineStatus) -> dict[str, Any]:
+    """Return a status as an engine reports it."""
+    content = dataclasses.asdict(status)
+    return {**content, 'layers': layers_to_json(status.layers)}
+
+
+def layers_to_json(layers: tuple[LayerSlots, ...]) -> list[list[list[int]]]:
+    """Return layers as lists: by layer, by rank, the expert in each slot."""
+    return [[list(rank.experts) for rank in layer.ranks] for layer in layers]
+
+
+def _layers_from_json(layers: Any) -> tuple[LayerSlots, ...]:
+    return tuple(LayerSlots(tuple(RankSlots(tuple(map(int, rank))) for rank in layer)) for layer in layers)
--- /dev/null
+++ b/basilcove/orders/events.py
@@ -0,0 +1,51 @@
+"""Events and effects of orders."""
+
+from dataclasses import dataclass
+
+from basilcove.core.events import Effect, Event
+from basilcove.core.ids import GroupName, NodeId, UpstreamName
+from basilcove.orders.messages import EngineStatus, Order
+
+
+@dataclass(frozen=True, slots=True)
+class EngineAssigned(Event):
+    """The engine on this host is known, with its group and whether it checks fencing tokens."""
+
+    upstream: UpstreamName
+    group: GroupName
+    checks_fencing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EngineAnswered(Event):
+    """The engine took the order, or refused it for a reason."""
+
+    order_id: str
+    reason: str
+    status: EngineStatus
+
+
+@dataclass(frozen=True, slots=True)
+class EngineFailed(Event):
+    """The engine gave no answer; unless ``sent``, it does not get the order."""
+
+    order_id: str
+    reason: str
+    sent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder(Effect):
+    """Sends an order if the lease is still held, until ``lease_until`` on the monotonic clock."""
+
+    node: NodeId
+    order: Order
+    lease_until: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallEngine(Effect):
+    """Hands an order to the engine on this host, unless ``not_after`` has passed."""
+
+    order: Order
+    not_after: float
