Run orders and activation in the agent, and widen their fuzz test

Cause: the daemon did not run the new handlers, and with the token check, the lease check, or the learning of the token removed the fuzz test still passed, since it rarely replaced a coordinator and never delivered an order of a former one in time. Change: agents keep orders and activation, send orders on links between agents of a group, and hand them to their engine by HTTP; the first map of a group spreads its experts evenly. The machine lets processes sleep past their lease, delivers orders of former coordinators, also to agents that lost their token, and interrupts rounds. The fake engine has ranks with maps and fencing. Agents of a group are linked by their seeds, and the document names them.

--- a/basilcove/orders/const.py
+++ b/basilcove/orders/const.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
-# An engine takes an order within this time of receiving it, or never; a call that has no answer by
-# then has failed. It also bounds how long an order of a former agent process may still take effect.
+# A call without an answer has failed after this time, and an engine takes the order of a failed call
+# within as much time again, or never.
 ENGINE_TIMEOUT_S: Final = 3.0
 # Clocks of two hosts drift by less than this within the longest lease.
 CLOCK_DRIFT_S: Final = 1.0
--- a/basilcove/orders/coordinator.py
+++ b/basilcove/orders/coordinator.py
@@ -25,7 +25,7 @@
         state.status = None
         # A former process of this agent may have sent an order just before it ended; an engine that
         # checks tokens refuses it by itself.
-        state.quiet_until = 0 if event.checks_fencing else ctx.now + ENGINE_TIMEOUT_S
+        state.quiet_until = 0 if event.checks_fencing else ctx.now + 2 * ENGINE_TIMEOUT_S
     state.upstream, state.group = event.upstream, event.group
     state.checks_fencing = event.checks_fencing
     return []
--- a/basilcove/roles/agent.py
+++ b/basilcove/roles/agent.py
@@ -1,19 +1,25 @@
 """The queue and the calls of the upstream on this host."""
 
 import asyncio
+import time
 
 from basilcove.agents import coordinator as _agents  # noqa: F401
 from basilcove.agents.config import AgentsConfig
 from basilcove.agents.models import AgentState
+from basilcove.core.events import Peer
 from basilcove.core.ids import NodeId, Role, UpstreamName
 from basilcove.daemon import Assembly, builds
+from basilcove.experts.activation.models import ActivationState
 from basilcove.http import driver as _http  # noqa: F401
 from basilcove.http.announcements import AnnouncementServer
+from basilcove.http.orders import EngineClient
 from basilcove.http.upstreams import UpstreamClient
 from basilcove.membership import announcer as _announcer  # noqa: F401
 from basilcove.membership.models import AnnouncerState
+from basilcove.orders.models import OrdersState
 from basilcove.requests.messages import AnswerChunk
 from basilcove.roles.common import add_common
+from basilcove.wiring.orders import EngineOfHost, OrderSender
 from basilcove.wiring.upstreams import LoadTimer
 
 
@@ -49,3 +55,22 @@
     assembly.readiness.append(lambda: state.leaving)
     assembly.setups.append(setup)
     assembly.unloads.extend((client.unload, server.unload))
+    _add_orders(assembly)
+
+
+def _add_orders(assembly: Assembly) -> None:
+    """Add orders to the engine on this host and the coordinator of its group."""
+    identity, runtime = assembly.identity, assembly.runtime
+    activation = ActivationState(identity.node, identity.incarnation)
+    orders = OrdersState(identity.node, identity.incarnation)
+    for state in (orders, activation, EngineOfHost(identity.node)):
+        runtime.node.add(state)
+    gauge = assembly.metrics.gauge
+    gauge('orders_lease_held', 'Lease of the group.', lambda: int(activation.lease is not None))
+    gauge('orders_fence', 'Highest fencing token seen.', lambda: orders.fence)
+    client = EngineClient()
+    own = Peer(identity.node, (Role.AGENT,), identity.incarnation, identity.zone)
+    runtime.add_driver(client)
+    runtime.add_driver(OrderSender(own, assembly.links.send, runtime.post, time.monotonic))
+    assembly.setups.append(lambda: client.setup(runtime.post))
+    assembly.unloads.append(client.unload)
--- /dev/null
+++ b/basilcove/wiring/orders.py
@@ -0,0 +1,141 @@
+"""Joins orders and the activation of expert maps to links, documents and the engine."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from basilcove.core.events import Effect, Emit, Event, Message, Peer, Received, Tick
+from basilcove.core.ids import GroupName, NodeId, UpstreamName
+from basilcove.core.reducer import Context, handles
+from basilcove.core.runtime import carries_out
+from basilcove.environment.events import EnvironmentChanged
+from basilcove.environment.models import Environment, Group
+from basilcove.experts.activation import coordinator as _activation  # noqa: F401 (registers the handlers)
+from basilcove.experts.activation.events import GroupAssigned, MapWanted
+from basilcove.experts.activation.models import ActivationState, Phase
+from basilcove.experts.models import Layer
+from basilcove.http.orders import EngineClient
+from basilcove.membership.events import LocalUpstreamJoined
+from basilcove.orders import decisions as _decisions  # noqa: F401 (registers the handlers)
+from basilcove.orders.events import CallEngine, EngineAssigned, SendOrder
+from basilcove.orders.rules import order_in_force
+
+_NO_UPSTREAM = UpstreamName('')
+
+
+@dataclass(frozen=True, slots=True)
+class TargetEngine(Effect):
+    """Directs orders to the engine at this URL."""
+
+    url: str
+
+
+@dataclass
+class EngineOfHost:
+    """The engine on this host and the document; the source of the group's assignment."""
+
+    node: NodeId
+    upstream: UpstreamName = _NO_UPSTREAM
+    environment: Environment | None = None
+
+
+class OrderSender:
+    """Sends orders on links, to this process directly; the driver of ``SendOrder``."""
+
+    def __init__(
+        self,
+        own: Peer,
+        send: Callable[[NodeId, Message], object],
+        post: Callable[[Event], None],
+        clock: Callable[[], float],
+    ) -> None:
+        """Take the links, the way to the reducer and the monotonic clock."""
+        self._own = own
+        self._send = send
+        self._post = post
+        self._clock = clock
+
+    def send(self, effect: SendOrder) -> None:
+        """Send an order unless its lease has ended since it was decided."""
+        order = order_in_force(effect, self._clock())
+        if order is None:
+            return
+        if effect.node == self._own.node:
+            self._post(Received(self._own, order))
+        else:
+            self._send(effect.node, order)
+
+
+@carries_out(SendOrder, OrderSender)
+def send_order(sender: OrderSender, effect: SendOrder) -> None:
+    """Send an order."""
+    sender.send(effect)
+
+
+@carries_out(CallEngine, EngineClient)
+def call_engine(client: EngineClient, effect: CallEngine) -> None:
+    """Hand an order to the engine."""
+    client.call(effect)
+
+
+@carries_out(TargetEngine, EngineClient)
+def target_engine(client: EngineClient, effect: TargetEngine) -> None:
+    """Direct orders to an engine."""
+    client.target(effect.url)
+
+
+@handles(EnvironmentChanged, EngineOfHost)
+def on_environment(state: EngineOfHost, event: EnvironmentChanged, ctx: Context) -> list[Effect]:
+    """Assign the group that the newer document names."""
+    state.environment = event.environment
+    return _assign(state)
+
+
+@handles(LocalUpstreamJoined, EngineOfHost)
+def on_joined(state: EngineOfHost, event: LocalUpstreamJoined, ctx: Context) -> list[Effect]:
+    """Assign the engine's group and direct orders to it."""
+    state.upstream = event.upstream
+    return [TargetEngine(event.url), *_assign(state)]
+
+
+@handles(Tick, EngineOfHost)
+def on_tick(state: EngineOfHost, event: Tick, ctx: Context) -> list[Effect]:
+    """Want a first map where the group has none; later ones come from the planner."""
+    activation = ctx.node.part(ActivationState)
+    group = _find_group(state)
+    if group is None or activation.phase is not Phase.IDLE:
+        return []
+    if activation.current is not None or activation.wanted is not None:
+        return []
+    return [Emit(MapWanted(even_layers(group[1])))]
+
+
+def even_layers(group: Group) -> tuple[Layer, ...]:
+    """Return a map that spreads the experts evenly over the ranks, each held once."""
+    layer = tuple(tuple(range(rank, group.experts, group.ranks)) for rank in range(group.ranks))
+    return tuple(layer for _ in range(group.layers))
+
+
+def _find_group(state: EngineOfHost) -> tuple[GroupName, Group] | None:
+    if state.environment is None:
+        return None
+    for name, group in state.environment.groups.items():
+        if state.upstream in group.upstreams:
+            return name, group
+    return None
+
+
+def _assign(state: EngineOfHost) -> list[Effect]:
+    found = _find_group(state)
+    if found is None or state.environment is None:
+        return []
+    name, group = found
+    upstreams = state.environment.upstreams
+    effects: list[Effect] = [
+        Emit(EngineAssigned(state.upstream, name, upstreams[state.upstream].checks_fencing))
+    ]
+    members = tuple((member, upstreams[member].agent) for member in group.upstreams)
+    named = tuple((member, agent) for member, agent in members if agent is not None)
+    # Without the agents' names in the document the coordinator can not address the ranks.
+    if len(named) == len(members):
+        effects.append(Emit(GroupAssigned(name, named)))
+    return effects
--- a/tests/experts/test_activation_fuzz.py
+++ b/tests/experts/test_activation_fuzz.py
@@ -106,6 +106,25 @@
     def thaw(self, name: str) -> None:
         self.world.thaw(name)
 
+    @rule(name=_AGENTS, amid_effects=st.booleans(), is_coordinator=st.booleans())
+    def sleep(self, name: str, amid_effects: bool, is_coordinator: bool) -> None:
+        """Freeze a process until its leases have ended, and let it go on."""
+        for holder, proc in self.world.processes.items():
+            if is_coordinator and proc.activation.lease is not None:
+                name = holder
+        self.world.freeze(name, amid_effects=amid_effects)
+        self.world.run(20, tick_s=0.5)
+        self.world.thaw(name)
+
+    @rule(name=_AGENTS, restarts=st.booleans(), pick=st.integers(0, 9))
+    def deliver_old_order(self, name: str, restarts: bool, pick: int) -> None:
+        """Deliver an order of a former coordinator, also to an agent that has lost its token."""
+        if restarts:
+            self.world.start(name)
+            self.world.cuts.update(frozenset((name, other)) for other in (*_NAMES, CONTROL))
+            self.world.run(8, tick_s=0.5)
+        self.world.deliver_old_order(name, pick)
+
     @rule(pick=st.integers(0, 199))
     def deliver_again(self, pick: int) -> None:
         self.world.deliver_again(pick)
@@ -132,8 +151,8 @@
 
 TestActivationMachine = ActivationMachine.TestCase
 TestActivationMachine.settings = settings(
-    max_examples=60,
-    stateful_step_count=40,
+    max_examples=80,
+    stateful_step_count=30,
     deadline=None,
     derandomize=True,
     suppress_health_check=list(HealthCheck),
--- a/tests/experts/world.py
+++ b/tests/experts/world.py
@@ -9,13 +9,11 @@
 from dataclasses import dataclass, field
 
 from basilcove.catalog.apply import apply
-from basilcove.catalog.commands import ReadLease
 from basilcove.catalog.events import ProposalFailed, Propose, Proposed, Query, QueryAnswered, QueryFailed
 from basilcove.catalog.models import CatalogState
-from basilcove.catalog.outcomes import LeaseRead, MapDecided
 from basilcove.core.events import Effect, Event, Message, Peer, Received, Send, Tick
-from basilcove.core.ids import FencingNumber, GroupName, Incarnation, NodeId, Role, Step, UpstreamName, Zone
-from basilcove.core.reducer import Context, Node, handles, reduce
+from basilcove.core.ids import Incarnation, NodeId, Role, UpstreamName, Zone
+from basilcove.core.reducer import Node, reduce
 from basilcove.experts.activation import coordinator as _coordinator  # noqa: F401 (registers the handlers)
 from basilcove.experts.activation.events import GroupAssigned, MapWanted
 from basilcove.experts.activation.models import ActivationState
@@ -26,9 +24,9 @@
 from basilcove.orders.events import CallEngine, EngineAnswered, EngineAssigned, EngineFailed, SendOrder
 from basilcove.orders.messages import Order
 from basilcove.orders.models import OrdersState
+from tests.experts.catalog import GROUP, Asked, CatalogPort, read_catalog
 from tests.standins.lockstep import Lockstep
 
-GROUP = GroupName('riders')
 CONTROL = 'control'
 ZONE = Zone('nobsa')
 TICK_S = 0.1
@@ -37,28 +35,6 @@
 MAX_DELAY_S = 2.0
 
 
-@dataclass(frozen=True)
-class Asked(Effect):
-    """A question to the catalog."""
-
-    question: Propose | Query
-
-
-@dataclass
-class CatalogPort:
-    """Stands for the catalog's client on a node."""
-
-
-@handles(Propose, CatalogPort)
-def _on_propose(state: CatalogPort, event: Propose, ctx: Context) -> list[Effect]:
-    return [Asked(event)]
-
-
-@handles(Query, CatalogPort)
-def _on_query(state: CatalogPort, event: Query, ctx: Context) -> list[Effect]:
-    return [Asked(event)]
-
-
 @dataclass
 class Process:
     """One process start of an agent; while it is frozen, effects and events wait."""
@@ -71,6 +47,8 @@
     freezes_next: bool = False
     inbox: list[Event] = field(default_factory=list)
     effects: list[Effect] = field(default_factory=list)
+    # When the lease behind each order that it received ends.
+    lease_ends: dict[str, float] = field(default_factory=dict)
 
     @property
     def activation(self) -> ActivationState:
@@ -159,6 +137,8 @@
             if not isinstance(event, Tick):
                 proc.inbox.append(event)
             return
+        if isinstance(event, Received) and isinstance(event.message, Order):
+            proc.lease_ends[event.message.order_id] = self.now + event.message.lease_s
         effects = reduce(proc.node, event, self.now, self.now)
         if effects and proc.freezes_next:
             proc.is_frozen = True
@@ -194,8 +174,21 @@
 
     def deliver_again(self, pick: int) -> None:
         """Deliver an earlier message once more, also to a later process of the receiver."""
-        if self.history:
-            target, event = self.history[-1 - pick % min(len(self.history), 200)]
+        self._deliver_one(self.history[-200:], pick)
+
+    def deliver_old_order(self, name: str, pick: int) -> None:
+        """Deliver an order to an agent, late, under a token that has a newer one."""
+        newest = self.catalog.fence
+        old = [
+            (target, event)
+            for target, event in self.history
+            if target == name and isinstance(event.message, Order) and event.message.fence < newest
+        ]
+        self._deliver_one(old, pick)
+
+    def _deliver_one(self, events: list[tuple[str, Received]], pick: int) -> None:
+        if events:
+            target, event = events[-1 - pick % len(events)]
             self.post(self.processes[target], event)
 
     def at(self, delay_s: float, action: Callable[[], None]) -> None:
@@ -241,10 +234,12 @@
         if not rules.may_call(effect, self.now):
             self.post(proc, EngineFailed(order.order_id, 'the lease has ended', sent=False))
             return
+        if self.now > proc.lease_ends.get(order.order_id, self.now):
+            self.faults.append(f'{order.kind} under token {order.fence} went to the engine after its lease')
         answers_by = self.now + ENGINE_TIMEOUT_S
         is_lost = index in self.stalled or self.random.random() < self.loss
-        # A stalled engine may take the order at any time before the call has timed out, or never.
-        wait_s = self.random.uniform(0, ENGINE_TIMEOUT_S) if is_lost else self._delay() / 4
+        # A stalled engine may take the order at any time within the bound that is assumed, or never.
+        wait_s = self.random.uniform(0, 2 * ENGINE_TIMEOUT_S) if is_lost else self._delay() / 4
         if not is_lost or self.random.choice((True, False)):
             engine = self.engines[index]
             self.at(wait_s, lambda: self._take(proc, index, engine, order, is_lost))
@@ -282,7 +277,7 @@
 
     def _answer(self, proc: Process, question: Propose | Query, name: str, is_lost: bool) -> None:
         if isinstance(question, Query):
-            event: Event = QueryAnswered(name, self._read(question))
+            event: Event = QueryAnswered(name, read_catalog(self.catalog, question))
         else:
             event = Proposed(name, apply(self.catalog, question.command, self.now))
             for lease in self.catalog.leases.values():
@@ -290,16 +285,6 @@
         if not is_lost:
             self.at(self._delay(), lambda: self.post(proc, event))
 
-    def _read(self, question: Query) -> Message:
-        read, catalog = question.read, self.catalog
-        if isinstance(read, ReadLease):
-            lease = catalog.leases.get(read.name)
-            return LeaseRead('', FencingNumber(0), 0) if lease is None else LeaseRead('', lease.fence, 1)
-        row = catalog.maps.get(GROUP)
-        return (
-            MapDecided(0, Step(0), False) if row is None else MapDecided(row.version, row.step, row.accepted)
-        )
-
     def _is_lost(self, source: str, target: str) -> bool:
         return frozenset((source, target)) in self.cuts or self.random.random() < self.loss
 
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -207,5 +207,5 @@
     def _seeds_of(self, name: str) -> list[str]:
         peers = list(self.control)
         if name in self.agents:
-            peers += self.entries
+            peers += [*self.entries, *self.agents]
         return [self.addresses[peer].rpc for peer in peers if peer != name]
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from tests.standins.lockstep import Lockstep
 from tests.standins.upstream import Start, parser, read_json, reply_json, serve
 
 
@@ -29,7 +30,7 @@
 
     behaviour: Behaviour = field(default_factory=Behaviour)
     runs: list[str] = field(default_factory=list)
-    fence: int = 0
+    ranks: Lockstep = field(default_factory=Lockstep)
     orders: list[dict[str, Any]] = field(default_factory=list)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -40,18 +41,26 @@
             self.behaviour = Behaviour(**read_json(environ))
             return reply_json(start, {})
         if path == '/standin/state':
-            return reply_json(start, {'runs': self.runs, 'orders': self.orders, 'fence': self.fence})
+            return reply_json(start, {'runs': self.runs, 'orders': self.orders, **self._report()})
         if path == '/orders':
             return self._order(read_json(environ), start)
         return self._complete(read_json(environ), environ, start)
 
     def _order(self, order: dict[str, Any], start: Start) -> Iterable[bytes]:
         with self.lock:
-            if self.behaviour.checks_fencing and order['fence'] < self.fence:
-                return reply_json(start, {'fence': self.fence}, '409 Conflict')
-            self.fence = max(self.fence, order['fence'])
-            self.orders.append(order)
-        return reply_json(start, {'fence': self.fence})
+            self.ranks.checks_fencing = self.behaviour.checks_fencing
+            is_stale = order['fence'] < self.ranks.fence
+            reason = self.ranks.take(order)
+            if not reason:
+                self.orders.append(order)
+        status = '200 OK'
+        if reason:
+            status = '409 Conflict' if is_stale else '422 Unprocessable Content'
+        report = self._report(wants_layers=bool(order.get('wants_layers')))
+        return reply_json(start, {'reason': reason, **report}, status)
+
+    def _report(self, *, wants_layers: bool = False) -> dict[str, Any]:
+        return {'fence': self.ranks.fence, 'status': self.ranks.status(wants_layers)}
 
     def _complete(self, req: dict[str, Any], environ: dict[str, Any], start: Start) -> Iterable[bytes]:
         prompt = json.dumps(req.get('messages') or req.get('prompt'), sort_keys=True)
--- /dev/null
+++ b/tests/system/test_orders.py
@@ -0,0 +1,82 @@
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import urllib3
+
+from tests.harness import documents
+from tests.harness.cluster import ZONES, Cluster, UpstreamSpec
+from tests.harness.processes import wait_for
+
+_ENGINES = ('engine-1', 'engine-2')
+_UPSTREAMS = tuple(
+    UpstreamSpec(name, 'tests.standins.engine', zone, models='rider-assistant')
+    for name, zone in zip(_ENGINES, ZONES, strict=False)
+)
+
+
+@pytest.fixture
+def group(tmp_path: Path) -> Iterator[Cluster]:
+    """Return a running group of two engines, of which the first checks fencing tokens."""
+    document = documents.document(_UPSTREAMS)
+    for name in _ENGINES:
+        document['upstreams'][name]['agent'] = f'agent-{name}'
+    document['upstreams']['engine-1']['checks_fencing'] = True
+    with Cluster(tmp_path, upstreams=_UPSTREAMS) as running:
+        running.start_all(documents.write(tmp_path, document))
+        running.behave('engine-1', checks_fencing=True)
+        yield running
+
+
+class TestExpertMaps:
+    def test_frozen_coordinator_is_replaced_and_its_orders_stay_without_effect(self, group: Cluster) -> None:
+        """Guards against a coordinator that wakes up and goes on under its former lease."""
+        wait_for(lambda: _versions(group) == {1}, 'the first map at both engines')
+        first = _fence(group, 'engine-1')
+        coordinator, other = _find_coordinator(group)
+        coordinator.freeze()
+        wait_for(lambda: _fence(group, other) > first, 'another coordinator')
+        coordinator.thaw()
+        wait_for(lambda: min(_fence(group, name) for name in _ENGINES) > first, 'the newer token everywhere')
+        assert _versions(group) == {1}
+        for name in _ENGINES:
+            fences = [order['fence'] for order in group.state_of(name)['orders']]
+            assert fences == sorted(fences), f'{name} took an order under an older token'
+
+    def test_restarted_engine_gets_a_map_together_with_its_group(self, group: Cluster) -> None:
+        """Guards against a rank that comes back without a map and holds its group up forever."""
+        wait_for(lambda: _versions(group) == {1}, 'the first map at both engines')
+        group.processes['engine-2'].kill()
+        group.start_standin('engine-2')
+        wait_for(lambda: _versions(group) == {2}, 'the map to be activated again at both engines')
+        assert len({_switch_step(group, name) for name in _ENGINES}) == 1
+
+
+def _status(group: Cluster, name: str) -> dict[str, Any]:
+    return dict(group.state_of(name)['status'])
+
+
+def _versions(group: Cluster) -> set[int]:
+    try:
+        return {_status(group, name)['active'] for name in _ENGINES}
+    except urllib3.exceptions.HTTPError:
+        # The engine is starting.
+        return set()
+
+
+def _fence(group: Cluster, name: str) -> int:
+    return int(group.state_of(name)['fence'])
+
+
+def _find_coordinator(group: Cluster) -> tuple[Any, str]:
+    """Return the agent that coordinates, found by the metric of its lease, and the other's engine."""
+    for name, other in (_ENGINES, tuple(reversed(_ENGINES))):
+        if 'basilcove_orders_lease_held 1.0' in group.get(f'agent-{name}', '/metrics').data.decode():
+            return group.processes[f'agent-{name}'], other
+    raise AssertionError('no agent holds the lease')
+
+
+def _switch_step(group: Cluster, name: str) -> int:
+    orders = [order for order in group.state_of(name)['orders'] if order['kind'] == 'arm_map']
+    return int(orders[-1].get('step', 0))
