--- a/tests/experts/world.py
+++ b/tests/experts/world.py
@@ -16,7 +16,7 @@
 from basilcove.core.reducer import Node, reduce
 from basilcove.experts.activation import coordinator as _coordinator  # noqa: F401 (registers the handlers)
 from basilcove.experts.activation.events import GroupAssigned, MapWanted
-from basilcove.experts.activation.models import ActivationState
+from basilcove.experts.activation.models import ActivationState, Phase
 from basilcove.orders import decisions as _decisions  # noqa: F401 (registers the handlers)
 from basilcove.orders import rules
 from basilcove.orders.const import ENGINE_TIMEOUT_S
@@ -207,6 +207,16 @@
                 self.post(proc, Tick())
             self._run_steps()
 
+    def run_until(self, phase: Phase, longest_s: float = 3) -> ActivationState | None:
+        """Run until the coordinator is in a phase; return its state, None if none gets there."""
+        end = self.now + longest_s
+        while self.now < end:
+            for proc in self.processes.values():
+                if proc.activation.phase is phase and not proc.is_frozen:
+                    return proc.activation
+            self.run(TICK_S / 10, TICK_S / 10)
+        return None
+
     def heal(self) -> None:
         self.loss = 0
         self.duplicates = 0
