--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -245,7 +245,7 @@
         """Return the addresses that a node dials."""
         peers = [peer for peer in self.control if peer != name]
         if name in self.agents:
-            peers += self.entries
+            peers += [*self.entries, *(peer for peer in self.agents if peer != name)]
         addresses = {peer: self._address_for(name, peer) for peer in peers}
         if self.certificates is None:
             return list(addresses.values())
