--- a/basilcove/catalog/documents.py
+++ b/basilcove/catalog/documents.py
@@ -1,6 +1,7 @@
 """Compare-and-set of documents and promotion from trial to production."""
 
 import json
+import math
 
 from pydantic import BaseModel, ValidationError
 
@@ -103,7 +104,9 @@
     missing: list[str] = []
     age = state.time - trial.accepted_at
     if age < wanted.min_time_s:
-        missing.append(f'in trial for {age:.0f} s of {wanted.min_time_s:.0f} s')
+        # Rounding up, what is left is never shown as 0 s.
+        left = math.ceil(10 * (wanted.min_time_s - age)) / 10
+        missing.append(f'{left:.10g} s left of {wanted.min_time_s:g} s in trial')
     if evidence.requests < wanted.min_requests:
         missing.append(f'{evidence.requests} of {wanted.min_requests} requests')
     if evidence.failures > wanted.max_failure_fraction * evidence.requests:
--- a/basilcove/consensus/coordinator.py
+++ b/basilcove/consensus/coordinator.py
@@ -79,7 +79,7 @@
     state.standing = Standing.FAILED
     state.durability.held.clear()
     log = Log('error', 'storage failed; this replica acknowledges nothing', (('reason', event.reason),))
-    return [*effects, log, Count('basilcove_storage_failures')]
+    return [*effects, log, Count('storage_failures')]
 
 
 @handles(EntriesCommitted, ConsensusState)
--- a/basilcove/distribution/coordinator.py
+++ b/basilcove/distribution/coordinator.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Iterator
 
+from basilcove.catalog.events import DocumentAccepted
 from basilcove.core.events import Count, Effect, Log, PeerFound, PeerLost, Received, Send, Tick
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.distribution.const import (
@@ -12,7 +13,7 @@
     MAX_KEYS_PER_PEER,
     OFFER_JITTER,
 )
-from basilcove.distribution.events import ControlMembersChanged, DocumentAccepted, ReplicaCaughtUp
+from basilcove.distribution.events import ControlMembersChanged, ReplicaCaughtUp
 from basilcove.distribution.messages import Offer
 from basilcove.distribution.models import DistributionState, Held, Key, PeerView
 from basilcove.distribution.pulling import pull_if_due
@@ -79,7 +80,7 @@
     key = (event.environment, event.stage)
     fields = (('environment', event.environment), ('revision', str(event.revision)))
     if not state.is_control:
-        yield Count('basilcove_document_breaches_total')
+        yield Count('document_breaches')
         yield Log('error', 'a node without the control role may not introduce a document', fields)
         return
     try:
--- a/basilcove/distribution/events.py
+++ b/basilcove/distribution/events.py
@@ -3,17 +3,7 @@
 from dataclasses import dataclass
 
 from basilcove.core.events import Event
-from basilcove.core.ids import EnvironmentName, NodeId, Revision, Stage
-
-
-@dataclass(frozen=True, slots=True)
-class DocumentAccepted(Event):
-    """The control replica of this node applied a document, in canonical JSON."""
-
-    environment: EnvironmentName
-    stage: Stage
-    revision: Revision
-    document: str
+from basilcove.core.ids import NodeId, Revision
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/distribution/pulling.py
+++ b/basilcove/distribution/pulling.py
@@ -53,10 +53,10 @@
     steps = () if want.whole else held.steps_since(want.base_digest)
     if steps:
         delta = Delta(*key, want.base_revision, want.base_digest, steps)
-        yield Count('basilcove_documents_sent_total', (('form', 'delta'),))
+        yield Count('documents_sent', (('form', 'delta'),))
         yield Send(event.peer.node, delta)
         return
-    yield Count('basilcove_documents_sent_total', (('form', 'whole'),))
+    yield Count('documents_sent', (('form', 'whole'),))
     for chunk in held.chunks(key, want):
         yield Send(event.peer.node, chunk)
 
@@ -79,7 +79,7 @@
         )
     except DeltaError as exc:
         state.pull = Pull(whole=True)
-        yield Count('basilcove_deltas_refused_total')
+        yield Count('deltas_refused')
         yield Log('warning', str(exc), (('source', event.peer.node),))
     else:
         bases = (held.digest, *(step.digest for step in delta.steps))
--- a/basilcove/distribution/taking.py
+++ b/basilcove/distribution/taking.py
@@ -34,7 +34,7 @@
             environment = load_accepted(text)
         except DocumentError as exc:
             remember(state.unreadable, fingerprint(text))
-            yield Count('basilcove_documents_unreadable_total')
+            yield Count('documents_unreadable')
             yield Log('error', str(exc), _fields(key, revision))
             return
     held.replace(revision, text, steps)
@@ -42,7 +42,7 @@
     for view in state.peers.values():
         if not view.holds(key, held):
             view.next_offer_at = 0
-    yield Count('basilcove_documents_taken_total')
+    yield Count('documents_taken')
 
 
 def settle(state: DistributionState, ctx: Context) -> Iterator[Effect]:
@@ -64,7 +64,7 @@
     if (source, digest) in state.breaches:
         return
     remember(state.breaches, (source, digest))
-    yield Count('basilcove_document_breaches_total')
+    yield Count('document_breaches')
     fields = (*_fields(key, revision), ('source', source), ('digest', digest.hex()))
     yield Log('error', 'another document of the revision in effect was offered', fields)
 
--- a/basilcove/membership/announcer.py
+++ b/basilcove/membership/announcer.py
@@ -43,7 +43,7 @@
     yield from _expire(state, ctx)
     verdict = _judge(state, event)
     if isinstance(verdict, Refused):
-        yield Count('basilcove_announcements_refused_total', (('at', 'agent'),))
+        yield Count('announcements_refused', (('at', 'agent'),))
         yield Log('warning', f'announcement refused: {verdict.reason}', (('upstream', event.name),))
         yield Emit(AnnouncementRefused(event.name, event.incarnation, verdict.reason))
         return
--- a/basilcove/membership/coordinator.py
+++ b/basilcove/membership/coordinator.py
@@ -23,7 +23,7 @@
     if verdict is None:
         return
     if isinstance(verdict, Refused):
-        yield Count('basilcove_announcements_refused_total', (('at', 'entry'),))
+        yield Count('announcements_refused', (('at', 'entry'),))
         fields = (('upstream', announce.upstream), ('agent', event.peer.node))
         yield Log('warning', f'announcement refused: {verdict.reason}', fields)
         return
@@ -134,7 +134,7 @@
 def _lose(state: MembershipState, name: UpstreamName) -> Iterator[Effect]:
     del state.upstreams[name]
     yield Emit(UpstreamLost(name))
-    yield Count('basilcove_upstreams_lost_total')
+    yield Count('upstreams_lost')
 
 
 def _claim(announce: Announce, agent: NodeId, zone: Zone) -> Claim:
--- a/basilcove/wiring/documents.py
+++ b/basilcove/wiring/documents.py
@@ -5,7 +5,7 @@
 
 from basilcove.catalog.commands import ReadMembers
 from basilcove.catalog.control import ControlState
-from basilcove.catalog.events import DocumentAccepted, Query, QueryAnswered
+from basilcove.catalog.events import Query, QueryAnswered
 from basilcove.catalog.outcomes import MembersRead
 from basilcove.core.events import Effect, Emit, Tick
 from basilcove.core.ids import NodeId
@@ -29,16 +29,6 @@
     is_reported: bool = False
 
 
-@handles(DocumentAccepted, ControlState)
-def on_accepted(state: ControlState, event: DocumentAccepted, ctx: Context) -> list[Effect]:
-    """Hand an accepted document to its distribution."""
-    return [
-        Emit(
-            distribution.DocumentAccepted(event.environment, event.stage, event.revision, event.document),
-        ),
-    ]
-
-
 @handles(Tick, CatchUp)
 def on_tick(state: CatchUp, event: Tick, ctx: Context) -> list[Effect]:
     """Ask for the commit index, and report once the replica has applied that far."""
--- a/tests/distribution/fleet.py
+++ b/tests/distribution/fleet.py
@@ -2,15 +2,17 @@
 
 from dataclasses import dataclass, field
 
+from basilcove.catalog.events import DocumentAccepted
 from basilcove.core.events import Effect, Peer
 from basilcove.core.ids import EnvironmentName, NodeId, Revision, Role, Stage
 from basilcove.core.reducer import Context, handles
 from basilcove.distribution import coordinator, pulling  # noqa: F401
 from basilcove.distribution.config import DistributionConfig
-from basilcove.distribution.events import DistributionReady, DocumentAccepted, ReplicaCaughtUp
+from basilcove.distribution.events import DistributionReady, ReplicaCaughtUp
 from basilcove.distribution.models import DistributionState
 from basilcove.environment.canonical import canonical
 from basilcove.environment.events import EnvironmentChanged
+from basilcove.environment.keys import digest_of_secret
 from basilcove.environment.models import Environment
 from tests.distribution.network import FakeNetwork
 
@@ -43,7 +45,7 @@
         'name': ENVIRONMENT,
         'priorities': {'urgent': {'level': 1, 'target_first_token_s': 0.5}},
         'teams': {
-            f'team-{number}': {'key_digests': [f'sha256:{number:064x}'], 'priorities': ['urgent']}
+            f'team-{number}': {'key_digests': [digest_of_secret(f'key-{number}')], 'priorities': ['urgent']}
             for number in range(teams)
         },
     }
