--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -196,8 +196,9 @@
             wire.incoming.put_nowait(wrap_next(SAMPLE))
             foreign = Identity(NodeId(sender), (Role.AGENT,), Incarnation(incarnation), Zone('nobsa'))
             wire.incoming.put_nowait(foreign.wrap(SAMPLE))
-            with pytest.raises(LinkError):
-                await Link(_peer('agent-1')).run(wire, delivered.append)
+            async with asyncio.timeout(20):
+                with pytest.raises(LinkError):
+                    await Link(_peer('agent-1')).run(wire, delivered.append)
             assert len(delivered) == 1
 
         _run(scenario)
