Report the speed of all slots and the work by priority to routers

Cause: reading docs/policy.md against the daemon showed that an agent reported the tokens generated just now as its speed, while the router takes the figure for the speed of all slots. An upstream with one of 16 slots in use looked 16 times slower than it is, and a full one fast, so that work would follow load. Ruled out: dividing by running attempts at the router (it doesn't know which slots had work throughout). Change: load reports carry the queue's measured speed of all slots and the work of each level; a request carries its level. The moving average of generated tokens goes. Counters of expert maps and orders no longer carry their prefix twice. Before and after: the new test of the report fails before (no work by level) and passes after.

--- a/basilcove/agents/calls.py
+++ b/basilcove/agents/calls.py
@@ -26,7 +26,6 @@
     if attempt is None:
         return [_drop(event)]
     attempt.progressed_at = ctx.now
-    state.speed.tokens += max(0, event.tokens - attempt.tokens)
     attempt.tokens = max(attempt.tokens, event.tokens)
     if attempt.work > attempt.start.work:
         state.queue.correct(event.attempt_id, attempt.work)
--- a/basilcove/agents/const.py
+++ b/basilcove/agents/const.py
@@ -19,7 +19,3 @@
 
 # Retry-After where nothing better is known.
 DEFAULT_RETRY_AFTER_S: Final = 1.0
-
-# The reported speed is a moving average over a few of these intervals.
-SPEED_INTERVAL_S: Final = 1.0
-SPEED_WEIGHT: Final = 0.3
--- a/basilcove/agents/coordinator.py
+++ b/basilcove/agents/coordinator.py
@@ -19,8 +19,13 @@
 
 
 def current_load(state: AgentState) -> UpstreamLoad:
-    """Return the load to announce: work that waits or runs, running attempts and speed."""
-    return UpstreamLoad(state.queue.queued_work, len(state.running), state.speed.tokens_per_s)
+    """Return the load to announce.
+
+    The speed is that of all slots, busy or not: a router that took the tokens generated just now for it
+    would judge a lightly loaded upstream to be slow and a full one to be fast.
+    """
+    queue = state.queue
+    return UpstreamLoad(queue.queued_work, len(state.running), queue.tokens_per_s, queue.work_by_level)
 
 
 @handles(EnvironmentChanged, AgentState)
@@ -141,7 +146,6 @@
             effects.extend(abort(state, attempt, ctx.now, reason))
     effects.extend(start_waiting(state, ctx.now))
     state.memory.expire(ctx.now)
-    state.speed.note(ctx.now)
     return [*effects, *_check_stop(state)]
 
 
--- a/basilcove/agents/models.py
+++ b/basilcove/agents/models.py
@@ -5,7 +5,6 @@
 
 from basilcove.admission.queue import AdmissionQueue
 from basilcove.agents.config import AgentsConfig
-from basilcove.agents.const import SPEED_INTERVAL_S, SPEED_WEIGHT
 from basilcove.agents.memory import AttemptMemory
 from basilcove.core.events import Peer
 from basilcove.core.ids import AttemptId, Incarnation, NodeId, Revision, UpstreamName
@@ -38,24 +37,6 @@
         return self.start.prompt_work + self.tokens
 
 
-@dataclass(slots=True)
-class Speed:
-    """Moving average of generated tokens per second."""
-
-    tokens_per_s: float = 0
-    since: float = 0
-    tokens: int = 0
-
-    def note(self, now: float) -> None:
-        """Take the tokens counted since the last interval into the average."""
-        elapsed = now - self.since
-        if elapsed < SPEED_INTERVAL_S:
-            return
-        self.tokens_per_s += SPEED_WEIGHT * (self.tokens / elapsed - self.tokens_per_s)
-        self.tokens = 0
-        self.since = now
-
-
 @dataclass
 class AgentState:
     """All attempts at one agent; ``leaving`` says why no new work is taken, if so."""
@@ -74,7 +55,6 @@
     attempts: dict[AttemptId, AgentAttempt] = field(default_factory=dict)
     running: dict[AttemptId, AgentAttempt] = field(default_factory=dict)
     memory: AttemptMemory = field(default_factory=AttemptMemory)
-    speed: Speed = field(default_factory=Speed)
 
     @classmethod
     def from_config(cls, cfg: AgentsConfig, upstream: UpstreamName, incarnation: Incarnation) -> Self:
--- a/basilcove/experts/activation/coordinator.py
+++ b/basilcove/experts/activation/coordinator.py
@@ -124,7 +124,7 @@
         state.current = state.target
     state.target = None
     label = 'accepted' if outcome.accepted else 'aborted'
-    yield Count('basilcove_expert_maps_total', (('outcome', label),))
+    yield Count('expert_maps', (('outcome', label),))
     state.enter(Phase.SETTLING)
 
 
--- a/basilcove/membership/announcer.py
+++ b/basilcove/membership/announcer.py
@@ -31,7 +31,7 @@
     UpstreamAnnounced,
     UpstreamLeavingRequested,
 )
-from basilcove.membership.messages import Announce, Drain, DrainDone, Load
+from basilcove.membership.messages import Announce, Drain, DrainDone
 from basilcove.membership.models import AnnouncerState, LocalUpstream
 from basilcove.membership.proofs import proof_of
 from basilcove.membership.rules import Allowed, Claim, Refused, judge
@@ -99,7 +99,7 @@
 @handles(LoadMeasured, AnnouncerState)
 def on_load(state: AnnouncerState, event: LoadMeasured, ctx: Context) -> tuple[Effect, ...]:
     """Keep the load for the next announcement."""
-    state.loads[event.upstream] = Load(event.queued_work, event.running, event.tokens_per_s)
+    state.loads[event.upstream] = event.load
     return ()
 
 
--- a/basilcove/membership/coordinator.py
+++ b/basilcove/membership/coordinator.py
@@ -28,9 +28,8 @@
         yield Log('warning', f'announcement refused: {verdict.reason}', fields)
         return
     yield from _replace(state, verdict)
-    load = announce.load
-    if load is not None:
-        yield Emit(LoadReported(announce.upstream, load.queued_work, load.running, load.tokens_per_s))
+    if announce.load is not None:
+        yield Emit(LoadReported(announce.upstream, announce.load))
 
 
 @handles(EnvironmentChanged, MembershipState)
--- a/basilcove/membership/events.py
+++ b/basilcove/membership/events.py
@@ -4,6 +4,7 @@
 
 from basilcove.core.events import Event
 from basilcove.core.ids import Incarnation, ModelName, NodeId, ServiceName, UpstreamName, Zone
+from basilcove.membership.messages import Load
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,12 +65,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadMeasured(Event):
-    """At an agent: load of an upstream on its host; work in tokens, speed in tokens a second."""
+    """At an agent: load of an upstream on its host."""
 
     upstream: UpstreamName
-    queued_work: float
-    running: int
-    tokens_per_s: float
+    load: Load
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,12 +100,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReported(Event):
-    """Load of an upstream; work in tokens, speed in tokens a second."""
+    """Load of an upstream, as its agent announced it."""
 
     upstream: UpstreamName
-    queued_work: float
-    running: int
-    tokens_per_s: float
+    load: Load
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/membership/messages.py
+++ b/basilcove/membership/messages.py
@@ -8,13 +8,22 @@
 from basilcove.membership import membership_pb2 as pb
 
 
+@dataclass(frozen=True, slots=True)
+class LevelWork:
+    """Work in tokens that waits or runs in one level of priority."""
+
+    level: int
+    work: float
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
-    """Load of an upstream; work in tokens, speed in tokens a second."""
+    """Load of an upstream; work in tokens, speed of all slots, busy or not, in tokens a second."""
 
     queued_work: float
     running: int
     tokens_per_s: float
+    by_level: tuple[LevelWork, ...] = ()
 
 
 @message('membership.announce', pb.Announce)
--- a/basilcove/orders/coordinator.py
+++ b/basilcove/orders/coordinator.py
@@ -38,12 +38,12 @@
     assert isinstance(order, Order)
     origin = event.peer.node
     if origin != state.node and Role.AGENT not in event.peer.roles:
-        return [Count('basilcove_orders_refused_total')]
+        return [Count('orders_refused')]
     if (order.upstream, order.group) != (state.upstream, state.group):
         return [_answer(state, origin, order, f'this agent serves {state.upstream} of {state.group}')]
     if order.fence < state.fence:
         reason = f'token {order.fence} is older than {state.fence}'
-        return [_answer(state, origin, order, reason), Count('basilcove_orders_stale_total')]
+        return [_answer(state, origin, order, reason), Count('orders_stale')]
     state.fence = order.fence
     # An engine that checks tokens loses its own when it restarts together with this agent.
     if not state.is_current:
@@ -83,7 +83,7 @@
     state.call = None
     if event.sent and not state.checks_fencing:
         state.quiet_until = ctx.now + ENGINE_TIMEOUT_S
-    return [Count('basilcove_orders_failed_total')]
+    return [Count('orders_failed')]
 
 
 @handles(Tick, OrdersState)
--- a/basilcove/requests/coordinator.py
+++ b/basilcove/requests/coordinator.py
@@ -50,7 +50,8 @@
     refusal = refusal or state.limits.admit(req.team, environment.teams[req.team], ctx.now)
     if refusal is not None:
         return refuse(req, refusal)
-    record = RequestRecord(req, ctx.now + req.timeout_s, is_repeatable(environment, req))
+    level = environment.priorities[req.priority].level
+    record = RequestRecord(req, level, ctx.now + req.timeout_s, is_repeatable(environment, req))
     state.requests[req.request_id] = record
     if req.idempotency_key is not None and not record.repeatable:
         return request_claim(state, record, req.idempotency_key)
--- a/basilcove/requests/models.py
+++ b/basilcove/requests/models.py
@@ -61,7 +61,7 @@
 
 @dataclass(slots=True)
 class RequestRecord:
-    """One request that has not ended; times in monotonic seconds.
+    """One request that has not ended; times in monotonic seconds, ``level`` that of its priority.
 
     ``may_have_run`` holds once an attempt was lost without a confirmation that it did
     not run. ``status`` and ``headers`` are those of the answer's head, ``tokens`` those
@@ -74,6 +74,7 @@
     """
 
     request: Request
+    level: int
     deadline: float
     repeatable: bool
     claim: KeyClaim | None = None
@@ -95,7 +96,7 @@
     def route(self) -> RouteRequest:
         """What the router needs to know of the request."""
         req = self.request
-        return RouteRequest(req.model, req.service, req.work, req.prefix)
+        return RouteRequest(req.model, req.service, req.work, req.prefix, level=self.level)
 
     @property
     def can_resume(self) -> bool:
--- a/basilcove/wiring/agents.py
+++ b/basilcove/wiring/agents.py
@@ -11,6 +11,7 @@
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.http.upstreams import UpstreamClient
 from basilcove.membership import events as membership
+from basilcove.membership.messages import LevelWork, Load
 from basilcove.membership.models import AnnouncerState
 from basilcove.wiring.const import LOAD_INTERVAL_S
 
@@ -70,6 +71,6 @@
         return []
     state.due_at = ctx.now + LOAD_INTERVAL_S
     load = current_load(agent)
-    return [
-        Emit(membership.LoadMeasured(agent.upstream, load.queued_work, load.running, load.tokens_per_s)),
-    ]
+    by_level = tuple(LevelWork(level, work) for level, work in load.work_by_level if work)
+    announced = Load(load.queued_work, load.running, load.tokens_per_s, by_level)
+    return [Emit(membership.LoadMeasured(agent.upstream, announced))]
--- a/basilcove/wiring/upstreams.py
+++ b/basilcove/wiring/upstreams.py
@@ -38,5 +38,7 @@
 @handles(membership.LoadReported, RequestsState)
 def on_load(state: RequestsState, event: membership.LoadReported, ctx: Context) -> list[Effect]:
     """Pass a load report on to the router."""
-    load = UpstreamLoad(event.queued_work, event.running, event.tokens_per_s)
-    return [Emit(requests.UpstreamReported(event.upstream, load))]
+    load = event.load
+    by_level = tuple((each.level, each.work) for each in load.by_level)
+    reported = UpstreamLoad(load.queued_work, load.running, load.tokens_per_s, by_level)
+    return [Emit(requests.UpstreamReported(event.upstream, reported))]
--- a/tests/agents/test_coordinator.py
+++ b/tests/agents/test_coordinator.py
@@ -2,6 +2,7 @@
 
 from basilcove.agents import memory
 from basilcove.agents.const import LEAVING_GRACE_S, MEMORY_S, PROGRESS_TIMEOUT_S
+from basilcove.agents.coordinator import current_load
 from basilcove.core.events import Received, StopRequested
 from basilcove.core.ids import Outcome
 from basilcove.requests.messages import AttemptFailed, CancelAttempt, StartAttempt
@@ -22,6 +23,21 @@
     return [world.arrive('e0', make_request(f'{kind}{index}', kind)) for index in range(count)]
 
 
+class TestLoad:
+    def test_reported_speed_is_that_of_all_slots(self, world: World) -> None:
+        """Guards against routing that takes a lightly loaded upstream for a slow one."""
+        world.pace_s = 0.5
+        _arrive(world, 1)
+        world.run(5)
+        alone = current_load(_agent(world)).tokens_per_s
+        assert alone > 0
+        world.arrive('e0', make_request('next'))
+        world.run(0.1)
+        busy = current_load(_agent(world))
+        assert busy.tokens_per_s == alone
+        assert dict(busy.work_by_level)[1] == busy.queued_work > 0
+
+
 class TestLeaving:
     def test_frozen_agent_starts_nothing_after_the_grace(self, world: World) -> None:
         """Guards against a call that ends during a freeze and starts the next one on waking."""
