Use one set of events for upstreams and one limit for documents

Cause: UpstreamJoined, UpstreamLeaving and UpstreamLost stood in membership and in requests, with handlers in between that copied one into the other. The limit of a document was 4 MiB where it is validated and 2 MiB where it is applied, so that a valid document could be refused. Ruled out: events in core, as only membership emits them. Change: requests handle the events of membership; both limits are the one of environment, 2 MiB. Conclusion: behaviour is the same but for the limit.

--- a/basilcove/catalog/const.py
+++ b/basilcove/catalog/const.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 KIBIBYTE: Final = 1024
-MAX_DOCUMENT_BYTES: Final = 2 * KIBIBYTE * KIBIBYTE
 MAX_ANSWER_BYTES: Final = 16 * KIBIBYTE
 # Bodies of answers kept for one environment; beyond it claims are completed without a body.
 MAX_KEPT_ANSWER_BYTES: Final = 16 * KIBIBYTE * KIBIBYTE
--- a/basilcove/catalog/documents.py
+++ b/basilcove/catalog/documents.py
@@ -6,12 +6,12 @@
 from pydantic import BaseModel, ValidationError
 
 from basilcove.catalog.commands import ApplyDocument, PromoteDocument, TrialEvidence
-from basilcove.catalog.const import MAX_DOCUMENT_BYTES
 from basilcove.catalog.models import CatalogState, DocumentKey, DocumentRow
 from basilcove.catalog.outcomes import DocumentApplied, DocumentRefused, PromotionRefused, RevisionConflict
 from basilcove.catalog.registry import applies
 from basilcove.core.events import Message
 from basilcove.core.ids import EnvironmentName, Revision, Stage
+from basilcove.environment.const import MAX_DOCUMENT_BYTES
 from basilcove.environment.models import Evidence, Limits
 
 _NO_REVISION = Revision(0)
--- a/basilcove/environment/const.py
+++ b/basilcove/environment/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-MAX_DOCUMENT_BYTES: Final = 4 * 1024 * 1024
+MAX_DOCUMENT_BYTES: Final = 2 * 1024 * 1024
 
 # Deeper nesting than any valid document has; bounds the recursion of the YAML composer.
 MAX_DEPTH: Final = 16
--- a/basilcove/requests/events.py
+++ b/basilcove/requests/events.py
@@ -4,9 +4,7 @@
 
 from basilcove.core.events import Effect, Event
 from basilcove.core.ids import (
-    Incarnation,
     ModelName,
-    NodeId,
     Outcome,
     PriorityName,
     RequestId,
@@ -14,7 +12,6 @@
     ServiceName,
     TeamName,
     UpstreamName,
-    Zone,
 )
 from basilcove.routing.models import UpstreamLoad
 
@@ -74,33 +71,6 @@
     request_id: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamJoined(Event):
-    """An upstream was admitted, or its agent restarted, or what it serves changed."""
-
-    upstream: UpstreamName
-    agent: NodeId
-    incarnation: Incarnation
-    zone: Zone
-    models: frozenset[ModelName]
-    services: frozenset[ServiceName]
-    slots: int
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamLeaving(Event):
-    """An upstream gets no new attempts; those in flight go on."""
-
-    upstream: UpstreamName
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamLost(Event):
-    """An upstream is no longer known."""
-
-    upstream: UpstreamName
-
-
 @dataclass(frozen=True, slots=True)
 class UpstreamReported(Event):
     """An upstream's load report arrived outside of an answer."""
--- a/basilcove/requests/links.py
+++ b/basilcove/requests/links.py
@@ -3,8 +3,9 @@
 from basilcove.core.events import Effect, PeerFound, PeerLost
 from basilcove.core.ids import Incarnation, NodeId
 from basilcove.core.reducer import Context, handles
+from basilcove.membership.events import UpstreamJoined, UpstreamLeaving, UpstreamLost
 from basilcove.requests.attempts import fail_attempt
-from basilcove.requests.events import UpstreamJoined, UpstreamLeaving, UpstreamLost, UpstreamReported
+from basilcove.requests.events import UpstreamReported
 from basilcove.requests.models import KnownUpstream, RequestsState
 
 
--- a/basilcove/requests/models.py
+++ b/basilcove/requests/models.py
@@ -8,11 +8,12 @@
 from basilcove.core.events import Peer
 from basilcove.core.ids import AttemptId, Incarnation, NodeId, RequestId, Revision, UpstreamName, Zone
 from basilcove.environment.models import Environment
+from basilcove.membership.events import UpstreamJoined
 from basilcove.requests.assembly import Assemblies
 from basilcove.requests.budget import RetryBudget
 from basilcove.requests.claims import ClaimKey, StoredAnswer
 from basilcove.requests.config import RequestsConfig
-from basilcove.requests.events import Request, UpstreamJoined
+from basilcove.requests.events import Request
 from basilcove.requests.limits import TeamLimits
 from basilcove.routing.models import Candidate, RouteRequest
 from basilcove.routing.router import Router
@@ -190,4 +191,5 @@
 
 
 def _to_candidate(joined: UpstreamJoined) -> Candidate:
-    return Candidate(joined.upstream, joined.zone, joined.models, joined.services, joined.slots)
+    models, services = frozenset(joined.models), frozenset(joined.services)
+    return Candidate(joined.upstream, joined.zone, models, services, joined.slots)
--- a/tests/requests/network.py
+++ b/tests/requests/network.py
@@ -36,6 +36,7 @@
 from basilcove.core.reducer import Node, reduce
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.environment.models import Environment
+from basilcove.membership.events import UpstreamJoined, UpstreamLeaving
 from basilcove.requests import claims
 from basilcove.requests import coordinator as _coordinator  # noqa: F401 (registers the handlers)
 from basilcove.requests.config import RequestsConfig
@@ -50,8 +51,6 @@
     RequestArrived,
     StartAnswer,
     StopCompleted,
-    UpstreamJoined,
-    UpstreamLeaving,
     WriteAnswer,
 )
 from basilcove.requests.messages import AnswerChunk, AttemptRefused, StartAttempt
@@ -321,9 +320,7 @@
     def _announce(self, pair: tuple[NodeId, NodeId]) -> None:
         ends = self.links[pair].ends
         upstream, peer = UpstreamName(f'u{pair[1][1:]}'), ends[pair[1]].peer
-        joined = UpstreamJoined(
-            upstream, peer.node, peer.incarnation, ZONE, frozenset((MODEL,)), frozenset((SERVICE,)), 2
-        )
+        joined = UpstreamJoined(upstream, peer.node, peer.incarnation, ZONE, (MODEL,), (SERVICE,), 2)
         self.post(ends[pair[0]], joined)
 
     def _announce_leaving(self, agent: NodeId) -> None:
