Do not take a pause of the own process for silence of its peers

When a whole machine pauses for longer than 1.75 s, all processes wake together and each closes all of its links before it reads what its peers have sent. Requests without a first byte then get 502 and streams break.

Change: the time by which a look at the links comes late is added to the time of the last message of each link. Silence is counted only while the process runs. StreamCallers reports the body of a refusal.

--- a/basilcove/rpc/links.py
+++ b/basilcove/rpc/links.py
@@ -78,6 +78,11 @@
         """Queue a message; a full queue closes the link."""
         self._put(wrap_next(msg))
 
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether ``run`` returns soon."""
+        return self._closed.is_set()
+
     def close(self) -> None:
         """Make ``run`` return soon."""
         self._closed.set()
@@ -138,8 +143,12 @@
                     raise PeerRefusedError(f'{one.sender} speaks on the link of {self.peer.node}')
                 deliver(one)
 
-    def beat(self, now: float) -> None:
-        """Send a heartbeat if nothing else was sent lately; close a link whose peer is silent."""
+    def beat(self, now: float, paused_s: float = 0) -> None:
+        """Send a heartbeat if nothing else was sent lately; close a link whose peer is silent.
+
+        ``paused_s`` is the time since the last look in which this process did not run and could not hear.
+        """
+        self.last_heard = min(now, self.last_heard + paused_s)
         if now - self.last_heard > PEER_TIMEOUT_S - LINK_CHECK_INTERVAL_S:
             logger.info('{} is silent, closing the link', self.peer.node)
             self.close()
@@ -207,13 +216,21 @@
             self._close(link)
 
     async def keep_alive(self) -> None:
-        """Beat on all links together until cancelled; one wake-up costs more than many beats."""
+        """Beat on all links together until cancelled; one wake-up costs more than many beats.
+
+        When a whole machine pauses, the processes on it wake together. Each finds all of its peers silent
+        before it reads what they sent, and would close links that work.
+        """
+        checked_at = time.monotonic()
         while True:
             await asyncio.sleep(LINK_CHECK_INTERVAL_S)
             now = time.monotonic()
+            late_s = now - checked_at - LINK_CHECK_INTERVAL_S
+            paused_s = late_s if late_s > LINK_CHECK_INTERVAL_S else 0
+            checked_at = now
             for links in tuple(self._links.values()):
                 for link in links:
-                    link.beat(now)
+                    link.beat(now, paused_s)
 
     def close_all(self) -> None:
         """Close every link."""
--- a/benchmarks/fakes/callers.py
+++ b/benchmarks/fakes/callers.py
@@ -4,6 +4,7 @@
 import json
 import time
 from collections.abc import Iterable, Sequence
+from http import HTTPStatus
 from http.client import HTTPConnection
 
 from tests.harness.documents import KIOSK_KEY
@@ -54,6 +55,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.events: list[int] = []
         self.statuses: list[int] = []
+        self.refusals: list[str] = []
 
     async def open(self, count: int) -> None:
         """Open streams and wait until each has its status."""
@@ -66,7 +68,7 @@
 
     async def wait_for_tokens(self) -> None:
         """Wait until each stream has a token."""
-        assert set(self.statuses) == {200}, self.statuses
+        assert set(self.statuses) == {200}, self.refusals
         while not all(self.events):
             await asyncio.sleep(0.01)
 
@@ -92,5 +94,7 @@
     async def _read(self, index: int, reader: asyncio.StreamReader) -> None:
         head = await reader.readuntil(b'\r\n\r\n')
         self.statuses[index] = int(head.split(b' ', 2)[1])
+        if self.statuses[index] != HTTPStatus.OK:
+            self.refusals.append((await reader.read(1 << 16)).decode())
         while received := await reader.read(1 << 16):
             self.events[index] += received.count(_EVENT)
--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -241,6 +241,20 @@
 
         _run(scenario)
 
+    def test_own_pause_is_not_the_silence_of_a_peer(self) -> None:
+        """Guards against links closed by a process that did not run, and against silence that is forgiven."""
+
+        async def scenario() -> None:
+            paused, silent = Link(_peer('agent-1')), Link(_peer('agent-2'))
+            now = time.monotonic()
+            paused.beat(now + PEER_TIMEOUT_S, paused_s=PEER_TIMEOUT_S - LINK_CHECK_INTERVAL_S)
+            silent.beat(now + PEER_TIMEOUT_S)
+            assert (paused.is_closed, silent.is_closed) == (False, True)
+            paused.beat(now + 2 * PEER_TIMEOUT_S)
+            assert paused.is_closed
+
+        asyncio.run(scenario())
+
     def test_heartbeat_carries_no_other_message(self) -> None:
         """Guards against a message that stays in the heartbeat, which all links share."""
 
--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -6,6 +6,7 @@
 import pytest
 import urllib3
 
+from basilcove.const import PEER_TIMEOUT_S
 from tests.harness.cluster import Cluster
 from tests.harness.documents import KIOSK_KEY
 from tests.harness.processes import wait_for
@@ -204,3 +205,25 @@
         assert reader.text.endswith('data: [DONE]\n\n')
         assert len(cluster.state_of('engine-2')['runs']) > before
         behave_all(cluster, 'engine')
+
+
+class TestPauses:
+    def test_pause_of_a_whole_machine_breaks_no_link(self, shared: Shared) -> None:
+        """Guards against processes that take their own pause for the silence of all of their peers."""
+        cluster = shared.cluster
+        behave_all(cluster, 'engine', token_s=0.05)
+        runs = _runs(cluster)
+        reader = StreamReader(cluster, 'entry-1', 40).start()
+        wait_for(lambda: tokens_of(reader.text), 'the first token')
+        for process in cluster.processes.values():
+            process.freeze()
+        time.sleep(PEER_TIMEOUT_S + 0.5)
+        for process in cluster.processes.values():
+            process.thaw()
+        assert tokens_of(reader.join()) == expected_tokens(40)
+        assert _runs(cluster) == runs + 1
+        behave_all(cluster, 'engine', token_s=0)
+
+
+def _runs(cluster: Cluster) -> int:
+    return sum(len(cluster.state_of(name)['runs']) for name in ('engine-1', 'engine-2'))
