End a dialer although its cancellation was lost

Cause: Dialer.unload cancelled each task once and waited for its end. In Python 3.11 asyncio.wait_for drops a cancellation that arrives when the awaited call is already done, so a dialer whose peer had just introduced itself went on and unload never returned; a daemon that stopped at that moment would have hung.

Ruled out: the server's stop (its task was not reached), the silence check (the hang is in the same place without it).

Change: asyncio.timeout in place of wait_for, and unload cancels again every 0.1 s until all tasks have ended.

--- a/basilcove/rpc/dialer.py
+++ b/basilcove/rpc/dialer.py
@@ -1,7 +1,7 @@
 """Keeps a link open to each seed."""
 
 import asyncio
-from typing import Self
+from typing import Final, Self
 
 import grpc
 from loguru import logger
@@ -25,6 +25,8 @@
 from basilcove.rpc.seeds import Seed
 from basilcove.rpc.tls import open_channel
 
+_CANCEL_AGAIN_S: Final = 0.1
+
 
 class Dialer:
     """Dials every seed and dials again, on a new connection, when a link ends."""
@@ -47,9 +49,12 @@
 
     async def unload(self) -> None:
         """Stop dialing and end the links."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        pending = set(self._tasks)
+        while pending:
+            # gRPC loses a cancellation that coincides with the refusal of a call.
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=_CANCEL_AGAIN_S)
         self._tasks.clear()
 
     async def _keep(self, seed: Seed) -> None:
@@ -75,7 +80,9 @@
         """Run a link until it ends; return a peer that needs no link from this process for now."""
         channel = open_channel(self._cfg, seed)
         try:
-            await asyncio.wait_for(channel.channel_ready(), CONNECT_TIMEOUT_S)
+            # Unlike ``wait_for`` of Python 3.11, ``timeout`` never loses a cancellation.
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await channel.channel_ready()
             call = rpc_pb2_grpc.NodeStub(channel).Link()
             await call.write(self._table.identity.wrap(Heartbeat(self._table.identity.zone)))
             peer = await self._introduced(seed, call)
@@ -86,7 +93,8 @@
             await channel.close()
 
     async def _introduced(self, seed: Seed, call: Stream) -> Peer:
-        first = await asyncio.wait_for(call.read(), CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            first = await call.read()
         if not isinstance(first, pb.Envelope):
             raise LinkError(f'{seed.address} closed the link at once')
         return introduce(first, seed.common_name)
--- a/basilcove/rpc/server.py
+++ b/basilcove/rpc/server.py
@@ -40,7 +40,8 @@
             await context.abort(grpc.StatusCode.FAILED_PRECONDITION, str(exc))
 
     async def _accept(self, context: grpc.aio.ServicerContext) -> None:
-        first = await asyncio.wait_for(context.read(), CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            first = await context.read()
         if not isinstance(first, pb.Envelope):
             raise LinkError('the peer closed the link at once')
         peer = introduce(first, peer_common_name(context))
@@ -67,7 +68,8 @@
         self._waiting[call_id] = fut
         try:
             self._apply(OperatorCalled(call_id, unwrap(envelope)))
-            msg = await asyncio.wait_for(fut, OPERATOR_CALL_TIMEOUT_S)
+            async with asyncio.timeout(OPERATOR_CALL_TIMEOUT_S):
+                msg = await fut
         except BasilcoveError as exc:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(exc))
         except TimeoutError:
--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -68,10 +68,10 @@
         yield entry, agent
 
 
-async def _until(condition: Callable[[], object]) -> None:
+async def _until(condition: Callable[[], object], pause_s: float = 0.01) -> None:
     async with asyncio.timeout(20):
         while not condition():
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(pause_s)
 
 
 def _is_replaced(node: _Node) -> bool:
@@ -310,6 +310,34 @@
     return Peer(NodeId(name), (Role.AGENT,), Incarnation(1), Zone('nobsa'))
 
 
+class TestUnload:
+    def test_dialer_ends_at_any_moment_of_an_introduction(self) -> None:
+        """Guards against a cancellation that is lost when it coincides with the first message of a peer."""
+
+        async def scenario() -> None:
+            address = free_address()
+            entry = _Node('entry-1', Role.ENTRY)
+            async with _serve(entry, _plain(address)):
+                rounds = 60
+                while rounds:
+                    rounds -= 1
+                    await self._dial_and_unload(entry, address, rounds % 20)
+
+        _run(scenario)
+
+    async def _dial_and_unload(self, entry: _Node, address: str, iterations: int) -> None:
+        dialer = Dialer.from_config(_plain('', address), _Node('agent-1', Role.AGENT).table)
+        entry.events.clear()
+        await dialer.setup()
+        await _until(lambda: entry.seen(PeerFound), pause_s=0)
+        while iterations:
+            iterations -= 1
+            await asyncio.sleep(0)
+        async with asyncio.timeout(5):
+            await dialer.unload()
+        await _until(lambda: not entry.table.nodes)
+
+
 class TestTls:
     def test_certificate_of_another_role_is_refused(self, tmp_path: Path) -> None:
         """Guards against an agent that speaks as a control host."""
