--- a/basilcove/cli/messages.py
+++ b/basilcove/cli/messages.py
@@ -29,7 +29,7 @@
     """
 
     accepted: bool
-    revision: Revision = Revision(0)  # noqa: RUF009
+    revision: Revision = Revision(0)
     reasons: tuple[str, ...] = ()
     unavailable: bool = False
 
@@ -87,14 +87,14 @@
     ``voters`` and ``learners`` are the control group as a control host sees it; empty elsewhere.
     """
 
-    node: NodeId = NodeId('')  # noqa: RUF009
+    node: NodeId = NodeId('')
     roles: tuple[Role, ...] = ()
-    zone: Zone = Zone('')  # noqa: RUF009
+    zone: Zone = Zone('')
     version: str = ''
-    environment: EnvironmentName = EnvironmentName('')  # noqa: RUF009
+    environment: EnvironmentName = EnvironmentName('')
     stage: Stage = Stage.PRODUCTION
     ready: bool = False
-    leader: NodeId = NodeId('')  # noqa: RUF009
+    leader: NodeId = NodeId('')
     control_nodes: tuple[NodeId, ...] = ()
     peers: tuple[NodeId, ...] = ()
     voters: tuple[NodeId, ...] = ()
--- a/basilcove/wiring/evidence.py
+++ b/basilcove/wiring/evidence.py
@@ -30,7 +30,7 @@
 
     environment: EnvironmentName
     stage: Stage
-    revision: Revision = Revision(0)  # noqa: RUF009 (an int at run time)
+    revision: Revision = Revision(0)
     requests: int = 0
     failures: int = 0
     due_at: float = 0
