Tell nodes the present voters of the control group

Cause: nothing emitted ControlMembersChanged, so after a control host was replaced, entries and agents counted the majority over control_nodes of their settings. A restarted entry took itself as cut off although it reached the present majority, and two removed hosts that still ran were a majority to it. No operator's command could change the control group.

Ruled out: lists passed on by entries and agents, which can't tell whether theirs is still the newest; a list without the log index, since a late offer of a former group would replace a newer one; to let a removed host tell of its removal, since the leader sends it no more entries and it may never hear of it.

Change: offers of control hosts carry the voters of the newest committed membership and a log index at which they were in effect; a lower index replaces nothing, and the settings count as index 0. A replica that heard no leader for 1.5 s tells no list, and its offers do not count until it has caught up again. The operators' tool has `admit` and `remove`, and `status` shows the voters that the node knows. The test clusters give each process start its incarnation as peer, and the harness keeps the first members apart from the present ones.

Conclusion: nodes count the present majority, and removed hosts that still run vouch for nothing, but for the first 1.5 s after a removal.

--- a/basilcove/cli/messages.py
+++ b/basilcove/cli/messages.py
@@ -130,6 +130,22 @@
     upstreams: tuple[UpstreamRow, ...] = ()
 
 
+@message('cli.host_request', pb.HostRequest)
+@dataclass(frozen=True, slots=True)
+class HostRequest(Message):
+    """Admit a control host as a learner, which becomes a voter by itself, or remove one."""
+
+    node: NodeId
+    admit: bool
+    request_id: RequestId
+
+
+@message('cli.host_reply', pb.HostReply)
+@dataclass(frozen=True, slots=True)
+class HostReply(Reply):
+    """Accepted once the change of the control group is committed."""
+
+
 @message('cli.drain_request', pb.DrainRequest)
 @dataclass(frozen=True, slots=True)
 class DrainRequest(Message):
--- a/basilcove/cli/tool.py
+++ b/basilcove/cli/tool.py
@@ -16,6 +16,8 @@
     ApplyRequest,
     DrainReply,
     DrainRequest,
+    HostReply,
+    HostRequest,
     PromoteReply,
     PromoteRequest,
     Reply,
@@ -28,7 +30,7 @@
 )
 from basilcove.const import VERSION
 from basilcove.core.events import Message
-from basilcove.core.ids import EnvironmentName, RequestId, Revision, Stage, UpstreamName
+from basilcove.core.ids import EnvironmentName, NodeId, RequestId, Revision, Stage, UpstreamName
 from basilcove.environment.canonical import canonical, digest
 from basilcove.environment.faults import DocumentFaults
 from basilcove.environment.models import Environment
@@ -47,11 +49,13 @@
         status                                      print how the node stands
         upstreams                                   print the upstreams that the node knows
         drain UPSTREAM                              give an upstream no new work
+        admit HOST                                  let a host join the control group
+        remove HOST                                 remove a host from the control group
         version                                     print the tool's version
 
-    `basilcove COMMAND --help` describes a command. Apply, promote and drain
-    take --request-id ID, print one if it isn't given, and may be repeated with
-    it when an answer is lost.
+    `basilcove COMMAND --help` describes a command. Apply, promote, drain, admit
+    and remove take --request-id ID, print one if it isn't given, and may be
+    repeated with it when an answer is lost.
 
     Every command that asks a node needs --node, or the variable BASILCOVE_NODES,
     and either --insecure or --certificate, --key and --authority.
@@ -168,10 +172,33 @@
         reply = self._ask(request, DrainReply)
         self._print(reply, f'{upstream}: leaving', request_id=request.request_id)
 
+    def admit(self, host: str, *, request_id: str = '') -> None:
+        """Let a host join the control group; it votes once it holds what is committed.
+
+        Args:
+            host: Name of the node.
+            request_id: Repeat it to learn the outcome of a request whose answer was lost.
+        """
+        self._change_group(host, 'admitted', request_id)
+
+    def remove(self, host: str, *, request_id: str = '') -> None:
+        """Remove a host from the control group.
+
+        Args:
+            host: Name of the node.
+            request_id: Repeat it to learn the outcome of a request whose answer was lost.
+        """
+        self._change_group(host, 'removed', request_id)
+
     def version(self) -> None:
         """Print the tool's version."""
         self._print({'version': VERSION}, f'basilcove {VERSION}')
 
+    def _change_group(self, host: str, change: str, request_id: str) -> None:
+        request = HostRequest(NodeId(host), change == 'admitted', self._request_id(request_id))
+        reply = self._ask(request, HostReply)
+        self._print(reply, f'{host}: {change}', request_id=request.request_id)
+
     def _ask(self, request: Message, wanted: type[ReplyT]) -> ReplyT:
         reply = self._client().ask(request, wanted)
         if not reply.accepted:
--- a/basilcove/consensus/models.py
+++ b/basilcove/consensus/models.py
@@ -6,7 +6,7 @@
 from typing import Self
 
 from basilcove.consensus import consensus_pb2 as pb
-from basilcove.consensus.const import KEPT_ENTRIES, SNAPSHOT_AFTER_ENTRIES
+from basilcove.consensus.const import KEPT_ENTRIES, OUT_OF_TOUCH_AFTER_S, SNAPSHOT_AFTER_ENTRIES
 from basilcove.consensus.log import Log
 from basilcove.core.events import Message
 from basilcove.core.ids import Incarnation, NodeId
@@ -274,6 +274,15 @@
         self.commit = snapshot.index
         self.history = [(snapshot.index, Members.decode(snapshot.members))]
 
+    def committed_members(self) -> tuple[int, Members]:
+        """Return the newest group known to be committed, and a log index at which it was in effect."""
+        committed = [found for found in self.history if found[0] <= self.commit]
+        return committed[-1] if committed else (0, Members())
+
+    def follows_leader(self, now: float) -> bool:
+        """Tell whether this member leads, or heard a leader of its group lately."""
+        return self.is_leader or now - self.heard_leader_at < OUT_OF_TOUCH_AFTER_S
+
     def members_at(self, index: int) -> Members:
         """Return the group in effect at an entry that the log or snapshot covers."""
         found = Members()
--- a/basilcove/distribution/coordinator.py
+++ b/basilcove/distribution/coordinator.py
@@ -6,6 +6,7 @@
 
 from basilcove.catalog.events import DocumentAccepted
 from basilcove.core.events import Count, Effect, Log, PeerFound, PeerLost, Received, Send, Tick
+from basilcove.core.ids import NodeId, Role
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.distribution.const import (
     EAGER_OFFER_INTERVAL_S,
@@ -13,7 +14,7 @@
     MAX_KEYS_PER_PEER,
     OFFER_JITTER,
 )
-from basilcove.distribution.events import ControlMembersChanged, ReplicaCaughtUp
+from basilcove.distribution.events import ControlMembersChanged, ReplicaCaughtUp, ReplicaCutOff
 from basilcove.distribution.messages import Offer
 from basilcove.distribution.models import DistributionState, Held, Key, PeerView
 from basilcove.distribution.pulling import pull_if_due
@@ -60,6 +61,8 @@
     assert isinstance(offer, Offer)
     key = (offer.environment, offer.stage)
     view = _view(state, event.peer)
+    if view is not None and Role.CONTROL in event.peer.roles:
+        _note_voters(state, offer.voters_index, offer.voters)
     if view is None or not (key == state.key or state.is_control):
         return
     _note(view, key, offer)
@@ -102,15 +105,22 @@
 def on_caught_up(state: DistributionState, event: ReplicaCaughtUp, ctx: Context) -> Iterator[Effect]:
     """Let this node's offers count towards a control majority."""
     state.caught_up = True
-    for view in state.peers.values():
-        yield from _offer(state, view, ctx)
+    yield from _offer_all(state, ctx)
     yield from settle(state, ctx)
 
 
+@handles(ReplicaCutOff, DistributionState)
+def on_cut_off(state: DistributionState, event: ReplicaCutOff, ctx: Context) -> Iterator[Effect]:
+    """Let this node's offers no longer count: it may have been removed without hearing of it."""
+    state.caught_up = False
+    yield from _offer_all(state, ctx)
+
+
 @handles(ControlMembersChanged, DistributionState)
 def on_members(state: DistributionState, event: ControlMembersChanged, ctx: Context) -> Iterator[Effect]:
-    """Count the majority over the new members."""
-    state.control_nodes = frozenset(event.members)
+    """Count the majority over the new voters, and tell them to the peers."""
+    if _note_voters(state, event.index, event.voters):
+        yield from _offer_all(state, ctx)
     yield from settle(state, ctx)
 
 
@@ -121,15 +131,29 @@
     return view if view is not None and view.peer == peer else None
 
 
+def _note_voters(state: DistributionState, index: int, voters: tuple[NodeId, ...]) -> bool:
+    if index <= state.voters_index or not voters:
+        return False
+    state.voters_index = index
+    state.control_nodes = frozenset(voters)
+    return True
+
+
 def _note(view: PeerView, key: Key, offer: Offer) -> None:
-    # A process never goes back, so a lower offer is only a late one.
+    # A process never goes back, so a lower offer is only a late one. Whether it has caught up may
+    # change both ways; a late word of it is corrected by the next offer.
     known = view.offers.get(key)
     if known is None:
         if len(view.offers) < MAX_KEYS_PER_PEER:
             view.offers[key] = offer
         return
     newer = offer if offer.revision >= known.revision else known
-    view.offers[key] = dataclasses.replace(newer, caught_up=known.caught_up or offer.caught_up)
+    view.offers[key] = dataclasses.replace(newer, caught_up=offer.caught_up)
+
+
+def _offer_all(state: DistributionState, ctx: Context) -> Iterator[Effect]:
+    for view in state.peers.values():
+        yield from _offer(state, view, ctx)
 
 
 def _offer_due(state: DistributionState, ctx: Context) -> Iterator[Effect]:
@@ -158,4 +182,9 @@
 
 
 def _offer_of(state: DistributionState, key: Key, held: Held, *, ask: bool) -> Offer:
-    return Offer(*key, held.revision, held.digest, ask, state.caught_up and state.is_control)
+    held_as = (*key, held.revision, held.digest, ask)
+    # Other nodes can't tell whether the list that they learned is still the newest.
+    if not (state.caught_up and state.is_control):
+        return Offer(*held_as, caught_up=False)
+    voters = tuple(sorted(state.control_nodes)) if state.voters_index else ()
+    return Offer(*held_as, caught_up=True, voters_index=state.voters_index, voters=voters)
--- a/basilcove/distribution/events.py
+++ b/basilcove/distribution/events.py
@@ -8,18 +8,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaCaughtUp(Event):
-    """The control replica of this node has applied all that it knows to be committed.
+    """The control replica of this node has applied all that was committed when it last asked.
 
-    Emitted once after each start, when the replica has heard the commit index
-    of a leader elected since.
+    Emitted after each start and after each ``ReplicaCutOff``, when the replica
+    has applied up to a commit index that a leader confirmed since.
     """
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaCutOff(Event):
+    """The control replica of this node hears no leader; its group may have gone on without it."""
+
+
 @dataclass(frozen=True, slots=True)
 class ControlMembersChanged(Event):
-    """The control group consists of other nodes than before."""
+    """These nodes vote in the control group as of a log index; an older list replaces no newer one."""
 
-    members: tuple[NodeId, ...]
+    index: int
+    voters: tuple[NodeId, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/distribution/messages.py
+++ b/basilcove/distribution/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from basilcove.core.events import Message
-from basilcove.core.ids import EnvironmentName, Revision, Stage
+from basilcove.core.ids import EnvironmentName, NodeId, Revision, Stage
 from basilcove.distribution import distribution_pb2 as pb
 from basilcove.helpers.codec import message
 
@@ -11,7 +11,11 @@
 @message('distribution.offer', pb.Offer)
 @dataclass(frozen=True, slots=True)
 class Offer(Message):
-    """Newest document that the sender holds; revision 0 for none."""
+    """Newest document that the sender holds; revision 0 for none.
+
+    A control replica that follows a leader adds the voters of its group and a
+    log index at which they were in effect.
+    """
 
     environment: EnvironmentName
     stage: Stage
@@ -19,6 +23,8 @@
     digest: bytes
     ask: bool
     caught_up: bool
+    voters_index: int = 0
+    voters: tuple[NodeId, ...] = ()
 
 
 @message('distribution.want', pb.Want)
--- a/basilcove/distribution/models.py
+++ b/basilcove/distribution/models.py
@@ -158,6 +158,8 @@
     roles: tuple[Role, ...]
     key: Key
     control_nodes: frozenset[NodeId]
+    # Log index at which these nodes were the voters; 0 for those of the settings.
+    voters_index: int = 0
     documents: dict[Key, Held] = field(default_factory=dict)
     peers: dict[NodeId, PeerView] = field(default_factory=dict)
     pull: Pull = field(default_factory=Pull)
@@ -175,7 +177,7 @@
     ) -> 'DistributionState':
         """Build the state of a process that starts."""
         key = (cfg.environment, cfg.stage)
-        return cls(node, zone, roles, key, frozenset(cfg.control_nodes), {key: Held()})
+        return cls(node, zone, roles, key, frozenset(cfg.control_nodes), documents={key: Held()})
 
     @property
     def is_control(self) -> bool:
--- a/basilcove/distribution/readiness.py
+++ b/basilcove/distribution/readiness.py
@@ -29,7 +29,8 @@
 
 
 def _is_majority_heard(state: DistributionState) -> bool:
-    # A replica that has only replayed its disk may lag behind; it counts once it has caught up.
+    # A replica that has only replayed its disk may lag behind, and one that hears no leader may have
+    # been removed; either counts once it has caught up.
     heard = int(state.caught_up and state.node in state.control_nodes)
     for view in state.peers.values():
         offer = view.offers.get(state.key)
--- a/basilcove/roles/common.py
+++ b/basilcove/roles/common.py
@@ -28,7 +28,7 @@
     node.add(documents)
     node.add(ClientState(settings.node))
     node.add(MembershipState(settings.node))
-    node.add(OperatorsState(assembly.identity, settings.environment, settings.stage, settings.control_nodes))
+    node.add(OperatorsState(assembly.identity, settings.environment, settings.stage))
     assembly.metrics.gauge('document_revision', 'Revision in effect.', lambda: documents.own.revision)
     assembly.readiness.append(lambda: None if documents.ready else 'no current document is known')
     if settings.status is not None:
--- a/basilcove/wiring/documents.py
+++ b/basilcove/wiring/documents.py
@@ -7,6 +7,7 @@
 from basilcove.catalog.control import ControlState
 from basilcove.catalog.events import Query, QueryAnswered
 from basilcove.catalog.outcomes import MembersRead
+from basilcove.consensus.models import ConsensusState
 from basilcove.core.events import Effect, Emit, Tick
 from basilcove.core.ids import NodeId
 from basilcove.core.reducer import Context, handles
@@ -20,23 +21,35 @@
 class CatchUp:
     """Whether the replica of this process holds all that was committed when it asked.
 
-    ``target`` is the commit index that a majority confirmed since the start.
+    ``target`` is the commit index that a majority confirmed since the start or
+    since the replica last heard no leader. ``voters_index`` is that
+    of the voters told last.
     """
 
     node: NodeId
     target: int | None = None
     asked_at: float = 0
     is_reported: bool = False
+    voters_index: int = 0
 
 
 @handles(Tick, CatchUp)
 def on_tick(state: CatchUp, event: Tick, ctx: Context) -> list[Effect]:
-    """Ask for the commit index, and report once the replica has applied that far."""
+    """Report once the replica has applied what was committed, and again if it lost its leader.
+
+    A removed host may never hear of its removal; it hears no leader any more.
+    """
+    consensus = ctx.node.part(ConsensusState)
+    if not consensus.follows_leader(ctx.now):
+        was_reported, state.is_reported, state.target = state.is_reported, False, None
+        return [Emit(distribution.ReplicaCutOff())] if was_reported else []
     if state.is_reported:
-        return []
+        return _tell_voters(state, consensus)
     if state.target is not None:
         state.is_reported = ctx.node.part(ControlState).applied >= state.target
-        return [Emit(distribution.ReplicaCaughtUp())] if state.is_reported else []
+        if not state.is_reported:
+            return []
+        return [*_tell_voters(state, consensus), Emit(distribution.ReplicaCaughtUp())]
     if ctx.now - state.asked_at < CATCH_UP_TIMEOUT_S:
         return []
     state.asked_at = ctx.now
@@ -51,5 +64,14 @@
     return []
 
 
+def _tell_voters(state: CatchUp, consensus: ConsensusState) -> list[Effect]:
+    index, members = consensus.committed_members()
+    if index <= state.voters_index:
+        return []
+    state.voters_index = index
+    voters = tuple(member.node for member in members.members if member.voter)
+    return [Emit(distribution.ControlMembersChanged(index, voters))]
+
+
 def _query_id(state: CatchUp) -> str:
     return f'{_QUERY_PREFIX}{state.node}/{state.asked_at}'
--- a/basilcove/wiring/operators.py
+++ b/basilcove/wiring/operators.py
@@ -12,6 +12,8 @@
     ApplyRequest,
     DrainReply,
     DrainRequest,
+    HostReply,
+    HostRequest,
     PromoteReply,
     PromoteRequest,
     Reply,
@@ -44,7 +46,6 @@
     identity: Identity
     environment: EnvironmentName
     stage: Stage
-    control_nodes: tuple[NodeId, ...]
     waiting: dict[str, list[tuple[rpc.CallId, type[Reply]]]] = field(default_factory=dict)
 
     def wait(self, name: str, call_id: rpc.CallId, reply: type[Reply]) -> None:
@@ -97,6 +98,12 @@
     return _propose(state, call_id, PromoteReply, req.request_id, command, ctx)
 
 
+@_answers(HostRequest)
+def _change_group(state: OperatorsState, call_id: rpc.CallId, req: HostRequest, ctx: Context) -> list[Effect]:
+    change = commands.AdmitHost if req.admit else commands.RemoveHost
+    return _propose(state, call_id, HostReply, req.request_id, change(req.node), ctx)
+
+
 def _propose(
     state: OperatorsState,
     call_id: rpc.CallId,
@@ -125,6 +132,8 @@
 def _describe(result: Message) -> tuple[bool, Revision, tuple[str, ...]]:
     if isinstance(result, outcomes.DocumentApplied):
         return True, result.revision, ()
+    if isinstance(result, outcomes.MembersChanged):
+        return True, Revision(0), ()
     if isinstance(result, outcomes.RevisionConflict):
         return False, result.current, (f'the current revision is {result.current}',)
     if isinstance(result, outcomes.PromotionRefused):
@@ -198,7 +207,7 @@
         stage=state.stage,
         ready=documents.ready and not reasons,
         leader=leader or NodeId(''),
-        control_nodes=state.control_nodes,
+        control_nodes=tuple(sorted(documents.control_nodes)),
         peers=tuple(sorted(documents.peers)),
         voters=tuple(member.node for member in members if member.voter),
         learners=tuple(member.node for member in members if not member.voter),
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -84,7 +84,7 @@
         incarnation = Incarnation(next(self._incarnations))
         consensus = ConsensusState.from_recovered(name, incarnation, self.bootstrap, recovered)
         consensus.snapshot_after, consensus.kept_entries = self.snapshot_after, self.kept
-        node = Node(consensus, ControlState.from_recovered(name, recovered))
+        node = Node(consensus, ControlState.from_recovered(name, recovered), *self.parts(name))
         host = Host(name, incarnation, node, self.disks[name])
         node.add(Probe(lambda event: self._on_host_event(host, event)))
         self.hosts[name] = host
@@ -95,6 +95,10 @@
         self._schedule(phase, lambda: self._tick(host))
         return host
 
+    def parts(self, name: NodeId) -> tuple[object, ...]:
+        """Return the states that a control host has besides its replica."""
+        return ()
+
     def add_host(self, name: NodeId) -> None:
         """Start a host that is not a first member."""
         self.disks[name] = FakeDisk()
@@ -233,7 +237,10 @@
 
     def _peer(self, name: NodeId, incarnation: Incarnation | None = None) -> Peer:
         role = Role.ENTRY if name == CLIENT else Role.CONTROL
-        return Peer(name, (role,), incarnation or Incarnation(0), Zone('zone'))
+        if incarnation is None:
+            host = self.client if name == CLIENT else self.hosts.get(name)
+            incarnation = host.incarnation if host is not None else Incarnation(0)
+        return Peer(name, (role,), incarnation, Zone('zone'))
 
     def _schedule(self, delay: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._queue, (self.now + delay, next(self._order), action))
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -75,6 +75,8 @@
             self.addresses[self.entries[0]].http = first_entry
         self.cut_zone = cut_zone
         self.control_settings = control_settings or {}
+        # First members of the control group, which the settings of all nodes name.
+        self.bootstrap = list(self.control)
         self.forwarders: dict[str, Forwarder] = {}
         self.processes: dict[str, Process] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=2, read=30))
@@ -114,6 +116,29 @@
         self.cli('apply', str(document), '--expected-revision', '0', '--request-id', 'first')
         self.wait_ready()
 
+    def replace_control(self, former: str, spare: str) -> None:
+        """Replace a control host by a new one; the settings of the other nodes stay as they are.
+
+        The former host goes on running.
+        """
+        self.addresses[spare] = Addresses()
+        self.control.append(spare)
+        self._write_settings(spare)
+        self.start(spare)
+        self.cli('admit', spare, '--request-id', f'admit-{spare}')
+        wait_for(lambda: spare in self.voters(spare), f'{spare} to vote')
+        self.cli('remove', former, '--request-id', f'remove-{former}')
+        self.control.remove(former)
+
+    def voters(self, node: str) -> list[str]:
+        """Return the control hosts that vote as a control host knows them."""
+        found = self.cli('status', check=False, node=node)
+        return list(found['content'].get('voters', ())) if found['exit'] == 0 else []
+
+    def reseed(self, name: str) -> None:
+        """Have a node dial the present control hosts from its next start on."""
+        self._write_settings(name)
+
     def wait_ready(self) -> None:
         """Wait until every entry is ready and knows every upstream."""
         wait_for(lambda: all(self.is_ready(name) for name in self.entries), 'all entries to be ready')
@@ -210,7 +235,7 @@
             'zone': self._zone_of(name),
             'environment': ENVIRONMENT,
             'stage': 'trial',
-            'control_nodes': self.control,
+            'control_nodes': self.bootstrap,
             'rpc': {'listen': self.addresses[name].rpc, 'seeds': self.seeds_of(name)},
             'stop_timeout_s': 20,
         }
@@ -224,7 +249,7 @@
             content['status'] = {'listen': self.addresses[name].http}
             content['control'] = {
                 'data_folder': data,
-                'bootstrap': self.control,
+                'bootstrap': self.bootstrap,
                 **self.control_settings,
             }
         elif name in self.entries:
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -72,7 +72,7 @@
         shutil.rmtree(tmp_path / 'control-1')
         assert _apply(cluster, _document(tmp_path, 'a.yaml', 70), 1, 'while-lost')['exit'] == 0
         cluster.start('control-1')
-        wait_for(lambda: 'control-1' in _voters(cluster), 'control-1 to vote again')
+        wait_for(lambda: 'control-1' in cluster.voters('control-1'), 'control-1 to vote again')
         cluster.processes['control-2'].kill()
         assert _apply(cluster, _document(tmp_path, 'b.yaml', 80), 2, 'after-repair')['exit'] == 0
         assert cluster.cli('show', 'demo', '--stage', 'trial')['content']['revision'] == 3
@@ -89,6 +89,28 @@
         assert shown['revision'] == 2
 
 
+class TestReplacement:
+    def test_restarted_entry_counts_the_voters_that_replaced_others(
+        self, cluster: Cluster, tmp_path: Path
+    ) -> None:
+        """Guards against an entry that trusts hosts of its settings which no longer vote."""
+        cluster.replace_control('control-2', 'control-4')
+        cluster.replace_control('control-3', 'control-5')
+        former = [f'control-{number}' for number in (2, 3)]
+        assert _apply(cluster, _document(tmp_path, 'next.yaml', 70), 1, 'replaced')['exit'] == 0
+        cluster.processes['entry-1'].kill()
+        cluster.reseed('entry-1')
+        cluster.start('entry-1')
+        wait_for(lambda: cluster.is_ready('entry-1'), 'entry-1 to be ready')
+        status = cluster.cli('status', node='entry-1')['content']
+        assert status['control_nodes'] == ['control-1', 'control-4', 'control-5']
+        assert status['revision'] == 2
+        for name in (*former, 'control-1'):
+            cluster.processes[name].kill()
+        assert _apply(cluster, _document(tmp_path, 'last.yaml', 80), 2, 'without')['exit'] == 0
+        wait_for(lambda: _revision(cluster, 'entry-1') == 3, 'entry-1 to have the change')
+
+
 class TestDistribution:
     def test_restarted_entry_takes_the_newest_document(self, cluster: Cluster, tmp_path: Path) -> None:
         """Guards against an entry that comes back with an older document."""
@@ -116,11 +138,6 @@
         wait_for(lambda: chat(cluster, 'entry-1').status == 200, 'a request to be served')
 
 
-def _voters(cluster: Cluster) -> list[str]:
-    found = cluster.cli('status', check=False, node='control-1')
-    return list(found['content'].get('voters', ())) if found['exit'] == 0 else []
-
-
 def _show(cluster: Cluster) -> dict | None:
     shown = cluster.cli('show', 'demo', '--stage', 'trial', check=False)
     return shown['content'] if shown['exit'] == 0 else None
--- /dev/null
+++ b/tests/wiring/test_documents.py
@@ -0,0 +1,67 @@
+from basilcove.core.events import Peer, Received
+from basilcove.core.ids import NodeId, Revision, Role, Stage
+from basilcove.distribution.messages import Offer
+from tests.consensus.oracle import ENVIRONMENT
+from tests.wiring.deployment import Deployment
+
+SPARES = (NodeId('host-4'), NodeId('host-5'))
+# Less than the time after which a node takes itself as cut off and no longer counts a majority.
+BEFORE_CUT_OFF_S = 2.5
+
+
+class TestVoters:
+    def test_restarted_entry_counts_the_present_voters(self) -> None:
+        """Guards against an entry that takes itself as cut off, since its settings name replaced hosts."""
+        cluster = Deployment()
+        cluster.accept(1)
+        for former, spare in zip(cluster.bootstrap, SPARES, strict=False):
+            cluster.replace(former, spare)
+            cluster.kill(former)
+        kept = cluster.bootstrap[-1]
+        cluster.run(3)
+        entry = cluster.restart_entry(kept, SPARES[0])
+        cluster.run(BEFORE_CUT_OFF_S)
+        assert entry.control_nodes == {kept, *SPARES}
+        assert entry.ready
+
+    def test_removed_hosts_that_still_run_are_no_majority(self) -> None:
+        """Guards against a former majority that vouches for a former revision."""
+        cluster = Deployment()
+        cluster.accept(1)
+        for former, spare in zip(cluster.bootstrap, SPARES, strict=False):
+            cluster.replace(former, spare)
+        cluster.accept(2)
+        cluster.run(3)
+        entry = cluster.restart_entry(*cluster.bootstrap[:2])
+        cluster.run(BEFORE_CUT_OFF_S)
+        assert (entry.ready, entry.voters_index) == (False, 0)
+        cluster.link(cluster.bootstrap[2], *SPARES)
+        cluster.run(BEFORE_CUT_OFF_S)
+        assert (entry.ready, entry.announced) == (True, 2)
+
+    def test_an_older_list_replaces_no_newer_one(self) -> None:
+        """Guards against a late offer of a former group, and against a list that no control host told."""
+        cluster = Deployment()
+        entry = cluster.restart_entry(*cluster.bootstrap)
+        sender = cluster.bootstrap[0]
+        told = entry.peers[sender].peer
+        other = Peer(told.node, (Role.ENTRY,), told.incarnation, told.zone)
+        for peer, index, spare in ((told, 9, SPARES[0]), (told, 5, SPARES[1]), (other, 10, SPARES[1])):
+            entry.peers[sender].peer = peer
+            offer = Offer(ENVIRONMENT, Stage.TRIAL, Revision(0), b'', False, True, index, (sender, spare))
+            cluster.apply(cluster.client, Received(peer, offer))
+            assert entry.control_nodes == {sender, SPARES[0]}
+
+    def test_host_that_returns_is_counted_again(self) -> None:
+        """Guards against a replica whose word never counts again after a partition."""
+        cluster = Deployment()
+        cluster.accept(1)
+        away = cluster.bootstrap[0]
+        cluster.partition(away)
+        cluster.run(5)
+        cluster.accept(2)
+        cluster.partition()
+        cluster.run(5)
+        entry = cluster.restart_entry(*cluster.bootstrap[:2])
+        cluster.run(BEFORE_CUT_OFF_S)
+        assert (entry.ready, entry.announced) == (True, 2)
