Give a repeated change of the control group its first answer

Cause: AdmitHost and RemoveHost carried no request id. After a change of leader a resend was proposed anew and refused as done already, or undone by a later change; the tool asked until its deadline and reported "not run".

Ruled out: a table of answers at the leader, which a change of leader loses; to log the two commands as ordinary ones and derive the membership from them, since a membership counts as soon as it is in the log, before it is committed.

A refusal that rests on the committed membership is recorded by a command of its own; one that rests on the state of the leader (not leading, another change under way) is not recorded and is asked again. A leader looks up the request before it changes the group. The fuzz gives the two commands request ids and resends them; its oracle checks that a request changes the group once and that all answers to a request are equal.

Before: the new test fails with the look-up removed, with the membership's answer not recorded, and with the refusal not recorded.

--- a/basilcove/catalog/apply.py
+++ b/basilcove/catalog/apply.py
@@ -4,11 +4,14 @@
 from basilcove.catalog import leases as _leases
 from basilcove.catalog.commands import (
     AbandonClaim,
+    AdmitHost,
     ApplyDocument,
     Claim,
     CompleteClaim,
     PromoteDocument,
+    RefuseHostChange,
     ReleaseClaim,
+    RemoveHost,
 )
 from basilcove.catalog.const import (
     MAX_PROPOSALS,
@@ -18,8 +21,9 @@
 )
 from basilcove.catalog.messages import LoggedCommand
 from basilcove.catalog.models import AnswerRow, CatalogState
-from basilcove.catalog.outcomes import CommandRefused
-from basilcove.catalog.registry import APPLIERS
+from basilcove.catalog.outcomes import CommandRefused, MembersChanged
+from basilcove.catalog.registry import APPLIERS, applies
+from basilcove.consensus.models import Members
 from basilcove.core.events import Message
 from basilcove.helpers.codec import CodecError, decode, encode
 from basilcove.helpers.hashing import stable_hash
@@ -30,25 +34,58 @@
 def apply(state: CatalogState, command: Message, time: float) -> Message:
     """Apply one command; ``time`` is the leader's, in seconds since the epoch.
 
-    Documents are deduplicated on the request id; claims are idempotent by key
-    and attempt id.
+    Documents and changes of the control group are deduplicated on the request
+    id; claims are idempotent by key and attempt id.
     """
     _advance(state, time)
-    if not isinstance(command, ApplyDocument | PromoteDocument):
+    if not isinstance(command, ApplyDocument | PromoteDocument | RefuseHostChange):
         return _carry_out(state, command)
-    digest = _digest(command)
-    known = state.requests.get(command.request_id)
+    digest = digest_of(command)
+    known = first_answer(state, command.request_id, digest)
     if known is not None:
-        if known.digest != digest:
-            return CommandRefused('the request id was used for another change')
-        return decode(known.kind, known.body)
-    if len(state.requests) >= MAX_REQUESTS:
-        return CommandRefused('the table of request ids is full')
+        return known
     result = _carry_out(state, command)
     state.requests[command.request_id] = AnswerRow(command.request_id, state.time, digest, *encode(result))
     return result
 
 
+def first_answer(state: CatalogState, request_id: str, digest: int) -> Message | None:
+    """Return the first answer to a request, or why it may not be carried out; None if it may be."""
+    known = state.requests.get(request_id)
+    if known is None:
+        is_full = len(state.requests) >= MAX_REQUESTS
+        return CommandRefused('the table of request ids is full') if is_full else None
+    if known.digest != digest:
+        return CommandRefused('the request id was used for another change')
+    return decode(known.kind, known.body)
+
+
+def apply_members(state: CatalogState, members: Members, time: float) -> None:
+    """Keep the answer to the request that led to a group of the log."""
+    if not members.request_id:
+        return
+    _advance(state, time)
+    answer = encode(MembersChanged())
+    row = AnswerRow(members.request_id, state.time, members.request_digest, *answer)
+    state.requests.setdefault(members.request_id, row)
+
+
+def digest_of(command: ApplyDocument | PromoteDocument | AdmitHost | RemoveHost | RefuseHostChange) -> int:
+    """Return a number that tells requests of other content apart."""
+    name = type(command).__name__
+    if isinstance(command, RefuseHostChange):
+        return command.digest
+    if isinstance(command, AdmitHost | RemoveHost):
+        return stable_hash(name, command.node)
+    document = command.document if isinstance(command, ApplyDocument) else ''
+    return stable_hash(name, command.environment, command.expected_revision, document)
+
+
+@applies(RefuseHostChange)
+def _refuse_host_change(state: CatalogState, command: RefuseHostChange) -> Message:
+    return CommandRefused(command.reason)
+
+
 def apply_logged(state: CatalogState, logged: LoggedCommand, time: float) -> Message:
     """Apply a command of the log, once for each proposal id."""
     _advance(state, time)
@@ -93,9 +130,3 @@
         if answers[key].time >= oldest_kept:
             return
         answers.pop(key)
-
-
-def _digest(command: ApplyDocument | PromoteDocument) -> int:
-    document = command.document if isinstance(command, ApplyDocument) else ''
-    name = type(command).__name__
-    return stable_hash(name, command.environment, command.expected_revision, document)
--- a/basilcove/catalog/commands.py
+++ b/basilcove/catalog/commands.py
@@ -142,6 +142,7 @@
     """Allows a host to join the control group as a learner."""
 
     node: NodeId
+    request_id: RequestId
 
 
 @message('catalog.remove_host', pb.RemoveHost)
@@ -150,6 +151,20 @@
     """Removes a host from the control group."""
 
     node: NodeId
+    request_id: RequestId
+
+
+@message('catalog.refuse_host_change', pb.RefuseHostChange)
+@dataclass(frozen=True, slots=True)
+class RefuseHostChange(Message):
+    """Records the refusal of a change of the control group, so that a resend gets it too.
+
+    Proposed by the leader; ``digest`` is that of the refused command.
+    """
+
+    request_id: RequestId
+    digest: int
+    reason: str
 
 
 @message('catalog.read_document', pb.ReadDocument)
--- a/basilcove/catalog/coordinator.py
+++ b/basilcove/catalog/coordinator.py
@@ -4,8 +4,8 @@
 
 from basilcove.catalog import evidence
 from basilcove.catalog import stopping as _stopping  # noqa: F401
-from basilcove.catalog.apply import apply_logged
-from basilcove.catalog.commands import AdmitHost, ApplyDocument, PromoteDocument, RemoveHost
+from basilcove.catalog.apply import apply_logged, apply_members, digest_of, first_answer
+from basilcove.catalog.commands import AdmitHost, ApplyDocument, PromoteDocument, RefuseHostChange, RemoveHost
 from basilcove.catalog.const import COMMAND_LIFETIME_S, SEEN_RETENTION_S
 from basilcove.catalog.control import ControlState, Waiting
 from basilcove.catalog.delivery import deliver
@@ -29,7 +29,7 @@
     SnapshotNeeded,
     SnapshotTaken,
 )
-from basilcove.consensus.models import ConsensusState
+from basilcove.consensus.models import ConsensusState, Members
 from basilcove.core.events import Effect, Emit, Message, Received, Tick
 from basilcove.core.ids import NodeId, Role
 from basilcove.core.reducer import Context, handles, handles_message
@@ -87,18 +87,39 @@
         command = decode(ask.kind, ask.body)
     except CodecError as exc:
         return [_answer(state, waiting, CommandRefused(str(exc)))]
-    state.waiting[ask.proposal_id] = waiting
     if isinstance(command, AdmitHost | RemoveHost):
-        admit = isinstance(command, AdmitHost)
-        return [Emit(ChangeMembers(ask.proposal_id, command.node, admit))]
+        return _change_members(state, waiting, command)
+    state.waiting[ask.proposal_id] = waiting
     prepared = command
     if isinstance(command, ApplyDocument | PromoteDocument):
         prepared = evidence.prepare(state, command)
         if not isinstance(prepared, ApplyDocument | PromoteDocument):
             state.waiting.pop(ask.proposal_id)
             return [_answer(state, waiting, prepared)]
-    logged = LoggedCommand(ask.proposal_id, ask.expires, *encode(prepared))
-    return [Emit(ProposeEntry(ask.proposal_id, encode(logged)[1]))]
+    return [_log_command(ask, prepared)]
+
+
+def _log_command(ask: Ask, command: Message) -> Effect:
+    logged = LoggedCommand(ask.proposal_id, ask.expires, *encode(command))
+    return Emit(ProposeEntry(ask.proposal_id, encode(logged)[1]))
+
+
+def _change_members(state: ControlState, waiting: Waiting, command: AdmitHost | RemoveHost) -> list[Effect]:
+    """Change the group, or give the first answer to the request.
+
+    A leader changes the group only once it has applied all earlier changes, so
+    a request that is not in the applied state then was not carried out.
+    """
+    digest = digest_of(command)
+    known = first_answer(state.catalog, command.request_id, digest)
+    if not command.request_id:
+        known = CommandRefused('the request has no id')
+    if known is not None:
+        return [_answer(state, waiting, known)]
+    token = waiting.ask.proposal_id
+    state.waiting[token] = waiting
+    admit = isinstance(command, AdmitHost)
+    return [Emit(ChangeMembers(token, command.node, admit, command.request_id, digest))]
 
 
 def _answer(state: ControlState, waiting: Waiting, result: Message) -> Effect:
@@ -133,8 +154,16 @@
 
 @handles(EntryRefused, ControlState)
 def _on_refused(state: ControlState, event: EntryRefused, ctx: Context) -> list[Effect]:
-    waiting = state.waiting.pop(event.token, None)
-    return [] if waiting is None else _refuse(state, waiting, event.reason, event.leader)
+    waiting = state.waiting.get(event.token)
+    if waiting is None:
+        return []
+    if event.is_final:
+        command = decode(waiting.ask.kind, waiting.ask.body)
+        if isinstance(command, AdmitHost | RemoveHost):
+            refusal = RefuseHostChange(command.request_id, digest_of(command), event.reason)
+            return [_log_command(waiting.ask, refusal)]
+    state.waiting.pop(event.token)
+    return _refuse(state, waiting, event.reason, event.leader)
 
 
 @handles(LeadershipLost, ControlState)
@@ -157,6 +186,8 @@
     waiting = state.waiting.pop(state.tokens.pop(entry.index, ''), None)
     result: Message = MembersChanged()
     effects: list[Effect] = []
+    if entry.kind is EntryKind.MEMBERS:
+        apply_members(state.catalog, Members.decode(entry.body), entry.time)
     if entry.kind is EntryKind.COMMAND:
         before = dict(state.catalog.documents)
         result = apply_logged(state.catalog, _decode_logged(entry.body), entry.time)
--- a/basilcove/consensus/events.py
+++ b/basilcove/consensus/events.py
@@ -17,11 +17,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeMembers(Event):
-    """Asks this node, as the leader, to admit or remove a control host."""
+    """Asks this node, as the leader, to admit or remove a control host at an operator's request."""
 
     token: str
     node: NodeId
     admit: bool
+    request_id: str
+    request_digest: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,11 +37,15 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryRefused(Event):
-    """Nothing was appended for the token; ``leader`` is the leader if known."""
+    """Nothing was appended for the token; ``leader`` is the leader if known.
+
+    A refusal that ``is_final`` rests on the committed group, not on the state of this leader.
+    """
 
     token: str
     reason: str
     leader: NodeId | None
+    is_final: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/consensus/membership.py
+++ b/basilcove/consensus/membership.py
@@ -1,5 +1,7 @@
 """Changes of the control group, one member at a time."""
 
+import dataclasses
+
 from basilcove.consensus.const import MAX_MEMBERS
 from basilcove.consensus.events import ChangeMembers, EntryAppended, EntryRefused
 from basilcove.consensus.models import ConsensusState, Member, Members
@@ -59,22 +61,31 @@
 
 @handles(ChangeMembers, ConsensusState)
 def _on_change(state: ConsensusState, event: ChangeMembers, ctx: Context) -> list[Effect]:
-    known = state.members.find(event.node)
-    reason = _refusal(state, event, known)
+    reason = _temporary_refusal(state)
     if reason:
         return [Emit(EntryRefused(event.token, reason, state.leader_node))]
+    reason = _final_refusal(state, event)
+    if reason:
+        return [Emit(EntryRefused(event.token, reason, state.leader_node, is_final=True))]
     member = Member(event.node, '', voter=False) if event.admit else None
-    effects = _change(state, state.members.replaced(event.node, member), ctx)
+    members = state.members.replaced(event.node, member)
+    members = dataclasses.replace(members, request_id=event.request_id, request_digest=event.request_digest)
+    effects = _change(state, members, ctx)
     return [Emit(EntryAppended(event.token, state.log.last_index, state.term)), *effects]
 
 
-def _refusal(state: ConsensusState, event: ChangeMembers, known: Member | None) -> str:
+def _temporary_refusal(state: ConsensusState) -> str:
     if not state.is_leader:
         return 'not the leader'
     if state.is_stopping:
         return 'the leader is stopping'
     if not may_change(state):
         return 'another change of members is under way'
+    return ''
+
+
+def _final_refusal(state: ConsensusState, event: ChangeMembers) -> str:
+    known = state.members.find(event.node)
     if event.admit:
         return _refusal_to_admit(state, known)
     if known is None:
--- a/basilcove/consensus/models.py
+++ b/basilcove/consensus/models.py
@@ -47,9 +47,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Members:
-    """The control group; a node occurs once."""
+    """The control group; a node occurs once.
+
+    ``request_id`` and ``request_digest`` identify the operator's request that
+    led to this group; the replicated state answers a resend by them.
+    """
 
     members: tuple[Member, ...] = ()
+    request_id: str = ''
+    request_digest: int = 0
 
     def voters(self) -> tuple[str, ...]:
         """Return the identities that count towards a majority."""
--- a/basilcove/wiring/operators.py
+++ b/basilcove/wiring/operators.py
@@ -101,7 +101,7 @@
 @_answers(HostRequest)
 def _change_group(state: OperatorsState, call_id: rpc.CallId, req: HostRequest, ctx: Context) -> list[Effect]:
     change = commands.AdmitHost if req.admit else commands.RemoveHost
-    return _propose(state, call_id, HostReply, req.request_id, change(req.node), ctx)
+    return _propose(state, call_id, HostReply, req.request_id, change(req.node, req.request_id), ctx)
 
 
 def _propose(
--- a/tests/consensus/machine.py
+++ b/tests/consensus/machine.py
@@ -28,6 +28,7 @@
 SPARES = (NodeId('host-spare-1'), NodeId('host-spare-2'))
 KEYS = ('key-a', 'key-b')
 OUTCOMES = st.sampled_from(['complete', 'release', 'abandon'])
+_CHANGES = (ApplyDocument, AdmitHost, RemoveHost)
 SHARES = st.sampled_from([0, 0, 0.05, 0.3])
 
 
@@ -84,7 +85,7 @@
     @rule(data=st.data())
     def resend_change(self, data: st.DataObject) -> None:
         """An operator who lost the answer to a change sends it again."""
-        names = sorted(name for name, command in self.commands.items() if isinstance(command, ApplyDocument))
+        names = sorted(name for name, command in self.commands.items() if isinstance(command, _CHANGES))
         if names:
             command = self.commands[data.draw(st.sampled_from(names))]
             self._propose(f'resend-{len(self.commands)}', command)
@@ -100,8 +101,10 @@
         for spare in SPARES:
             if spare not in self.cluster.disks:
                 self.cluster.add_host(spare)
-            command = AdmitHost(spare) if admit else RemoveHost(spare)
-            self._propose(f'members-{len(self.commands)}', command)
+            number = len(self.commands)
+            request_id = RequestId(f'request-{number}')
+            command = AdmitHost(spare, request_id) if admit else RemoveHost(spare, request_id)
+            self._propose(f'members-{number}', command)
 
     # Failures
 
@@ -236,6 +239,11 @@
         for event in self._answers():
             replayed = outcomes.get(event.proposal_id)
             assert replayed is None or event.result in replayed, event
+        answers: dict[RequestId, Message] = {}
+        for event in self._answers():
+            command = self.commands.get(event.proposal_id)
+            if isinstance(command, _CHANGES):
+                assert answers.setdefault(command.request_id, event.result) == event.result, event
         for name in self._failed():
             failed = self.cluster.results[name][0]
             assert isinstance(failed, ProposalFailed)
--- a/tests/consensus/oracle.py
+++ b/tests/consensus/oracle.py
@@ -3,11 +3,12 @@
 import json
 from collections import defaultdict
 
-from basilcove.catalog.apply import apply_logged
+from basilcove.catalog.apply import apply_logged, apply_members
 from basilcove.catalog.commands import ApplyDocument, Claim, ReleaseClaim
 from basilcove.catalog.messages import LoggedCommand
 from basilcove.catalog.models import CatalogState
 from basilcove.catalog.outcomes import ClaimGranted, CommandRefused, DocumentApplied, LeaseGranted
+from basilcove.consensus.models import Members
 from basilcove.core.events import Message
 from basilcove.core.ids import EnvironmentName, FencingNumber, RequestId, Revision
 from basilcove.helpers.codec import decode
@@ -29,6 +30,7 @@
         self._fence = FencingNumber(0)
         self._winners: dict[Revision, RequestId] = {}
         self._answers: dict[RequestId, Message] = {}
+        self._changes: set[str] = set()
 
     def check_claim(self, command: Message, outcome: Message) -> None:
         """Check that a key is granted to one attempt until that attempt releases it."""
@@ -46,6 +48,12 @@
             assert self._winners.setdefault(outcome.revision, command.request_id) == command.request_id
             assert outcome.revision == command.expected_revision + 1
 
+    def check_members(self, members: Members) -> None:
+        """Check that a request changes the control group once."""
+        assert members.request_id not in self._changes, f'{members.request_id} is carried out twice'
+        if members.request_id:
+            self._changes.add(members.request_id)
+
     def check_lease(self, outcome: Message) -> None:
         """Check that fencing tokens grow."""
         if isinstance(outcome, LeaseGranted):
@@ -61,6 +69,10 @@
     assert sorted(committed) == list(range(1, len(committed) + 1))
     for index in sorted(committed):
         entry = committed[index]
+        if entry.kind is EntryKind.MEMBERS:
+            members = Members.decode(entry.body)
+            rules.check_members(members)
+            apply_members(oracle, members, entry.time)
         if entry.kind is not EntryKind.COMMAND:
             continue
         logged = decode('catalog.logged_command', entry.body)
--- a/tests/consensus/test_cluster.py
+++ b/tests/consensus/test_cluster.py
@@ -1,12 +1,22 @@
 import json
 
-from basilcove.catalog.commands import NO_ENVIRONMENT, ApplyDocument, Claim, ReadDocument, ReadMembers
+from basilcove.catalog.commands import (
+    NO_ENVIRONMENT,
+    AdmitHost,
+    ApplyDocument,
+    Claim,
+    ReadDocument,
+    ReadMembers,
+    RemoveHost,
+)
 from basilcove.catalog.events import ProposalFailed, QueryAnswered
 from basilcove.catalog.outcomes import (
     ClaimGranted,
     ClaimPending,
+    CommandRefused,
     DocumentApplied,
     DocumentRead,
+    MembersChanged,
     MembersRead,
     RevisionConflict,
 )
@@ -209,6 +219,30 @@
         assert cluster.ask('again', change) == DocumentApplied(Revision(1))
         assert cluster.ask('other', apply_command('request-2', revision=0)) == RevisionConflict(Revision(1))
 
+    def test_resend_of_a_change_of_members_gets_the_first_answer(self) -> None:
+        """Guards against a change of the group that is refused as done already when its answer was lost."""
+        cluster = Cluster(snapshot_after=10, kept=0)
+        spare = NodeId('spare')
+        cluster.add_host(spare)
+        changes = {
+            'refused': RemoveHost(spare, RequestId('refused')),
+            'admit': AdmitHost(spare, RequestId('admit')),
+            'remove': RemoveHost(spare, RequestId('remove')),
+        }
+        first = {name: cluster.ask(name, change) for name, change in changes.items()}
+        assert first['admit'] == first['remove'] == MembersChanged()
+        assert first['refused'] == CommandRefused('the host is not a member')
+        for number in range(30):
+            assert cluster.ask(f'p{number}', claim(number)) == ClaimGranted()
+        cluster.kill(cluster.elect().name)
+        for name in cluster.bootstrap:
+            cluster.kill(name)
+            cluster.start(name)
+        again = {key: cluster.ask(f'{key} again', change) for key, change in changes.items()}
+        assert again == first
+        other = cluster.ask('other', AdmitHost(NodeId('spare-2'), RequestId('admit')))
+        assert other == CommandRefused('the request id was used for another change')
+
     def test_woken_leader_does_not_answer_a_read_from_its_old_state(self) -> None:
         """Guards against a read that misses a change which was answered before it was asked."""
         cluster = Cluster()
--- a/tests/consensus/test_forming.py
+++ b/tests/consensus/test_forming.py
@@ -2,7 +2,7 @@
 
 from basilcove.catalog.commands import AdmitHost, Claim
 from basilcove.catalog.outcomes import ClaimGranted, MembersChanged
-from basilcove.core.ids import AttemptId, NodeId
+from basilcove.core.ids import AttemptId, NodeId, RequestId
 from tests.consensus.cluster import CLIENT, Cluster, Host
 
 
@@ -61,7 +61,7 @@
             assert cluster.ask(f'claim-{number}', claim) == ClaimGranted()
         spare = NodeId('spare')
         cluster.add_host(spare)
-        assert cluster.ask('admit', AdmitHost(spare)) == MembersChanged()
+        assert cluster.ask('admit', AdmitHost(spare, RequestId('admit'))) == MembersChanged()
         voters = 4
         cluster.run_until(lambda: len(cluster.elect().consensus.members.voters()) == voters)
         cluster.run_until(lambda: cluster.hosts[spare].catalog == cluster.elect().catalog)
@@ -74,7 +74,7 @@
         leader = cluster.elect()
         cluster.partition(leader.name, CLIENT)
         for name in ('spare-1', 'spare-2'):
-            cluster.propose(name, AdmitHost(NodeId(name)))
+            cluster.propose(name, AdmitHost(NodeId(name), RequestId(name)))
         cluster.run(0.4)
         assert len(leader.consensus.history) == 2
 
@@ -88,7 +88,7 @@
         leader = cluster.leader()
         assert leader is not None
         cluster.sync_time = 5
-        cluster.propose('spare', AdmitHost(NodeId('spare')))
+        cluster.propose('spare', AdmitHost(NodeId('spare'), RequestId('spare')))
         cluster.run(3)
         assert leader.is_leader
         assert len(leader.consensus.history) == 1
--- a/tests/wiring/deployment.py
+++ b/tests/wiring/deployment.py
@@ -59,9 +59,12 @@
     def replace(self, former: NodeId, spare: NodeId) -> None:
         """Replace a control host by another one; the former one goes on running."""
         self.add_host(spare)
-        assert self.ask(f'admit {spare}', AdmitHost(spare)) == MembersChanged()
+        assert self.ask(f'admit {spare}', AdmitHost(spare, RequestId(f'admit {spare}'))) == MembersChanged()
         self.run_until(lambda: spare in self.voters())
-        assert self.ask(f'remove {former}', RemoveHost(former)) == MembersChanged()
+        assert (
+            self.ask(f'remove {former}', RemoveHost(former, RequestId(f'remove {former}')))
+            == MembersChanged()
+        )
         self.run_until(lambda: former not in self.voters())
 
     def voters(self) -> set[NodeId]:
