Answer a small call in one frame and with less work per call

Cause: a call took 3.6 ms to 4.2 ms longer through entry and agent than directly. Timestamps at each hop (trial, load 1) showed no hop that costs most: gRPC takes 0.22 ms each way, cheroot 0.35 ms before and 0.25 ms after the request, urllib3 0.7 ms with the engine's answer, and each wake-up of a thread 0.05 ms to 0.1 ms. Avoidable were three things. The agent's answer left in two frames and the notice of its start in a third: 0.4 ms passed until its write returned, in which urllib3's thread, sending the call, had to share the interpreter with it. urllib3's manager of pools took 0.1 ms to find the one pool.

Change: the client of the upstream applies its events on the loop's thread instead of posting each one. AttemptStarted may wait up to 10 ms for the next message to its entry. A call goes to urllib3's pool of the upstream directly. Metrics keep each counter with its labels.

Tests: two new ones of the message that may wait; each fails with its half of the mechanism removed.

--- a/basilcove/agents/attempts.py
+++ b/basilcove/agents/attempts.py
@@ -71,11 +71,11 @@
     ]
 
 
-def answer(attempt: AgentAttempt, msg: Message) -> list[Effect]:
+def answer(attempt: AgentAttempt, msg: Message, *, may_wait: bool = False) -> list[Effect]:
     """Send a message about an attempt to its entry, if that still waits."""
     if attempt.is_orphaned:
         return []
-    return [Send(attempt.entry.node, msg)]
+    return [Send(attempt.entry.node, msg, may_wait)]
 
 
 def _drain(state: AgentState, now: float) -> list[Effect]:
@@ -99,7 +99,7 @@
     state.running[attempt_id] = attempt
     return [
         CallUpstream(attempt.entry.node, attempt.start, attempt.deadline - now),
-        *answer(attempt, AttemptStarted(attempt_id)),
+        *answer(attempt, AttemptStarted(attempt_id), may_wait=True),
         Count('calls_started'),
         *trace_waiting(attempt, now),
     ]
--- a/basilcove/core/events.py
+++ b/basilcove/core/events.py
@@ -74,10 +74,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Send(Effect):
-    """Queues a message on the link to a node; dropped without a link."""
+    """Queues a message on the link to a node; dropped without a link.
+
+    A message that ``may_wait`` shares the frame of the next one, or leaves alone after a few milliseconds.
+    """
 
     node: NodeId
     message: Message
+    may_wait: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/helpers/metrics.py
+++ b/basilcove/helpers/metrics.py
@@ -18,6 +18,7 @@
         """Start with an empty registry of its own."""
         self.registry = CollectorRegistry()
         self._counters: dict[str, Counter] = {}
+        self._counts: dict[tuple[str, tuple[tuple[str, str], ...]], Counter] = {}
         self.first_byte_s = Histogram(
             'basilcove_first_byte_seconds',
             'Time from a request to the first byte of its answer.',
@@ -28,15 +29,11 @@
 
     def count(self, name: str, labels: tuple[tuple[str, str], ...], amount: float) -> None:
         """Add to a counter; its label names are those of the first call."""
-        counter = self._counters.get(name)
-        if counter is None:
-            names = [label for label, _ in labels]
-            counter = Counter(f'basilcove_{name}', name.replace('_', ' '), names, registry=self.registry)
-            self._counters[name] = counter
-        if labels:
-            counter.labels(**dict(labels)).inc(amount)
-        else:
-            counter.inc(amount)
+        counted = self._counts.get((name, labels))
+        if counted is None:
+            counted = self._find(name, labels)
+            self._counts[(name, labels)] = counted
+        counted.inc(amount)
 
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Register a gauge that is read at each scrape."""
@@ -46,6 +43,14 @@
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
 
+    def _find(self, name: str, labels: tuple[tuple[str, str], ...]) -> Counter:
+        counter = self._counters.get(name)
+        if counter is None:
+            names = [label for label, _ in labels]
+            counter = Counter(f'basilcove_{name}', name.replace('_', ' '), names, registry=self.registry)
+            self._counters[name] = counter
+        return counter.labels(**dict(labels)) if labels else counter
+
 
 @carries_out(Count, Metrics)
 def count(metrics: Metrics, effect: Count) -> None:
--- a/basilcove/http/upstreams.py
+++ b/basilcove/http/upstreams.py
@@ -44,7 +44,7 @@
 _NEVER_SENT: Final = (NewConnectionError, ConnectTimeoutError)
 
 SendChunk = Callable[[NodeId, AnswerChunk], None]
-Post = Callable[[Event], None]
+Apply = Callable[[Event], None]
 OnLoop = Callable[[Callable[[], None]], object]
 
 
@@ -70,29 +70,33 @@
         """Bound the calls at once and the silence of the upstream, in seconds."""
         self._pool = ThreadPoolExecutor(max_calls, thread_name_prefix='upstream')
         self._progress_timeout_s = progress_timeout_s
-        self._connections = urllib3.PoolManager(maxsize=max_calls, retries=False)
+        self._max_calls = max_calls
         self._base_url = ''
+        self._connections: urllib3.HTTPConnectionPool | None = None
         self._calls: dict[AttemptId, _Call] = {}
         self._lock = threading.Lock()
-        self._post: Post | None = None
+        self._apply: Apply | None = None
         self._on_loop: OnLoop | None = None
         self._send_chunk: SendChunk | None = None
 
-    def setup(self, post: Post, on_loop: OnLoop, send_chunk: SendChunk) -> None:
-        """Take the ways to the reducer, to the loop's thread and to the link."""
-        self._post = post
+    def setup(self, apply: Apply, on_loop: OnLoop, send_chunk: SendChunk) -> None:
+        """Take the ways to the reducer (on the loop's thread only), to that thread and to the link."""
+        self._apply = apply
         self._on_loop = on_loop
         self._send_chunk = send_chunk
 
     def unload(self) -> None:
-        """Cancel all calls and end the threads."""
+        """Cancel all calls and end the threads; the reducer is told no more."""
+        self._apply = None
         for attempt_id in tuple(self._calls):
             self.cancel(attempt_id)
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def target(self, base_url: str) -> None:
         """Call the upstream at this URL from now on."""
-        self._base_url = base_url
+        with self._lock:
+            self._base_url = base_url
+            self._connections = None
 
     def call(self, effect: CallUpstream) -> None:
         """Start a call; its events follow."""
@@ -134,10 +138,10 @@
     def _open(self, attempt: StartAttempt) -> BaseHTTPResponse:
         # A kept connection may be closed by the upstream while the call is being sent, which leaves the
         # outcome unknown; a call that may not repeat therefore gets a new connection.
-        manager = self._connections if attempt.repeatable else urllib3.PoolManager(retries=False)
-        return manager.urlopen(
+        connections = self._kept_connections() if attempt.repeatable else self._connect(1)
+        return connections.urlopen(
             attempt.method,
-            f'{self._base_url}{attempt.path}',
+            attempt.path,
             body=attempt.body or None,
             headers=_headers_of(attempt),
             preload_content=False,
@@ -146,6 +150,16 @@
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=self._progress_timeout_s),
         )
 
+    def _kept_connections(self) -> urllib3.HTTPConnectionPool:
+        with self._lock:
+            if self._connections is None:
+                self._connections = self._connect(self._max_calls)
+            return self._connections
+
+    def _connect(self, max_calls: int) -> urllib3.HTTPConnectionPool:
+        # A pool for the one upstream; urllib3's manager of pools would parse the URL for each call.
+        return urllib3.connection_from_url(self._base_url, maxsize=max_calls, retries=False)
+
     def _read(self, call: _Call, response: BaseHTTPResponse) -> None:
         attempt_id = call.effect.attempt.attempt_id
         headers = {name: text for name, text in response.headers.items() if name.lower() not in _READ_HEADERS}
@@ -160,7 +174,7 @@
             call.buffered.append((response.read(), 0))
             self._run_on_loop(lambda: self._finish_small(call, answered))
             return
-        self._post_event(answered)
+        self._run_on_loop(lambda: self._apply_event(answered))
         while received := _read_some(response, is_stream=is_stream):
             if call.is_cancelled:
                 break
@@ -204,17 +218,17 @@
         call.flushed_at = now
         if now - call.progressed_at > _PROGRESS_INTERVAL_S:
             call.progressed_at = now
-            self._post_event(UpstreamProgressed(call.effect.attempt.attempt_id, call.chunks, call.tokens))
+            self._apply_event(UpstreamProgressed(call.effect.attempt.attempt_id, call.chunks, call.tokens))
 
     def _finish_small(self, call: _Call, answered: UpstreamAnswered) -> None:
-        # Head, body and end share one frame, and the reading thread wakes the loop only once.
-        self._post_event(answered)
-        asyncio.get_running_loop().call_soon(self._finish, call)
+        # All in one run of the loop: head, body and end share one frame, because the link writes after it.
+        self._apply_event(answered)
+        self._finish(call)
 
     def _finish(self, call: _Call) -> None:
         self._flush(call)
         self._calls.pop(call.effect.attempt.attempt_id, None)
-        self._post_event(UpstreamFinished(call.effect.attempt.attempt_id, call.chunks, call.length))
+        self._apply_event(UpstreamFinished(call.effect.attempt.attempt_id, call.chunks, call.length))
 
     def _fail(self, call: _Call, reason: str, *, sent: bool) -> None:
         self._run_on_loop(lambda: self._end_failed(call, reason, sent))
@@ -222,11 +236,11 @@
     def _end_failed(self, call: _Call, reason: str, sent: bool) -> None:
         self._flush(call)
         self._calls.pop(call.effect.attempt.attempt_id, None)
-        self._post_event(UpstreamFailed(call.effect.attempt.attempt_id, reason, sent))
+        self._apply_event(UpstreamFailed(call.effect.attempt.attempt_id, reason, sent))
 
-    def _post_event(self, event: Event) -> None:
-        if self._post is not None:
-            self._post(event)
+    def _apply_event(self, event: Event) -> None:
+        if self._apply is not None:
+            self._apply(event)
 
     def _run_on_loop(self, action: Callable[[], None]) -> None:
         if self._on_loop is not None:
--- a/basilcove/roles/agent.py
+++ b/basilcove/roles/agent.py
@@ -50,7 +50,7 @@
 
     def setup() -> None:
         loop = asyncio.get_running_loop()
-        client.setup(runtime.post, loop.call_soon_threadsafe, send_chunk)
+        client.setup(runtime.apply, loop.call_soon_threadsafe, send_chunk)
         server.setup(runtime.post, assembly.not_ready)
 
     assembly.metrics.gauge('attempts_running', 'Attempts that run.', lambda: len(state.running))
--- a/basilcove/rpc/const.py
+++ b/basilcove/rpc/const.py
@@ -20,6 +20,9 @@
 MAX_QUEUED_ENVELOPES: Final = 20_000
 # A write costs far more than an envelope, so those that are ready travel in one, up to about this size.
 MAX_BATCH_BYTES: Final = 256 * 1024
+# A message that need not arrive at once leaves alone after this time. A frame of its own keeps each side's
+# loop busy for about 0.2 ms, for which the call to the upstream would wait that begins at that moment.
+MAX_MESSAGE_WAIT_S: Final = 0.01
 MAX_ENVELOPE_BYTES: Final = 16 * 1024 * 1024
 
 OPERATOR_CALL_TIMEOUT_S: Final = 15.0
--- a/basilcove/rpc/driver.py
+++ b/basilcove/rpc/driver.py
@@ -10,7 +10,7 @@
 @carries_out(Send, LinkTable)
 def send(table: LinkTable, effect: Send) -> None:
     """Queue a message on a link."""
-    table.send(effect.node, effect.message)
+    table.send(effect.node, effect.message, may_wait=effect.may_wait)
 
 
 @carries_out(Reply, OperatorServicer)
--- a/basilcove/rpc/links.py
+++ b/basilcove/rpc/links.py
@@ -18,6 +18,7 @@
     HEARTBEAT_AFTER_S,
     LINK_CHECK_INTERVAL_S,
     MAX_BATCH_BYTES,
+    MAX_MESSAGE_WAIT_S,
     MAX_QUEUED_ENVELOPES,
 )
 from basilcove.rpc.envelopes import Identity, unwrap, wrap_next
@@ -72,11 +73,23 @@
         self.received = Traffic()
         self._sent_at = self.last_heard
         self._queue: asyncio.Queue[pb.Envelope] = asyncio.Queue(MAX_QUEUED_ENVELOPES)
+        # Messages that wait for the next one, and what queues them if none follows.
+        self._waiting: list[Message] = []
+        self._release_later: asyncio.TimerHandle | None = None
         self._closed = asyncio.Event()
 
-    def send(self, msg: Message) -> None:
-        """Queue a message; a full queue closes the link."""
-        self._put(wrap_next(msg))
+    def send(self, msg: Message, *, may_wait: bool = False) -> None:
+        """Queue a message; a full queue closes the link.
+
+        One that ``may_wait`` is queued together with the next message, or after ``MAX_MESSAGE_WAIT_S``.
+        """
+        if not may_wait:
+            self._release()
+            self._put(wrap_next(msg))
+            return
+        self._waiting.append(msg)
+        if self._release_later is None:
+            self._release_later = asyncio.get_running_loop().call_later(MAX_MESSAGE_WAIT_S, self._release)
 
     @property
     def is_closed(self) -> bool:
@@ -87,6 +100,15 @@
         """Make ``run`` return soon."""
         self._closed.set()
 
+    def _release(self) -> None:
+        if self._release_later is None:
+            return
+        self._release_later.cancel()
+        self._release_later = None
+        for msg in self._waiting:
+            self._put(wrap_next(msg))
+        self._waiting.clear()
+
     def _put(self, envelope: pb.Envelope) -> None:
         try:
             self._queue.put_nowait(envelope)
@@ -177,12 +199,12 @@
         """Let this process dial only the peers for which the function is true."""
         self.is_wanted = is_wanted
 
-    def send(self, node: NodeId, msg: Message) -> bool:
+    def send(self, node: NodeId, msg: Message, *, may_wait: bool = False) -> bool:
         """Queue a message on the newest link to a node; False without a link."""
         links = self._links.get(node)
         if not links:
             return False
-        links[-1].send(msg)
+        links[-1].send(msg, may_wait=may_wait)
         return True
 
     def has_link(self, node: NodeId) -> bool:
--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -11,7 +12,7 @@
 from basilcove.const import MAX_REQUEST_BYTES, PEER_TIMEOUT_S
 from basilcove.core.events import Event, Peer, PeerFound, PeerLost, Received
 from basilcove.core.ids import AttemptId, Incarnation, NodeId, Role, Zone
-from basilcove.requests.messages import AnswerChunk, CancelAttempt
+from basilcove.requests.messages import AnswerChunk, AttemptStarted, CancelAttempt
 from basilcove.rpc import rpc_pb2 as pb
 from basilcove.rpc.config import RpcConfig, TlsConfig
 from basilcove.rpc.const import HEARTBEAT_AFTER_S, LINK_CHECK_INTERVAL_S
@@ -25,6 +26,7 @@
 from tests.harness.processes import free_address
 
 SAMPLE = CancelAttempt('a', 1, 2, only_if_waiting=True)
+SAMPLE_KIND = 'requests.cancel_attempt'
 
 
 class _Node:
@@ -221,6 +223,44 @@
         self.written.append(envelope)
 
 
+class TestMessageThatMayWait:
+    def test_it_shares_the_frame_of_the_next_message(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a frame of its own, and against a message that overtakes an earlier one."""
+        monkeypatch.setattr('basilcove.rpc.links.MAX_MESSAGE_WAIT_S', 3600)
+
+        async def scenario() -> None:
+            link, wire = Link(_peer('agent-1')), _Wire()
+            running = asyncio.create_task(link.run(wire, lambda envelope: None))
+            link.send(SAMPLE)
+            await _until(lambda: wire.written)
+            link.send(AttemptStarted(AttemptId('a')), may_wait=True)
+            # The idle writer would send it between two of these looks.
+            looks = itertools.count()
+            await _until(lambda: next(looks) > 2)
+            link.send(SAMPLE)
+            await _until(lambda: len(wire.written) > 1)
+            running.cancel()
+            frames = [[envelope.kind, *(one.kind for one in envelope.more)] for envelope in wire.written]
+            assert frames == [[SAMPLE_KIND], ['requests.attempt_started', SAMPLE_KIND]]
+
+        _run(scenario)
+
+    def test_it_leaves_alone_if_no_other_follows(self) -> None:
+        """Guards against a message that is kept back for ever."""
+
+        async def scenario() -> None:
+            link, wire = Link(_peer('agent-1')), _Wire()
+            running = asyncio.create_task(link.run(wire, lambda envelope: None))
+            link.send(AttemptStarted(AttemptId('a')), may_wait=True)
+            await _until(lambda: wire.written)
+            link.send(AttemptStarted(AttemptId('b')), may_wait=True)
+            await _until(lambda: len(wire.written) > 1)
+            running.cancel()
+            assert [len(envelope.more) for envelope in wire.written] == [0, 0]
+
+        _run(scenario)
+
+
 class TestHeartbeat:
     def test_only_an_idle_link_carries_heartbeats(self) -> None:
         """Guards against heartbeats beside other messages, and against an idle link without any."""
