Bound the time of sending a request and check who ends a service

Cause: cheroot bounds only the silence of a sender, so one byte just within the socket timeout held a thread without end. Its reader of chunks raises errors that end in 500, takes negative, signed and prefixed sizes, and reads the lines of sizes and trailers without a bound. A body that ended before its Content-Length went to the upstream as it was. The rest of a chunked body that was not read was taken for the next request of the connection. DELETE on the agent's announcement interface ended the service of an upstream without a look at its credential, so that any process of the host could do so.

Ruled out: a larger socket timeout (it bounds silence only), and answering in the WSGI application alone (the header is read before it is called).

Change: http/connections.py gives each request a deadline on the connection's reader (http.receive_timeout_s, 30 s; agent.receive_timeout_s, 5 s) after which cheroot answers 408, refuses a malformed Content-Length, and closes a connection whose body has an uncertain end. http/bodies.py reads bodies for entries and agents and returns 400 or 413. A DELETE is judged like an announcement: credential, incarnation and URL must be those of the process that announced the upstream; otherwise it is counted and logged.

Conclusion: senders hold a thread for at most the bound. A sender that goes on sending a refused body may still see a reset connection instead of the answer.

--- a/basilcove/http/announcements.py
+++ b/basilcove/http/announcements.py
@@ -5,21 +5,23 @@
 from http import HTTPStatus
 from typing import Any, Self
 
-from cheroot import wsgi
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from basilcove.core.events import Event
 from basilcove.core.ids import Incarnation, ModelName, ServiceName, UpstreamName
 from basilcove.helpers.metrics import Metrics
+from basilcove.http.bodies import read_body
 from basilcove.http.config import AnnounceConfig
+from basilcove.http.connections import Server, start_server
 from basilcove.http.const import MAX_ANNOUNCEMENT_BYTES, SPARE_THREADS
-from basilcove.http.replies import Start, reply_json
-from basilcove.http.status import NotReady, StatusPages, start_server
-from basilcove.membership.events import UpstreamAnnounced, UpstreamLeavingRequested
+from basilcove.http.replies import Start, refuse, reply_json
+from basilcove.http.status import NotReady, StatusPages
+from basilcove.membership.events import UpstreamAnnounced, UpstreamDeparted
+from basilcove.requests.events import Refusal
 
 
 class Announcement(BaseModel):
-    """Body of ``PUT /announce``; ``incarnation`` grows with each start of the upstream."""
+    """Body of ``PUT`` and ``DELETE /announce``; ``incarnation`` grows with each start of the upstream."""
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
@@ -50,7 +52,7 @@
         self._cfg = cfg
         self._pages = StatusPages(metrics)
         self._post: Callable[[Event], None] | None = None
-        self._server: wsgi.Server | None = None
+        self._server: Server | None = None
 
     @classmethod
     def from_config(cls, cfg: AnnounceConfig, metrics: Metrics) -> Self:
@@ -61,7 +63,14 @@
         """Bind and serve."""
         self._post = post
         self._pages.setup(not_ready)
-        self._server = start_server(self._cfg.listen, self._serve, SPARE_THREADS, MAX_ANNOUNCEMENT_BYTES)
+        cfg = self._cfg
+        self._server = start_server(
+            cfg.listen,
+            self._serve,
+            SPARE_THREADS,
+            MAX_ANNOUNCEMENT_BYTES,
+            receive_timeout_s=cfg.receive_timeout_s,
+        )
 
     def unload(self) -> None:
         """Stop serving."""
@@ -78,15 +87,18 @@
         return reply_json(start, HTTPStatus.NOT_FOUND, {'detail': f'no such path: {path}'})
 
     def _announce(self, environ: dict[str, Any], start: Start) -> Iterable[bytes]:
+        body = read_body(environ)
+        if isinstance(body, Refusal):
+            return refuse(start, body)
         try:
-            announcement = Announcement.model_validate_json(environ['wsgi.input'].read())
+            announcement = Announcement.model_validate_json(body)
         except ValidationError as exc:
             return reply_json(start, HTTPStatus.BAD_REQUEST, json.loads(exc.json(include_url=False)))
         event: Event | None = None
         if environ['REQUEST_METHOD'] == 'PUT':
             event = announcement.to_event()
         if environ['REQUEST_METHOD'] == 'DELETE':
-            event = UpstreamLeavingRequested(announcement.name)
+            event = UpstreamDeparted(announcement.to_event())
         if event is None or self._post is None:
             return reply_json(
                 start, HTTPStatus.METHOD_NOT_ALLOWED, {'detail': '/announce takes PUT and DELETE'}
--- a/basilcove/http/callers.py
+++ b/basilcove/http/callers.py
@@ -8,8 +8,6 @@
 from http import HTTPStatus
 from typing import Any, Final, Self
 
-from cheroot import wsgi
-from cheroot.errors import MaxSizeExceeded
 from loguru import logger
 
 from basilcove.core.events import Event
@@ -19,7 +17,9 @@
 from basilcove.helpers.metrics import Metrics
 from basilcove.helpers.traces import Tracing, trace_id_of, traceparent_of
 from basilcove.http.answers import AnswerTable, Body, Broken, Complete, Head, Part, Refused
+from basilcove.http.bodies import read_body
 from basilcove.http.config import HttpConfig
+from basilcove.http.connections import Server, start_server
 from basilcove.http.const import (
     ANSWER_GRACE_S,
     EVENT_STREAM,
@@ -29,10 +29,9 @@
 from basilcove.http.problems import error_event
 from basilcove.http.replies import Start, refuse, status_line
 from basilcove.http.sse import DONE_EVENT
-from basilcove.http.status import NotReady, StatusPages, start_server
+from basilcove.http.status import NotReady, StatusPages
 from basilcove.requests.events import CallerGone, Refusal, Request, RequestArrived
 
-_TOO_LARGE: Final = 'Request Entity Too Large'
 _BEARER: Final = 'Bearer '
 _RETRY_WHEN_FULL_S: Final = 1.0
 
@@ -50,7 +49,7 @@
         self._slots = threading.BoundedSemaphore(cfg.max_streams)
         self._post: Callable[[Event], None] | None = None
         self._pages = StatusPages(metrics)
-        self._server: wsgi.Server | None = None
+        self._server: Server | None = None
 
     @classmethod
     def from_config(cls, cfg: HttpConfig, answers: AnswerTable, metrics: Metrics, tracing: Tracing) -> Self:
@@ -64,7 +63,7 @@
         threads = self._cfg.max_streams + SPARE_THREADS
         cfg = self._cfg
         self._server = start_server(
-            cfg.listen, self._serve, threads, cfg.max_body_bytes, cfg.socket_timeout_s
+            cfg.listen, self._serve, threads, cfg.max_body_bytes, cfg.socket_timeout_s, cfg.receive_timeout_s
         )
 
     def unload(self) -> None:
@@ -235,20 +234,8 @@
     return parse_call(call, environment, _find_team(call, environment))
 
 
-def _read_body(environ: dict[str, Any]) -> bytes | Refusal:
-    try:
-        return bytes(environ['wsgi.input'].read())
-    except OSError as exc:
-        # For a chunk beyond the bound cheroot raises an error that only its text tells apart.
-        if str(exc) != _TOO_LARGE:
-            raise
-    except MaxSizeExceeded:
-        logger.debug('a chunked body exceeds the bound')
-    return Refusal(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, Outcome.NOT_RUN, 'the body is too large')
-
-
 def _read_call(environ: dict[str, Any]) -> HttpCall | Refusal:
-    body = _read_body(environ)
+    body = read_body(environ)
     if isinstance(body, Refusal):
         return body
     headers = {
--- a/basilcove/http/config.py
+++ b/basilcove/http/config.py
@@ -3,13 +3,14 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from basilcove.const import MAX_REQUEST_BYTES
-from basilcove.http.const import MAX_BODY_BYTES, SOCKET_TIMEOUT_S
+from basilcove.http.const import ANNOUNCEMENT_TIMEOUT_S, MAX_BODY_BYTES, RECEIVE_TIMEOUT_S, SOCKET_TIMEOUT_S
 
 
 class HttpConfig(BaseModel):
     """Where an entry listens for callers and how many answers it streams at once.
 
-    A caller that sends or takes nothing for ``socket_timeout_s`` is cut off.
+    A caller that sends or takes nothing for ``socket_timeout_s``, or takes longer than ``receive_timeout_s``
+    to send a whole request, is cut off.
     """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
@@ -18,16 +19,21 @@
     max_streams: int = Field(64, gt=0, le=4096)
     max_body_bytes: int = Field(MAX_BODY_BYTES, gt=0, le=MAX_REQUEST_BYTES)
     socket_timeout_s: float = Field(SOCKET_TIMEOUT_S, gt=0)
+    receive_timeout_s: float = Field(RECEIVE_TIMEOUT_S, gt=0)
 
 
 class AnnounceConfig(BaseModel):
-    """Where an agent listens for the upstream on its host."""
+    """Where an agent listens for the upstream on its host.
+
+    An announcement must arrive whole within ``receive_timeout_s``.
+    """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
     listen: str
     max_calls: int = Field(64, gt=0, le=4096)
     progress_timeout_s: float = Field(30, gt=0)
+    receive_timeout_s: float = Field(ANNOUNCEMENT_TIMEOUT_S, gt=0)
 
 
 class StatusConfig(BaseModel):
--- a/basilcove/http/const.py
+++ b/basilcove/http/const.py
@@ -5,12 +5,19 @@
 KIBIBYTE: Final = 1024
 
 MAX_HEADER_BYTES: Final = 32 * KIBIBYTE
+# The line that announces a chunk of a body, with its extensions.
+MAX_CHUNK_LINE_BYTES: Final = 4 * KIBIBYTE
 MAX_BODY_BYTES: Final = 4 * KIBIBYTE * KIBIBYTE
 MAX_ANNOUNCEMENT_BYTES: Final = 64 * KIBIBYTE
 # Connections that wait to be accepted. Those beyond it are dropped by the operating system, and their
 # callers try again after 1 s; cheroot's default of 5 made 70 callers that came at once wait up to 7 s.
 LISTEN_BACKLOG: Final = 512
 SOCKET_TIMEOUT_S: Final = 10
+# Bounds how long one request may hold a thread while it arrives. A body of the default largest size then
+# needs a line of 1.1 Mbit/s.
+RECEIVE_TIMEOUT_S: Final = 30
+# Announcements are small and come from the agent's own host.
+ANNOUNCEMENT_TIMEOUT_S: Final = 5
 
 # Threads beyond the open streams, so that refusals and health checks are answered at full load.
 SPARE_THREADS: Final = 8
--- a/basilcove/http/status.py
+++ b/basilcove/http/status.py
@@ -1,18 +1,15 @@
 """Health, readiness and metrics over HTTP, as every node serves them."""
 
-import threading
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, Self
 
-from cheroot import wsgi
-
 from basilcove.helpers.metrics import Metrics
 from basilcove.http.config import StatusConfig
-from basilcove.http.const import KIBIBYTE, LISTEN_BACKLOG, MAX_HEADER_BYTES, SOCKET_TIMEOUT_S, STATUS_THREADS
+from basilcove.http.connections import Server, start_server
+from basilcove.http.const import KIBIBYTE, STATUS_THREADS
 from basilcove.http.replies import Start, reply, reply_json
 
-Application = Callable[[dict[str, Any], Start], Iterable[bytes]]
 NotReady = Callable[[], list[str]]
 
 
@@ -48,7 +45,7 @@
         """Bind once set up."""
         self._listen = cfg.listen
         self._pages = StatusPages(metrics)
-        self._server: wsgi.Server | None = None
+        self._server: Server | None = None
 
     @classmethod
     def from_config(cls, cfg: StatusConfig, metrics: Metrics) -> Self:
@@ -70,22 +67,3 @@
         if page is None:
             return reply_json(start, HTTPStatus.NOT_FOUND, {'detail': 'no such path'})
         return page
-
-
-def start_server(
-    listen: str,
-    app: Application,
-    threads: int,
-    max_body_bytes: int,
-    timeout_s: float = SOCKET_TIMEOUT_S,
-) -> wsgi.Server:
-    """Bind and serve on threads of its own; OSError if the address is taken."""
-    host, _, port = listen.rpartition(':')
-    server = wsgi.Server((host, int(port)), app, numthreads=threads, max=threads)
-    server.timeout = timeout_s
-    server.request_queue_size = LISTEN_BACKLOG
-    server.max_request_header_size = MAX_HEADER_BYTES
-    server.max_request_body_size = max_body_bytes
-    server.prepare()
-    threading.Thread(target=server.serve, name=f'http {listen}', daemon=True).start()
-    return server
--- a/basilcove/membership/announcer.py
+++ b/basilcove/membership/announcer.py
@@ -29,6 +29,7 @@
     LocalUpstreamJoined,
     LocalUpstreamLost,
     UpstreamAnnounced,
+    UpstreamDeparted,
     UpstreamLeavingRequested,
 )
 from basilcove.membership.messages import Announce, Drain, DrainDone
@@ -43,9 +44,7 @@
     yield from _expire(state, ctx)
     verdict = _judge(state, event)
     if isinstance(verdict, Refused):
-        yield Count('announcements_refused', (('at', 'agent'),))
-        yield Log('warning', f'announcement refused: {verdict.reason}', (('upstream', event.name),))
-        yield Emit(AnnouncementRefused(event.name, event.incarnation, verdict.reason))
+        yield from _refuse(event, verdict)
         return
     yield Emit(AnnouncementAccepted(event.name, event.incarnation))
     known = state.local.get(event.name)
@@ -59,6 +58,17 @@
     yield from _announce(state, event.name)
 
 
+@handles(UpstreamDeparted, AnnouncerState)
+def on_departed(state: AnnouncerState, event: UpstreamDeparted, ctx: Context) -> Iterator[Effect]:
+    """Let an upstream leave if the process that announced it asks, with its credential."""
+    yield from _expire(state, ctx)
+    refused = _find_impostor(state, event.announced)
+    if refused is not None:
+        yield from _refuse(event.announced, refused)
+        return
+    yield Emit(UpstreamLeavingRequested(event.announced.name))
+
+
 @handles(UpstreamLeavingRequested, AnnouncerState)
 def on_leaving(state: AnnouncerState, event: UpstreamLeavingRequested, ctx: Context) -> Iterator[Effect]:
     """Announce at once that the upstream leaves; only its next process comes back."""
@@ -144,22 +154,33 @@
         yield from _announce(state, name)
 
 
+def _refuse(event: UpstreamAnnounced, verdict: Refused) -> Iterator[Effect]:
+    yield Count('announcements_refused', (('at', 'agent'),))
+    yield Log('warning', f'announcement refused: {verdict.reason}', (('upstream', event.name),))
+    yield Emit(AnnouncementRefused(event.name, event.incarnation, verdict.reason))
+
+
 def _judge(state: AnnouncerState, event: UpstreamAnnounced) -> Allowed | Refused:
     environment = state.environment
     if environment is None or state.stopping:
         return Refused('the agent stops' if state.stopping else 'no document is in effect yet')
     claim = Claim(event.name, state.node, state.zone, event.models, event.services)
     verdict = judge(environment, claim)
-    if isinstance(verdict, Refused):
-        return verdict
-    if not is_secret(event.credential, environment.upstreams[event.name].credential_digest):
+    return verdict if isinstance(verdict, Refused) else _find_impostor(state, event) or verdict
+
+
+def _find_impostor(state: AnnouncerState, event: UpstreamAnnounced) -> Refused | None:
+    declared = state.environment.upstreams.get(event.name) if state.environment else None
+    if declared is None:
+        return Refused(f'the document has no upstream {event.name}')
+    if not is_secret(event.credential, declared.credential_digest):
         return Refused(_wrong_credential(state, event))
     known = state.local.get(event.name)
     if known is not None and _identity(known.announced) != _identity(event):
         return Refused(f'{event.name} is announced by another process that is still alive')
     if event.incarnation < state.newest.get(event.name, event.incarnation):
         return Refused(f'{event.name} is announced by a former process')
-    return verdict
+    return None
 
 
 def _identity(event: UpstreamAnnounced) -> tuple[int, str]:
--- a/basilcove/membership/events.py
+++ b/basilcove/membership/events.py
@@ -19,6 +19,13 @@
     incarnation: Incarnation
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamDeparted(Event):
+    """An upstream told the agent on its host that it leaves."""
+
+    announced: UpstreamAnnounced
+
+
 @dataclass(frozen=True, slots=True)
 class AnnouncementAccepted(Event):
     """The agent took an upstream's announcement."""
--- /dev/null
+++ b/tests/http/test_senders.py
@@ -0,0 +1,191 @@
+"""Senders that are slow or break the framing of their body, over real sockets."""
+
+import contextlib
+import json
+import socket
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import pytest
+
+from basilcove.core.events import Event
+from basilcove.environment.keys import digest_of_secret
+from basilcove.helpers.metrics import Metrics
+from basilcove.helpers.traces import TraceConfig, Tracing
+from basilcove.http.announcements import AnnouncementServer
+from basilcove.http.answers import AnswerTable, Complete, Head
+from basilcove.http.callers import CallerServer
+from basilcove.http.config import AnnounceConfig, HttpConfig
+from basilcove.requests.events import RequestArrived
+from tests.harness.processes import free_address
+from tests.requests.network import make_environment
+
+KEY = 'k'
+SOCKET_TIMEOUT_S, RECEIVE_TIMEOUT_S, PACE_S = 5, 0.6, 0.1
+ANNOUNCEMENT = {'name': 'u0', 'url': 'http://127.0.0.1:9', 'credential': 'c', 'incarnation': 1}
+
+
+@dataclass
+class Target:
+    """A running server, the head of a request that it takes, and the events that requests caused."""
+
+    listen: str
+    head: bytes
+    body: bytes
+    events: list[Event] = field(default_factory=list)
+
+    def connect(self) -> socket.socket:
+        host, _, port = self.listen.rpartition(':')
+        return socket.create_connection((host, int(port)), timeout=30)
+
+    def ask(self, *content: bytes) -> bytes:
+        """Send a request and the end of the stream; return all that comes back."""
+        with self.connect() as conn:
+            conn.sendall(self.head + b''.join(content))
+            with contextlib.suppress(OSError):  # The server may have closed the connection by now.
+                conn.shutdown(socket.SHUT_WR)
+            return read_all(conn)
+
+
+def read_all(conn: socket.socket) -> bytes:
+    return b''.join(iter(lambda: conn.recv(65536), b''))
+
+
+def chunked(*chunks: bytes) -> bytes:
+    sizes = (b'%x\r\n%s\r\n' % (len(chunk), chunk) for chunk in chunks)
+    return b'Transfer-Encoding: chunked\r\n\r\n' + b''.join(sizes)
+
+
+@pytest.fixture(scope='module')
+def entry_server() -> Iterator[Target]:
+    """An entry that answers each request at once with status 200."""
+    answers = AnswerTable()
+    cfg = HttpConfig(
+        listen=free_address(), socket_timeout_s=SOCKET_TIMEOUT_S, receive_timeout_s=RECEIVE_TIMEOUT_S
+    )
+    target = Target(cfg.listen, b'POST /services/carts/book HTTP/1.1\r\nHost: a\r\n', b'{"cart": "A7"}')
+    target.head += b'Authorization: Bearer %s\r\n' % KEY.encode()
+
+    def post(event: Event) -> None:
+        target.events.append(event)
+        if isinstance(event, RequestArrived):
+            answers.put(event.request.request_id, Head(200, {}))
+            answers.put(event.request.request_id, Complete())
+
+    server = CallerServer.from_config(cfg, answers, Metrics(), Tracing(TraceConfig(), 'e0'))
+    server.change_environment(make_environment(key_digests=[digest_of_secret(KEY)]))
+    server.setup(post, list)
+    yield target
+    server.unload()
+
+
+@pytest.fixture(scope='module')
+def agent_server() -> Iterator[Target]:
+    """An agent's server for announcements."""
+    cfg = AnnounceConfig(listen=free_address(), receive_timeout_s=RECEIVE_TIMEOUT_S)
+    body = json.dumps(ANNOUNCEMENT).encode()
+    target = Target(cfg.listen, b'PUT /announce HTTP/1.1\r\nHost: a\r\n', body)
+    server = AnnouncementServer.from_config(cfg, Metrics())
+    server.setup(target.events.append, list)
+    yield target
+    server.unload()
+
+
+@pytest.fixture
+def entry(entry_server: Target) -> Target:
+    """The entry, without events of earlier tests."""
+    entry_server.events.clear()
+    return entry_server
+
+
+@pytest.fixture(params=['entry_server', 'agent_server'])
+def target(request: pytest.FixtureRequest) -> Target:
+    """Each of the two servers in turn, without events of earlier tests."""
+    target: Target = request.getfixturevalue(request.param)
+    target.events.clear()
+    return target
+
+
+class TestSlowSenders:
+    @pytest.mark.parametrize('make', [lambda sent: b'X-Slow: ', lambda sent: b'Content-Length: 200\r\n\r\n'])
+    def test_trickling_sender_gets_408(self, target: Target, make: Callable[[bytes], bytes]) -> None:
+        """Guards against a sender that holds a thread by sending one byte after the other."""
+        with target.connect() as conn:
+            conn.sendall(target.head + make(target.body))
+            conn.settimeout(PACE_S)
+            received, sent = b'', 0
+            while not received and sent < 200:
+                sent += 1
+                with contextlib.suppress(OSError):
+                    conn.sendall(b'a')
+                with contextlib.suppress(TimeoutError):
+                    received = conn.recv(65536)
+        assert received.startswith(b'HTTP/1.1 408 '), (received, sent)
+        assert not target.events
+
+    def test_bound_covers_one_request_of_a_connection(self, entry: Target) -> None:
+        """Guards against a bound that cuts off connections which outlive it."""
+        content = entry.head + b'Content-Length: 2\r\n\r\n{}'
+        with entry.connect() as conn:
+            conn.settimeout(2 * RECEIVE_TIMEOUT_S)
+            for _ in range(2):
+                conn.sendall(content)
+                assert conn.recv(65536).startswith(b'HTTP/1.1 200 ')
+                with pytest.raises(TimeoutError):
+                    conn.recv(65536)
+
+
+class TestFraming:
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'zz\r\n{}\r\n0\r\n\r\n',
+            b'\r\n',
+            b'-2\r\n{}\r\n0\r\n\r\n',
+            b'0x2\r\n{}\r\n0\r\n\r\n',
+            b'2\r\n{}a\r\n0\r\n\r\n',
+            b'2\r\n{}\r\n',
+            b'9\r\n{}',
+            b'2\r\n{}\r\n0\r\nno trailer\r\n\r\n',
+            b'2\r\n{}\r\n0\r\n',
+            b'1' * 5000,
+        ],
+    )
+    def test_malformed_chunks_get_400(self, target: Target, content: bytes) -> None:
+        """Guards against a thread that a body ends, and against a call with a part of a body."""
+        received = target.ask(b'Transfer-Encoding: chunked\r\n\r\n', content)
+        assert received.startswith(b'HTTP/1.1 400 '), received
+        assert not target.events
+
+    def test_shortened_body_gets_400(self, target: Target) -> None:
+        """Guards against a call with a part of the body of a sender that was cut off."""
+        received = target.ask(b'Content-Length: %d\r\n\r\n' % (len(target.body) + 1), target.body)
+        assert received.startswith(b'HTTP/1.1 400 '), received
+        assert not target.events
+
+    @pytest.mark.parametrize('length', [b'-1', b'+2', b'2_0', b'two'])
+    def test_malformed_length_gets_400(self, target: Target, length: bytes) -> None:
+        """Guards against a body that is read without a bound, and against a request hidden in a body."""
+        received = target.ask(b'Content-Length: %s\r\n\r\n' % length, target.body)
+        assert received.startswith(b'HTTP/1.1 400 '), received
+        assert received.count(b'HTTP/1.1 ') == 1
+        assert not target.events
+
+    def test_whole_chunked_bodies_are_taken(self, target: Target) -> None:
+        """Guards against checks that refuse extensions and trailers, or lose the next request."""
+        body = target.body
+        first = chunked(body[:3]) + b'%x;a=b\r\n%s\r\n0\r\nX-Trailer: a\r\n\r\n' % (len(body) - 3, body[3:])
+        received = target.ask(first, target.head, chunked(body), b'0\r\n\r\n')
+        assert received.count(b'HTTP/1.1 20') == 2, received
+        assert len(target.events) == 2
+
+    @pytest.mark.parametrize(
+        'head', [b'GET /healthz HTTP/1.1\r\n', b'POST /services/carts/book HTTP/1.1\r\n']
+    )
+    def test_unread_chunks_are_not_the_next_request(self, entry: Target, head: bytes) -> None:
+        """Guards against a request hidden in a chunked body that the server didn't read to its end."""
+        hidden = entry.head + b'Content-Length: 0\r\n\r\n'
+        bare = Target(entry.listen, head + b'Host: a\r\n', b'')
+        received = bare.ask(b'Transfer-Encoding: chunked\r\n\r\n', hidden)
+        assert received.count(b'HTTP/1.1 ') == 1, received
+        assert not entry.events
--- a/tests/membership/test_announcer.py
+++ b/tests/membership/test_announcer.py
@@ -1,3 +1,5 @@
+import pytest
+
 from basilcove.core.events import Received
 from basilcove.core.ids import NodeId
 from basilcove.membership.messages import Announce
@@ -26,6 +28,24 @@
         assert set(world.witness('entry-0').open) == {'engine-0'}
 
 
+class TestDeparture:
+    @pytest.mark.parametrize(
+        ('credential', 'incarnation'),
+        [('', 2), ('no-such', 2), ('engine-1-key', 2), ('engine-0-key', 1), ('engine-0-key', 3)],
+    )
+    def test_only_the_process_itself_ends_its_service(self, credential: str, incarnation: int) -> None:
+        """Guards against another process of the host that takes an upstream out of service."""
+        world = World()
+        world.announce('agent-0', 'engine-0', 'engine-0-key', 2)
+        world.net.run(1)
+        world.depart('agent-0', 'engine-0', credential, incarnation)
+        world.net.run(1)
+        assert set(world.witness('entry-0').open) == {'engine-0'}
+        world.depart('agent-0', 'engine-0', 'engine-0-key', 2)
+        world.net.run(1)
+        assert not world.witness('entry-0').open
+
+
 class TestFormerAgent:
     def test_an_entry_that_restarted_refuses_a_former_agents_announcement(self) -> None:
         """Guards against an announcement in flight that outlives its agent's process."""
--- a/tests/membership/world.py
+++ b/tests/membership/world.py
@@ -14,6 +14,7 @@
     AnnouncementRefused,
     DrainConfirmed,
     UpstreamAnnounced,
+    UpstreamDeparted,
     UpstreamJoined,
     UpstreamLeaving,
     UpstreamLeavingRequested,
@@ -122,17 +123,13 @@
         """Let an upstream announce itself to an agent; tell whether that took it."""
         witness = self.witness(agent)
         before = len(witness.accepted)
-        announced = UpstreamAnnounced(
-            UpstreamName(name),
-            f'http://127.0.0.1/{name}/{incarnation}',
-            credential,
-            ('slate',),
-            (),
-            Incarnation(incarnation),
-        )
-        self.net.apply(agent, announced)
+        self.net.apply(agent, _announcement(name, credential, incarnation))
         return len(witness.accepted) > before
 
+    def depart(self, agent: str, name: str, credential: str, incarnation: int) -> None:
+        """Let a process tell the agent that the upstream leaves."""
+        self.net.apply(agent, UpstreamDeparted(_announcement(name, credential, incarnation)))
+
     def leave(self, agent: str, name: str) -> None:
         """Let the upstream leave, as the agent is told on its own host."""
         self.net.apply(agent, UpstreamLeavingRequested(UpstreamName(name)))
@@ -142,6 +139,11 @@
         return self.net.hosts[NodeId(name)].node.part(Witness)
 
 
+def _announcement(name: str, credential: str, incarnation: int) -> UpstreamAnnounced:
+    url = f'http://127.0.0.1/{name}/{incarnation}'
+    return UpstreamAnnounced(UpstreamName(name), url, credential, ('slate',), (), Incarnation(incarnation))
+
+
 def _may_link(one: Peer, other: Peer) -> bool:
     if Role.CONTROL in other.roles:
         return True
--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -33,7 +33,7 @@
     assert tokens_of(answer.data.decode()) == expected_tokens(8)
 
 
-def _announce(cluster: Cluster, agent: str, **changes: object) -> None:
+def _announce(cluster: Cluster, agent: str, method: str = 'PUT', **changes: object) -> None:
     content = {
         'name': 'engine-1',
         'url': 'http://127.0.0.1:9',
@@ -44,7 +44,7 @@
         **changes,
     }
     url = f'http://{cluster.addresses[agent].http}/announce'
-    assert cluster.http.request('PUT', url, json=content).status == 202
+    assert cluster.http.request(method, url, json=content).status == 202
 
 
 def _other(cluster: Cluster) -> str:
@@ -143,6 +143,18 @@
         assert tokens_of(chat(cluster, 'entry-1').data.decode()) == expected_tokens(8)
         assert len(cluster.state_of('engine-1')['runs']) == before + 1
 
+    @pytest.mark.parametrize('credential', ['wrong', 'demo-hire-1-credential'])
+    def test_departure_without_the_credential_is_refused(self, shared: Shared, credential: str) -> None:
+        """Guards against a process of the host that takes an upstream out of service."""
+        cluster = shared.cluster
+        log = cluster.processes['agent-engine-1'].log
+        before = log.read_text().count('announcement refused')
+        _announce(cluster, 'agent-engine-1', 'DELETE', credential=credential)
+        wait_for(lambda: log.read_text().count('announcement refused') > before, 'the refusal')
+        runs = len(cluster.state_of('engine-1')['runs'])
+        assert tokens_of(chat(cluster, 'entry-1').data.decode()) == expected_tokens(8)
+        assert len(cluster.state_of('engine-1')['runs']) == runs + 1
+
     def test_upstream_of_another_agent_is_refused(self, shared: Shared) -> None:
         """Guards against an agent that announces what another agent already has."""
         cluster = shared.cluster
