Join the planner to the daemon: counts of ranks, reports, plans under the lease

Cause: the daemon installed only the even map of a group; nothing fed the popularity of experts or the planner. Ruled out: counts in announcements, which come every half second and are limited to 64 KiB; a query of the catalog for the holder of the lease, since its orders name it; the state of a plan cleared with the lease, since a thread that is still busy would get a second plan. Conclusion: skewed popularity leads to another map on all ranks.

--- a/basilcove/experts/planner.py
+++ b/basilcove/experts/planner.py
@@ -39,6 +39,16 @@
     )
 
 
+def expected_skew(popularity: Popularity, current_map: ExpertMap) -> float:
+    """Return the mean over the layers of the slowest rank's load over the mean."""
+    capacity = normalized((), len(current_map.layers[0]))
+    skews = [
+        LayerState(shares, placement, capacity).skew
+        for shares, placement in zip(popularity.layers, current_map.layers, strict=True)
+    ]
+    return sum(skews) / len(skews)
+
+
 def place_anew(popularity: Popularity, current_map: ExpertMap, place: Place) -> Plan:
     """Place every layer anew, whatever it costs; the baseline and the first map of a group."""
     layers = tuple(place(shares) for shares in popularity.layers)
--- /dev/null
+++ b/basilcove/experts/planning/reporting.py
@@ -0,0 +1,112 @@
+"""Handlers that read the counts of an engine and report them to the holder of the group's lease."""
+
+from collections.abc import Iterator
+
+from basilcove.catalog.delivery import deliver
+from basilcove.core.events import Count, Effect, Log, Received, Tick
+from basilcove.core.ids import Role
+from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.experts.messages import PopularityAnswer, PopularityReport
+from basilcove.experts.planning.const import REPORT_RESEND_S
+from basilcove.experts.planning.counts import growth, scaled
+from basilcove.experts.planning.events import CountsFailed, CountsRead, PlanningAssigned, ReadCounts
+from basilcove.experts.planning.models import ReportingState
+from basilcove.helpers.hashing import stable_fraction
+from basilcove.orders.messages import Order
+
+
+@handles(PlanningAssigned, ReportingState)
+def on_assigned(state: ReportingState, event: PlanningAssigned, ctx: Context) -> list[Effect]:
+    """Read the counts of this engine; agents that start together do not read together."""
+    is_new = not state.upstream
+    state.assign(event.shape, event.upstream, event.url)
+    if is_new:
+        state.read_at = ctx.now + state.interval_s * stable_fraction(state.node, state.incarnation)
+    return []
+
+
+@handles_message(Order, ReportingState)
+def on_order(state: ReportingState, event: Received, ctx: Context) -> Iterator[Effect]:
+    """Report to the agent whose orders carry the newest token; a new one gets a full report."""
+    order = event.message
+    assert isinstance(order, Order)
+    if order.group != state.shape.group or order.fence < state.fence:
+        return
+    origin = event.peer.node
+    if origin != state.node and Role.AGENT not in event.peer.roles:
+        return
+    is_new = (origin, order.fence) != (state.coordinator, state.fence)
+    if not is_new:
+        return
+    state.coordinator, state.fence = origin, order.fence
+    state.needs_full = True
+    yield from _report(state, ctx.now)
+
+
+@handles(Tick, ReportingState)
+def on_tick(state: ReportingState, event: Tick, ctx: Context) -> list[Effect]:
+    """Read the counts when they are due; send a report without an answer once more."""
+    effects: list[Effect] = []
+    if state.url and ctx.now >= state.read_at:
+        state.read_at = ctx.now + state.interval_s
+        effects.append(ReadCounts(state.url))
+    if state.unanswered is not None and state.coordinator is not None and ctx.now >= state.resend_at:
+        state.resend_at = ctx.now + REPORT_RESEND_S
+        effects.append(deliver(state.node, state.coordinator, state.unanswered))
+    return effects
+
+
+@handles(CountsRead, ReportingState)
+def on_counts(state: ReportingState, event: CountsRead, ctx: Context) -> Iterator[Effect]:
+    """Sum the growth of the counts over the ranks and report it."""
+    size = state.shape.layers * state.shape.experts
+    if event.url != state.url or not event.ranks:
+        return
+    if any(len(own.counts) != size for own in event.ranks):
+        yield Log('warning', f'counts of {state.upstream} do not fit {state.shape.group}')
+        yield Count('expert_counts_failed')
+        return
+    former, state.readings = state.readings, {own.rank: own for own in event.ranks}
+    elapsed_s, state.readings_at = ctx.now - state.readings_at, ctx.now
+    if not former or elapsed_s <= 0:
+        return
+    state.counts = scaled(growth(former, event.ranks, size), state.interval_s / elapsed_s)
+    yield from _report(state, ctx.now)
+
+
+@handles(CountsFailed, ReportingState)
+def on_counts_failed(state: ReportingState, event: CountsFailed, ctx: Context) -> list[Effect]:
+    """Read again after the interval; the next reading covers both."""
+    return [Log('debug', f'no counts of experts: {event.reason}'), Count('expert_counts_failed')]
+
+
+@handles_message(PopularityAnswer, ReportingState)
+def on_answer(state: ReportingState, event: Received, ctx: Context) -> Iterator[Effect]:
+    """Go on with changes, or send a full report if one was lost."""
+    answer = event.message
+    assert isinstance(answer, PopularityAnswer)
+    report = state.unanswered
+    if report is None or event.peer.node != state.coordinator:
+        return
+    if (answer.incarnation, answer.sequence) != (report.incarnation, report.sequence):
+        return
+    state.unanswered = None
+    if not answer.accepted:
+        state.needs_full = True
+        yield from _report(state, ctx.now)
+
+
+def _report(state: ReportingState, now: float) -> Iterator[Effect]:
+    if state.coordinator is None or state.reporter is None or state.counts is None:
+        return
+    # After a lost report the receiver misses a number and asks for a full one.
+    full, state.needs_full = state.needs_full, False
+    state.sequence += 1
+    changes = state.reporter.encode(state.counts, full=full)
+    report = PopularityReport(
+        state.shape.group, state.upstream, state.incarnation, state.sequence, full, changes
+    )
+    state.unanswered = report
+    state.resend_at = now + REPORT_RESEND_S
+    yield Count('popularity_reports', (('kind', 'full' if full else 'changes'),))
+    yield deliver(state.node, state.coordinator, report)
--- a/basilcove/experts/popularity.py
+++ b/basilcove/experts/popularity.py
@@ -3,8 +3,9 @@
 from array import array
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
+from typing import TypeAlias
 
-from basilcove.core.ids import Rank
+from basilcove.core.ids import Rank, UpstreamName
 from basilcove.experts.const import (
     FORECAST_RANGE,
     JUMP_DISTANCE,
@@ -20,6 +21,9 @@
 _PAYLOAD = 0x7F
 _PAYLOAD_BITS = 7
 
+# What reports: a rank, or the ranks of an engine together.
+Source: TypeAlias = Rank | UpstreamName
+
 
 class ReportFault(ValueError):
     """A report is malformed or out of range."""
@@ -54,7 +58,7 @@
 
 
 @dataclass(slots=True)
-class _Source:
+class _Reported:
     counts: 'array[int]'
     sequence: int
 
@@ -66,12 +70,12 @@
         """Start without knowledge: all experts are equally popular."""
         self._size = layers * experts
         self._experts = experts
-        self._sources: dict[Rank, _Source] = {}
+        self._sources: dict[Source, _Reported] = {}
         self._once = [0.0 for _ in range(self._size)]
         self._twice = self._once.copy()
         self._trend_per_s = 0.0
 
-    def merge(self, rank: Rank, sequence: int, report: bytes, *, full: bool = False) -> bool:
+    def merge(self, rank: Source, sequence: int, report: bytes, *, full: bool = False) -> bool:
         """Apply a report; False asks the rank for a full one, as a report was lost.
 
         A repeated report changes nothing. ReportFault if the report is malformed.
@@ -86,13 +90,18 @@
             if index >= self._size or counts[index] + change < 0:
                 raise ReportFault(f'report of rank {rank} is out of range at index {index}')
             counts[index] += change
-        self._sources[rank] = _Source(counts, sequence)
+        self._sources[rank] = _Reported(counts, sequence)
         return True
 
-    def forget(self, rank: Rank) -> None:
+    def forget(self, rank: Source) -> None:
         """Drop the counts of a rank that left."""
         self._sources.pop(rank, None)
 
+    @property
+    def selections(self) -> int:
+        """Sum of all counts in the newest reports."""
+        return sum(sum(source.counts) for source in self._sources.values())
+
     def advance(self, interval_s: float) -> None:
         """End an interval: smooth the counts twice, which yields their level and their trend.
 
--- a/basilcove/http/config.py
+++ b/basilcove/http/config.py
@@ -3,6 +3,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from basilcove.const import MAX_REQUEST_BYTES
+from basilcove.experts.planning.const import COUNTS_INTERVAL_S
 from basilcove.http.const import MAX_BODY_BYTES, SOCKET_TIMEOUT_S
 
 
@@ -21,13 +22,17 @@
 
 
 class AnnounceConfig(BaseModel):
-    """Where an agent listens for the upstream on its host."""
+    """Where an agent listens for the upstream on its host.
+
+    An engine is asked for the counts of its experts every ``counts_interval_s``.
+    """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
     listen: str
     max_calls: int = Field(64, gt=0, le=4096)
     progress_timeout_s: float = Field(30, gt=0)
+    counts_interval_s: float = Field(COUNTS_INTERVAL_S, gt=0)
 
 
 class StatusConfig(BaseModel):
--- a/basilcove/roles/agent.py
+++ b/basilcove/roles/agent.py
@@ -10,8 +10,11 @@
 from basilcove.core.ids import NodeId, Role, UpstreamName
 from basilcove.daemon import Assembly, builds
 from basilcove.experts.activation.models import ActivationState
+from basilcove.experts.planning.driver import PlanRunner
+from basilcove.experts.planning.models import PlanningState, ReportingState
 from basilcove.http import driver as _http  # noqa: F401
 from basilcove.http.announcements import AnnouncementServer
+from basilcove.http.counts import CountsClient
 from basilcove.http.orders import EngineClient
 from basilcove.http.upstreams import UpstreamClient
 from basilcove.membership import announcer as _announcer  # noqa: F401
@@ -59,6 +62,7 @@
     assembly.setups.append(setup)
     assembly.unloads.extend((client.unload, server.unload))
     _add_orders(assembly)
+    _add_planning(assembly, cfg.counts_interval_s)
 
 
 def _add_orders(assembly: Assembly) -> None:
@@ -77,3 +81,18 @@
     runtime.add_driver(OrderSender(own, assembly.links.send, runtime.post, time.monotonic))
     assembly.setups.append(lambda: client.setup(runtime.post))
     assembly.unloads.append(client.unload)
+
+
+def _add_planning(assembly: Assembly, interval_s: float) -> None:
+    """Add the counts of the engine on this host and the plans of its group."""
+    identity, runtime = assembly.identity, assembly.runtime
+    planning = PlanningState(identity.node, identity.incarnation, interval_s)
+    runtime.node.add(ReportingState(identity.node, identity.incarnation, interval_s))
+    runtime.node.add(planning)
+    gauge = assembly.metrics.gauge
+    gauge('expert_skew', 'Expected skew of the map; 1 without the lease.', lambda: planning.skew)
+    gauge('expert_plan_seconds', 'Time that the last plan took.', lambda: planning.took_s)
+    runner, client = PlanRunner(runtime.post), CountsClient(runtime.post)
+    for driver in (runner, client):
+        runtime.add_driver(driver)
+        assembly.unloads.append(driver.unload)
--- a/basilcove/wiring/orders.py
+++ b/basilcove/wiring/orders.py
@@ -13,6 +13,9 @@
 from basilcove.experts.activation.events import GroupAssigned, MapWanted
 from basilcove.experts.activation.models import ActivationState, Phase
 from basilcove.experts.models import Layer
+from basilcove.experts.planning import coordinator as _planning  # noqa: F401 (registers the handlers)
+from basilcove.experts.planning import reporting as _reporting  # noqa: F401 (registers the handlers)
+from basilcove.experts.planning.events import GroupShape, PlanningAssigned
 from basilcove.http.orders import EngineClient
 from basilcove.membership.events import LocalUpstreamJoined
 from basilcove.orders import decisions as _decisions  # noqa: F401 (registers the handlers)
@@ -35,6 +38,7 @@
 
     node: NodeId
     upstream: UpstreamName = _NO_UPSTREAM
+    url: str = ''
     environment: Environment | None = None
 
 
@@ -93,7 +97,7 @@
 @handles(LocalUpstreamJoined, EngineOfHost)
 def on_joined(state: EngineOfHost, event: LocalUpstreamJoined, ctx: Context) -> list[Effect]:
     """Assign the engine's group and direct orders to it."""
-    state.upstream = event.upstream
+    state.upstream, state.url = event.upstream, event.url
     return [TargetEngine(event.url), *_assign(state)]
 
 
@@ -138,4 +142,6 @@
     # Without the agents' names in the document the coordinator can not address the ranks.
     if len(named) == len(members):
         effects.append(Emit(GroupAssigned(name, named)))
+        shape = GroupShape(name, group.layers, group.experts, group.upstreams)
+        effects.append(Emit(PlanningAssigned(state.upstream, state.url, shape)))
     return effects
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -57,6 +57,7 @@
         certificates: Certificates | None = None,
         cut_zone: str | None = None,
         control_settings: dict[str, Any] | None = None,
+        agent_settings: dict[str, Any] | None = None,
     ) -> None:
         """Choose addresses and write settings; nothing is started yet.
 
@@ -75,6 +76,7 @@
             self.addresses[self.entries[0]].http = first_entry
         self.cut_zone = cut_zone
         self.control_settings = control_settings or {}
+        self.agent_settings = agent_settings or {}
         self.forwarders: dict[str, Forwarder] = {}
         self.processes: dict[str, Process] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=2, read=30))
@@ -232,7 +234,7 @@
             content['http'] = {'listen': self.addresses[name].http}
         else:
             content['roles'] = ['agent']
-            content['agent'] = {'listen': self.addresses[name].http}
+            content['agent'] = {'listen': self.addresses[name].http, **self.agent_settings}
         (self.folder / f'{name}.yaml').write_text(yaml.safe_dump(content))
 
     def _zone_of(self, name: str) -> str:
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -16,7 +16,8 @@
 class Behaviour:
     """How the engine answers; times in seconds, offsets in tokens.
 
-    A crossed engine gives each request the answer to the one before it.
+    A crossed engine gives each request the answer to the one before it. The ``selections`` of experts, layer
+    by layer, are made once before each reading of the counts.
     """
 
     first_token_s: float = 0.0
@@ -26,6 +27,7 @@
     is_silent: bool = False
     is_crossed: bool = False
     checks_fencing: bool = False
+    selections: list[list[int]] = field(default_factory=list)
 
 
 @dataclass
@@ -36,7 +38,7 @@
     runs: list[str] = field(default_factory=list)
     fence: int = 0
     last_answer: tuple[str, str] = ('', '')
-    ranks: Lockstep = field(default_factory=Lockstep)
+    ranks: Lockstep = field(default_factory=lambda: Lockstep(started=time.time_ns()))
     orders: list[dict[str, Any]] = field(default_factory=list)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -48,6 +50,9 @@
             return reply_json(start, {})
         if path == '/standin/state':
             return reply_json(start, {'runs': self.runs, 'orders': self.orders, **self._report()})
+        if path == '/experts/counts':
+            self.ranks.select(self.behaviour.selections)
+            return reply_json(start, self.ranks.read_counts(0))
         if path == '/orders':
             return self._order(read_json(environ), start)
         return self._complete(read_json(environ), environ, start)
--- a/tests/standins/lockstep.py
+++ b/tests/standins/lockstep.py
@@ -18,6 +18,9 @@
     armed: int = 0
     armed_step: int = 0
     decided: int = 0
+    # Selections of each expert since the start, layer by layer, all made at one rank.
+    counts: list[list[int]] = field(default_factory=list)
+    started: int = 0
 
     def take(self, order: dict[str, Any]) -> str:
         """Carry out an order; return why it is refused, empty if it is taken."""
@@ -43,6 +46,19 @@
         """Tell whether the ranks wait at an armed step for the decision."""
         return self.armed > 0 and self.step >= self.armed_step
 
+    def select(self, selections: list[list[int]]) -> None:
+        """Add selections of experts, layer by layer."""
+        if not selections:
+            return
+        former = self.counts or [[0 for _ in layer] for layer in selections]
+        pairs = zip(former, selections, strict=True)
+        self.counts = [list(map(int.__add__, *pair)) for pair in pairs]
+
+    def read_counts(self, rank: int) -> dict[str, Any]:
+        """Report the counts as those of a rank."""
+        ranks = [{'rank': rank, 'started': self.started, 'counts': self.counts}]
+        return {'ranks': ranks if self.counts else []}
+
     def status(self, wants_layers: bool = False) -> dict[str, Any]:
         """Report the versions and the next step."""
         _, active, layers = self.schedule[-1] if self.schedule else (0, 0, [])
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -19,16 +19,20 @@
 @pytest.fixture
 def group(tmp_path: Path) -> Iterator[Cluster]:
     """Return a running group of two engines, of which the first checks fencing tokens."""
-    document = documents.document(_UPSTREAMS)
-    for name in _ENGINES:
-        document['upstreams'][name]['agent'] = f'agent-{name}'
-    document['upstreams']['engine-1']['checks_fencing'] = True
     with Cluster(tmp_path, upstreams=_UPSTREAMS) as running:
-        running.start_all(documents.write(tmp_path, document))
+        running.start_all(documents.write(tmp_path, _document()))
         running.behave('engine-1', checks_fencing=True)
         yield running
 
 
+@pytest.fixture
+def counted_group(tmp_path: Path) -> Iterator[Cluster]:
+    """Return a running group of two engines whose counts are read every half second."""
+    with Cluster(tmp_path, upstreams=_UPSTREAMS, agent_settings={'counts_interval_s': 0.5}) as running:
+        running.start_all(documents.write(tmp_path, _document()))
+        yield running
+
+
 class TestExpertMaps:
     def test_frozen_coordinator_is_replaced_and_its_orders_stay_without_effect(self, group: Cluster) -> None:
         """Guards against a coordinator that wakes up and goes on under its former lease."""
@@ -53,6 +57,35 @@
         assert len({_switch_step(group, name) for name in _ENGINES}) == 1
 
 
+class TestPlanning:
+    def test_skewed_popularity_leads_to_a_second_map_on_all_ranks(self, counted_group: Cluster) -> None:
+        """Guards against a group that keeps its even map, however uneven the load of its ranks is."""
+        wait_for(lambda: _versions(counted_group) == {1}, 'the first map at both engines')
+        # Experts 0 and 2 are both on the first rank of the even map.
+        layer = [1000, 100, 1000, 100, 100, 100, 100, 100]
+        for engine in _ENGINES:
+            counted_group.behave(engine, selections=[layer, layer])
+        wait_for(lambda: _versions(counted_group) == {2}, 'a second map at both engines')
+        assert len({_switch_step(counted_group, name) for name in _ENGINES}) == 1
+        prepared = [_last_layers(counted_group, name) for name in _ENGINES]
+        assert prepared[0] == prepared[1]
+        for layer in prepared[0]:
+            assert [len({0, 2} & set(rank)) for rank in layer] == [1, 1]
+
+
+def _document() -> dict[str, Any]:
+    document = documents.document(_UPSTREAMS)
+    for name in _ENGINES:
+        document['upstreams'][name]['agent'] = f'agent-{name}'
+    document['upstreams']['engine-1']['checks_fencing'] = True
+    return document
+
+
+def _last_layers(group: Cluster, name: str) -> list[list[list[int]]]:
+    orders = [order for order in group.state_of(name)['orders'] if order['kind'] == 'prepare_map']
+    return list(orders[-1]['layers'])
+
+
 def _status(group: Cluster, name: str) -> dict[str, Any]:
     return dict(group.state_of(name)['status'])
 
