--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -57,6 +57,7 @@
         certificates: Certificates | None = None,
         cut_zone: str | None = None,
         control_settings: dict[str, Any] | None = None,
+        agent_settings: dict[str, Any] | None = None,
     ) -> None:
         """Choose addresses and write settings; nothing is started yet.
 
@@ -77,6 +78,7 @@
         self.control_settings = control_settings or {}
         # First members of the control group, which the settings of all nodes name.
         self.bootstrap = list(self.control)
+        self.agent_settings = agent_settings or {}
         self.forwarders: dict[str, Forwarder] = {}
         self.processes: dict[str, Process] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=2, read=30))
@@ -257,7 +259,7 @@
             content['http'] = {'listen': self.addresses[name].http}
         else:
             content['roles'] = ['agent']
-            content['agent'] = {'listen': self.addresses[name].http}
+            content['agent'] = {'listen': self.addresses[name].http, **self.agent_settings}
         (self.folder / f'{name}.yaml').write_text(yaml.safe_dump(content))
 
     def _zone_of(self, name: str) -> str:
