Register a counter once, with the same labels in every role

Cause: threads of the HTTP server and the loop count in the same registry. Two that were the first to count a name both registered it, and one of them got an exception. messages_dropped had the label reason in an agent and kind in an entry, so a process with both roles would have failed at its second kind of dropped message.

Ruled out: a counter for each role under another name; operators read one name for late, doubled and crossed messages.

Change: registration takes a lock; messages_dropped has both labels in both roles.

--- a/basilcove/agents/coordinator.py
+++ b/basilcove/agents/coordinator.py
@@ -47,9 +47,9 @@
     """Queue an attempt that has never been here, or say why not."""
     msg = event.message
     if not isinstance(msg, StartAttempt) or not state.memory.note_sender(event.peer, ctx.now):
-        return [_drop('former_entry')]
+        return [_drop(event, 'former_entry')]
     if msg.attempt_id in state.attempts:
-        return [_drop('duplicate_attempt')]
+        return [_drop(event, 'duplicate_attempt')]
     known = _answer_known(state, event, msg)
     if known is not None:
         return known
@@ -77,7 +77,7 @@
     """Bar an attempt that has not started; end a running one if asked to."""
     msg = event.message
     if not isinstance(msg, CancelAttempt) or not state.memory.note_sender(event.peer, ctx.now):
-        return [_drop('former_entry')]
+        return [_drop(event, 'former_entry')]
     attempt = state.attempts.get(msg.attempt_id)
     if attempt is None:
         known = _answer_known(state, event, msg)
@@ -86,7 +86,7 @@
         bar(state, event.peer, msg.attempt_id, msg.number, ctx.now)
         return [Send(event.peer.node, AttemptRefused(msg.attempt_id, 'cancelled', DEFAULT_RETRY_AFTER_S))]
     if attempt.entry != event.peer:
-        return [_drop('other_sender')]
+        return [_drop(event, 'other_sender')]
     if not attempt.is_running:
         return refuse_waiting(state, attempt, ctx.now, 'cancelled')
     if msg.only_if_waiting:
@@ -162,7 +162,7 @@
     ended = state.memory.find(msg.attempt_id)
     if ended is not None:
         if ended.has_started:
-            return [_drop('ended_attempt')]
+            return [_drop(event, 'ended_attempt')]
         refusal = AttemptRefused(msg.attempt_id, 'barred before', DEFAULT_RETRY_AFTER_S)
         return [Send(event.peer.node, refusal)]
     if state.memory.is_forgotten(event.peer, msg.number):
@@ -217,5 +217,5 @@
     return [StopCompleted(Role.AGENT)]
 
 
-def _drop(reason: str) -> Count:
-    return Count('messages_dropped', (('reason', reason),))
+def _drop(event: Received, reason: str) -> Count:
+    return Count('messages_dropped', (('kind', type(event.message).__name__), ('reason', reason)))
--- a/basilcove/helpers/metrics.py
+++ b/basilcove/helpers/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a process, kept by prometheus_client."""
 
+import threading
 from collections.abc import Callable
 from typing import Final
 
@@ -17,6 +18,7 @@
     def __init__(self) -> None:
         """Start with an empty registry of its own."""
         self.registry = CollectorRegistry()
+        self._lock = threading.Lock()
         self._counters: dict[str, Counter] = {}
         self._counts: dict[tuple[str, tuple[tuple[str, str], ...]], Counter] = {}
         self.first_byte_s = Histogram(
@@ -31,7 +33,9 @@
         """Add to a counter; its label names are those of the first call."""
         counted = self._counts.get((name, labels))
         if counted is None:
-            counted = self._find(name, labels)
+            # The server's threads count refusals beside the loop's thread; a name registers only once.
+            with self._lock:
+                counted = self._find(name, labels)
             self._counts[(name, labels)] = counted
         counted.inc(amount)
 
--- a/basilcove/requests/coordinator.py
+++ b/basilcove/requests/coordinator.py
@@ -235,4 +235,4 @@
 
 def _drop(event: Received) -> Count:
     kind = type(event.message).__name__
-    return Count('messages_dropped', (('kind', kind),))
+    return Count('messages_dropped', (('kind', kind), ('reason', 'no_attempt')))
