--- a/basilcove/experts/planning/const.py
+++ b/basilcove/experts/planning/const.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
-# One interval's report of an engine is about 17 KB for 58 layers of 256 experts; once a minute that
-# is 0.3 KB/s of an agent's 15 KB/s.
+# A report of changes is about 22 KB for 58 layers of 256 experts; once a minute that is 0.4 KB/s of an
+# agent's 15 KB/s.
 COUNTS_INTERVAL_S: Final = 60.0
 # A report waits this long for its answer, which takes two messages on links that are up.
 REPORT_RESEND_S: Final = 5.0
@@ -17,5 +17,6 @@
 PLAN_INTERVAL_S: Final = 240.0
 # Above this mean skew, the target of the design, a group plans at the end of the interval.
 PLAN_SKEW: Final = 1.05
-# The forecast is for the time in which the new map is in use until the next interval ends.
-LEAD_S: Final = 30.0
+# The counts are half an interval old, and a map is in use for 1 to 4 minutes. In trials with a moving
+# head and a seasonal change, 90 s gave the least mean skew of 0, 30, 60, 90 and 150 s.
+LEAD_S: Final = 90.0
--- a/basilcove/experts/planning/coordinator.py
+++ b/basilcove/experts/planning/coordinator.py
@@ -97,7 +97,8 @@
         yield Count('expert_plans', (('outcome', 'outdated'),))
         return
     plan = event.plan
-    state.skew_left = plan.skew_after
+    # A plan is bounded in its moves, so that the next one may go on where this one ended.
+    state.skew_left = 1 if plan.moves else plan.skew_after
     if not plan.moves or plan.gain_s <= plan.cost_s:
         yield Count('expert_plans', (('outcome', 'kept'),))
         return
--- a/basilcove/experts/planning/models.py
+++ b/basilcove/experts/planning/models.py
@@ -30,6 +30,7 @@
     coordinator: NodeId | None = None
     fence: FencingNumber = _NO_FENCE
     read_at: float = 0
+    is_reading: bool = False
     # The last reading, by which the next one's growth is told, and its time.
     readings: dict[Rank, RankCounts] = field(default_factory=dict)
     readings_at: float = 0
@@ -95,7 +96,7 @@
     plan_at: float = 0
     basis: PlanBasis | None = None
     numbers: int = 0
-    # Expected mean skew of the current map, and the one that the last plan could not improve on.
+    # Expected mean skew of the current map, and the one that the last plan found no moves against.
     skew: float = 1
     skew_left: float = 1
     took_s: float = 0
--- a/basilcove/experts/planning/reporting.py
+++ b/basilcove/experts/planning/reporting.py
@@ -47,7 +47,9 @@
 def on_tick(state: ReportingState, event: Tick, ctx: Context) -> list[Effect]:
     """Read the counts when they are due; send a report without an answer once more."""
     effects: list[Effect] = []
-    if state.url and ctx.now >= state.read_at:
+    # An engine that hangs is not asked again before the call has failed.
+    if state.url and not state.is_reading and ctx.now >= state.read_at:
+        state.is_reading = True
         state.read_at = ctx.now + state.interval_s
         effects.append(ReadCounts(state.url))
     if state.unanswered is not None and state.coordinator is not None and ctx.now >= state.resend_at:
@@ -59,6 +61,7 @@
 @handles(CountsRead, ReportingState)
 def on_counts(state: ReportingState, event: CountsRead, ctx: Context) -> Iterator[Effect]:
     """Sum the growth of the counts over the ranks and report it."""
+    state.is_reading = False
     size = state.shape.layers * state.shape.experts
     if event.url != state.url or not event.ranks:
         return
@@ -77,6 +80,7 @@
 @handles(CountsFailed, ReportingState)
 def on_counts_failed(state: ReportingState, event: CountsFailed, ctx: Context) -> list[Effect]:
     """Read again after the interval; the next reading covers both."""
+    state.is_reading = False
     return [Log('debug', f'no counts of experts: {event.reason}'), Count('expert_counts_failed')]
 
 
--- a/basilcove/http/const.py
+++ b/basilcove/http/const.py
@@ -28,7 +28,7 @@
 READ_PAUSE_S: Final = 0.01
 CONNECT_TIMEOUT_S: Final = 1.0
 COUNTS_TIMEOUT_S: Final = 3.0
-# The counts of 4 ranks with 58 layers of 256 experts are 0.6 MB as JSON with 10 digits each.
+# The counts of 4 ranks with 58 layers of 256 experts are 0.6 MB as JSON.
 MAX_COUNTS_BYTES: Final = 4 * KIBIBYTE * KIBIBYTE
 
 # The caller's thread gives up this long after the request's deadline if no decision arrived.
--- a/tests/experts/planning.py
+++ b/tests/experts/planning.py
@@ -6,7 +6,7 @@
 from basilcove.core.ids import UpstreamName
 from basilcove.experts.activation.events import MapWanted
 from basilcove.experts.activation.models import Phase
-from basilcove.experts.models import Layer
+from basilcove.experts.models import Layer, Plan
 from basilcove.experts.planner import plan
 from basilcove.experts.planning import coordinator as _coordinator  # noqa: F401 (registers the handlers)
 from basilcove.experts.planning import reporting as _reporting  # noqa: F401 (registers the handlers)
@@ -37,6 +37,7 @@
     def __init__(self, selections: list[list[int]]) -> None:
         self.lost: set[type[Message]] = set()
         self.plans: list[tuple[Process, ComputePlan]] = []
+        self.readings = [0, 0, 0]
         super().__init__()
         self.selections = [selections for _ in self.names]
         self.run(8)
@@ -82,6 +83,9 @@
     def carry_out(self, proc: Process, effect: Effect) -> None:
         if isinstance(effect, ReadCounts):
             index = self.names.index(proc.peer.node)
+            self.readings[index] += 1
+            if index in self.stalled:
+                return
             self.engines[index].select(self.selections[index])
             ranks = tuple(map(parse_rank, self.engines[index].read_counts(index)['ranks']))
             self.at(0.01, functools.partial(self.post, proc, CountsRead(effect.url, ranks)))
@@ -103,9 +107,13 @@
 
     def finish_plan(self) -> None:
         """Compute the oldest plan that was begun and hand its result over."""
+        effect = self.plans[0][1]
+        self.answer_plan(plan(effect.popularity, effect.current_map, effect.cost))
+
+    def answer_plan(self, answer: Plan) -> None:
+        """Hand another result over for the oldest plan that was begun."""
         proc, effect = self.plans.pop(0)
-        planned = plan(effect.popularity, effect.current_map, effect.cost)
-        self.post(proc, PlanComputed(effect.plan_id, planned, 2.0))
+        self.post(proc, PlanComputed(effect.plan_id, answer, 2.0))
 
     def cut_control(self, *names: str) -> None:
         """Let exactly these agents be without control."""
--- a/tests/experts/test_planning.py
+++ b/tests/experts/test_planning.py
@@ -6,11 +6,12 @@
 from basilcove.core.ids import Rank
 from basilcove.experts.activation.models import Phase
 from basilcove.experts.messages import PopularityAnswer, PopularityReport
+from basilcove.experts.models import ExpertMap, Move, Plan
 from basilcove.experts.planning.const import PLAN_INTERVAL_S, REPORT_RESEND_S
 from basilcove.experts.planning.counts import growth
 from basilcove.experts.planning.events import RankCounts
 from basilcove.experts.planning.models import ReportingState
-from tests.experts.planning import BALANCED, INTERVAL_S, SKEWED, PlanningWorld
+from tests.experts.planning import BALANCED, EVEN, INTERVAL_S, SKEWED, PlanningWorld
 
 _FULL = sum(SKEWED[0])
 _OTHER = [[7000, 1000, 1000, 2000, 1500, 900]]
@@ -101,6 +102,14 @@
         assert world.holder.peer.node != former
         assert world.merged == pytest.approx(3 * _FULL, rel=0.01)
 
+    def test_engine_that_hangs_is_asked_once(self) -> None:
+        """Guards against calls that queue up for an engine that does not answer."""
+        world = _reporting_group()
+        before = world.readings[1]
+        world.stalled.add(1)
+        world.run(3 * INTERVAL_S)
+        assert world.readings[1] == before + 1
+
 
 class TestGrowth:
     @pytest.mark.parametrize(
@@ -147,6 +156,42 @@
         assert not world.plans
         assert world.versions == {1}
 
+    def test_skew_that_no_move_lowers_leads_to_no_early_plan(self) -> None:
+        """Guards against the cost of a plan in each interval where one expert alone makes the skew."""
+        world = PlanningWorld([[9000, 1000, 1000, 500, 1000, 1000]])
+        world.run_until_plan()
+        world.answer_plan(Plan(world.plans[0][1].current_map, skew_after=2.1))
+        world.run(PLAN_INTERVAL_S - INTERVAL_S)
+        assert not world.plans
+
+    def test_group_plans_early_for_as_long_as_moves_lower_the_skew(self) -> None:
+        """Guards against a group that waits for 4 minutes after a plan that its bound on moves ended."""
+        world = PlanningWorld(SKEWED)
+        world.run_until_plan()
+        target = ExpertMap(2, (tuple(reversed(EVEN)),))
+        world.answer_plan(Plan(target, (Move(0, 0, 0, 2),), gain_s=1, skew_before=2, skew_after=2))
+        world.run(2 * INTERVAL_S)
+        assert world.versions == {2}
+        assert world.plans
+
+    def test_plan_that_costs_more_than_it_gains_is_not_installed(self) -> None:
+        """Guards against moves of weights that don't pay off over the horizon."""
+        world = PlanningWorld(SKEWED)
+        world.run_until_plan()
+        target = ExpertMap(2, (tuple(reversed(EVEN)),))
+        world.answer_plan(Plan(target, (Move(0, 0, 0, 2),), gain_s=1, cost_s=1))
+        world.run(5)
+        assert world.versions == {1}
+
+    def test_group_does_not_plan_on_reports_that_have_ceased(self) -> None:
+        """Guards against a map for counts that are long out of date."""
+        world = PlanningWorld(BALANCED)
+        world.run_until_plan()
+        world.finish_plan()
+        world.lost = {PopularityReport}
+        world.run(2 * PLAN_INTERVAL_S)
+        assert not world.plans
+
     @pytest.mark.parametrize('is_silent', [False, True])
     def test_too_few_counts_lead_to_no_plan(self, is_silent: bool) -> None:
         """Guards against a map for counts that differ by chance, or for those of a part of the engines."""
