Let a document give ranks spare slots for hot experts

Cause: the first map of a group holds each expert once and the planner keeps the number of slots, so the daemon's planner had no room for replicas. One expert that is hotter than a rank's share can't be spread by moves alone.

Ruled out: spare slots by default, since the memory of the accelerators bounds them and only the operator knows it.

Change: groups take expert_slots, checked against ranks and experts; the first map fills the spare slots with replicas by the greedy placement.

A change of expert_slots does not alter the map of a running group.

--- a/basilcove/environment/checks.py
+++ b/basilcove/environment/checks.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from basilcove.core.ids import GroupName
 from basilcove.environment.const import FLOOR_TOLERANCE
 from basilcove.environment.faults import Path
 from basilcove.environment.models import Environment, Group, Upstream, UpstreamKind
@@ -110,12 +111,24 @@
         if group.ranks < len(group.upstreams):
             text = f'{group.ranks} ranks can not spread over {len(group.upstreams)} upstreams'
             yield ('groups', name, 'ranks'), text
+        yield from _check_slots(name, group)
     # Ranks advance in lock-step, so an engine in two groups would couple them.
     for upstream, groups in _shared(members):
         for other in groups[1:]:
             yield ('groups', other, 'upstreams'), f'{upstream} is already listed in group {groups[0]}'
 
 
+def _check_slots(name: GroupName, group: Group) -> Iterator[Finding]:
+    slots = group.expert_slots
+    if slots is None:
+        return
+    if slots * group.ranks < group.experts:
+        text = f'{group.ranks} ranks of {slots} slots can not hold {group.experts} experts'
+        yield ('groups', name, 'expert_slots'), text
+    if slots > group.experts:
+        yield ('groups', name, 'expert_slots'), f'a rank can not hold more than {group.experts} experts'
+
+
 @check
 def check_upstreams(draft: Draft) -> Iterator[Finding]:
     """Refuse upstreams that serve what they can't."""
--- a/basilcove/environment/models.py
+++ b/basilcove/environment/models.py
@@ -59,12 +59,17 @@
 
 
 class Group(_Section):
-    """Upstreams whose ranks advance in lock-step."""
+    """Upstreams whose ranks advance in lock-step.
+
+    In each layer a rank holds ``expert_slots`` experts; slots beyond one for each expert hold replicas of hot
+    ones. Without ``expert_slots`` each expert is held once.
+    """
 
     ranks: PositiveInt
     experts: PositiveInt
     layers: PositiveInt
     upstreams: tuple[UpstreamName, ...]
+    expert_slots: PositiveInt | None = None
 
 
 class Model(_Section):
--- a/basilcove/wiring/orders.py
+++ b/basilcove/wiring/orders.py
@@ -13,6 +13,7 @@
 from basilcove.experts.activation.events import GroupAssigned, MapWanted
 from basilcove.experts.activation.models import ActivationState, Phase
 from basilcove.experts.models import Layer
+from basilcove.experts.placement import greedy
 from basilcove.experts.planning import coordinator as _planning  # noqa: F401 (registers the handlers)
 from basilcove.experts.planning import reporting as _reporting  # noqa: F401 (registers the handlers)
 from basilcove.experts.planning.events import GroupShape, PlanningAssigned
@@ -110,12 +111,17 @@
         return []
     if activation.current is not None or activation.wanted is not None:
         return []
-    return [Emit(MapWanted(even_layers(group[1])))]
+    return [Emit(MapWanted(first_layers(group[1])))]
 
 
-def even_layers(group: Group) -> tuple[Layer, ...]:
-    """Return a map that spreads the experts evenly over the ranks, each held once."""
-    layer = tuple(tuple(range(rank, group.experts, group.ranks)) for rank in range(group.ranks))
+def first_layers(group: Group) -> tuple[Layer, ...]:
+    """Return a map for experts that are equally popular, with a replica in each spare slot."""
+    ranks = range(group.ranks)
+    if group.expert_slots is None:
+        layer: Layer = tuple(tuple(range(rank, group.experts, group.ranks)) for rank in ranks)
+    else:
+        shares = tuple(1.0 for _ in range(group.experts))
+        layer = greedy(shares, [1.0 for _ in ranks], group.expert_slots)
     return tuple(layer for _ in range(group.layers))
 
 
--- a/tests/environment/test_loading.py
+++ b/tests/environment/test_loading.py
@@ -57,6 +57,15 @@
         assert expected <= paths, expected - paths
         assert all(fault.line for fault in faults.faults)
 
+    @pytest.mark.parametrize('slots', [2, 65])
+    def test_slots_that_do_not_fit_the_experts_are_refused(self, slots: int) -> None:
+        """Guards against a map that leaves out an expert, or holds one twice on a rank."""
+        content = read('shire.yaml')
+        content['groups']['riders']['expert_slots'] = slots
+        faults = loading.load(yaml.safe_dump(content))
+        assert isinstance(faults, DocumentFaults)
+        assert [fault.path for fault in faults.faults] == ['groups.riders.expert_slots']
+
     def test_a_fault_names_its_line(self) -> None:
         """Guards against operators who must search a document of 2,000 teams for the place."""
         faults = loading.load(
