Fuzz requests with faults of single messages

Change: the fake network loses, doubles or delays single messages by type, and MessageMachine draws them together with arrivals, and delivers a copy of an attempt's start, perhaps to the next process of the agent. RequestMachine keeps its rules.

--- a/tests/requests/network.py
+++ b/tests/requests/network.py
@@ -2,9 +2,10 @@
 
 import heapq
 import itertools
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from basilcove.agents.config import AgentsConfig
 from basilcove.agents.coordinator import current_load
@@ -163,6 +164,8 @@
         self.claims_fault = ''
         self.spans: list[RecordSpan] = []
         self.history: list[tuple[NodeId, Received]] = []
+        # By type, the delays in seconds of the copies of the next messages; one without delays is lost.
+        self.disturbed: defaultdict[type[Message], deque[tuple[float, ...]]] = defaultdict(deque)
         self._redial_at: defaultdict[tuple[NodeId, NodeId], float] = defaultdict(float)
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count(1)
@@ -362,7 +365,10 @@
             proc.sent[msg.request_id] += 1
             assert self.now <= caller.due, 'an attempt was sent after the deadline'
         if link is not None and link.ends[proc.peer.node] is proc:
-            self.at(DELAY_S, lambda: self._arrive(pair, link, name, Received(proc.peer, msg)))
+            queued = self.disturbed[type(msg)]
+            arrive = partial(self._arrive, pair, link, name, Received(proc.peer, msg))
+            for delay_s in queued.popleft() if queued else (DELAY_S,):
+                self.at(delay_s, arrive)
 
     def _arrive(self, pair: tuple[NodeId, NodeId], link: Link, name: NodeId, event: Received) -> None:
         if self.links.get(pair) is link and not link.is_silent:
