Split the fake network of requests and move status_to_json to the tests

No code of the daemon uses status_to_json of orders/engine.py; only a test of the form of a status does.

Ruled out: mix-ins of one class, which would keep the state in one place.

One assertion of test_coordinator.py compared the list of claims with that of answered claims; it now asserts that each claim has an answer, which is the same.

Conclusion: no behaviour changes.

--- a/basilcove/orders/engine.py
+++ b/basilcove/orders/engine.py
@@ -1,6 +1,5 @@
 """The form in which engines take orders and report their status."""
 
-import dataclasses
 from typing import Any
 
 from basilcove.core.ids import Step
@@ -37,12 +36,6 @@
     )
 
 
-def status_to_json(status: EngineStatus) -> dict[str, Any]:
-    """Return a status as an engine reports it."""
-    content = dataclasses.asdict(status)
-    return {**content, 'layers': layers_to_json(status.layers)}
-
-
 def layers_to_json(layers: tuple[LayerSlots, ...]) -> list[list[list[int]]]:
     """Return layers as lists: by layer, by rank, the expert in each slot."""
     return [[list(rank.experts) for rank in layer.ranks] for layer in layers]
--- a/tests/agents/test_coordinator.py
+++ b/tests/agents/test_coordinator.py
@@ -6,7 +6,8 @@
 from basilcove.core.events import Received, StopRequested
 from basilcove.core.ids import Outcome
 from basilcove.requests.messages import AttemptFailed, CancelAttempt, StartAttempt
-from tests.requests.network import World, make_environment, make_request
+from tests.requests.network import World
+from tests.requests.samples import make_environment, make_request
 
 
 @pytest.fixture
--- a/tests/http/test_senders.py
+++ b/tests/http/test_senders.py
@@ -18,7 +18,7 @@
 from basilcove.http.config import AnnounceConfig, HttpConfig
 from basilcove.requests.events import RequestArrived
 from tests.harness.processes import free_address
-from tests.requests.network import make_environment
+from tests.requests.samples import make_environment
 
 KEY = 'k'
 SOCKET_TIMEOUT_S, RECEIVE_TIMEOUT_S, PACE_S = 5, 0.6, 0.1
--- a/tests/orders/test_coordinator.py
+++ b/tests/orders/test_coordinator.py
@@ -10,11 +10,12 @@
 from basilcove.core.reducer import Node, reduce
 from basilcove.helpers.codec import decode, encode
 from basilcove.orders import coordinator as _coordinator  # noqa: F401 (registers the handlers)
-from basilcove.orders.engine import order_to_json, status_from_json, status_to_json
+from basilcove.orders.engine import order_to_json, status_from_json
 from basilcove.orders.events import CallEngine, EngineAnswered, EngineAssigned, EngineFailed, SendOrder
 from basilcove.orders.messages import EngineStatus, LayerSlots, Order, OrderKind, OrderResult, RankSlots
 from basilcove.orders.models import OrdersState
 from basilcove.orders.rules import may_call, order_in_force
+from tests.standins.status import status_to_json
 
 _ENGINE, _GROUP = UpstreamName('engine-1'), GroupName('riders')
 _SENDER = Peer(NodeId('agent-2'), (Role.AGENT,), Incarnation(1), Zone('nobsa'))
--- /dev/null
+++ b/tests/requests/models.py
@@ -0,0 +1,81 @@
+"""What callers got, and the processes and links of the fake network."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from basilcove.agents.models import AgentState
+from basilcove.core.events import Effect, Peer
+from basilcove.core.ids import NodeId
+from basilcove.core.reducer import Node
+from basilcove.requests.events import (
+    BreakAnswer,
+    EndAnswer,
+    Refusal,
+    RefuseRequest,
+    Request,
+    StartAnswer,
+    WriteAnswer,
+)
+from basilcove.requests.models import RequestsState
+
+
+@dataclass
+class Caller:
+    """What a caller got, and the runs of the request on any upstream."""
+
+    request: Request
+    entry: 'Process'
+    due: float
+    head: int | None = None
+    body: bytes = b''
+    end: str | None = None
+    refusal: Refusal | None = None
+    runs: int = 0
+
+    def take(self, effect: Effect) -> None:
+        """Take what the entry answers."""
+        if self.end in {'gone', 'died'}:
+            return
+        assert self.end is None, f'{effect} after {self.end}'
+        match effect:
+            case StartAnswer(_, status, _):
+                assert self.head is None
+                self.head = status
+            case WriteAnswer(_, body):
+                assert self.head is not None
+                self.body += body
+            case EndAnswer():
+                assert self.head is not None
+                self.end = 'whole'
+            case BreakAnswer():
+                assert self.head is not None
+                self.end = 'broken'
+            case RefuseRequest(_, refusal):
+                assert self.head is None
+                self.end, self.refusal = 'refused', refusal
+
+
+@dataclass
+class Process:
+    peer: Peer
+    node: Node
+    is_alive: bool = True
+    frozen_at: float | None = None
+    inbox: list[Callable[[], None]] = field(default_factory=list)
+    sent: Counter[str] = field(default_factory=Counter)
+    moved: set[str] = field(default_factory=set)
+
+    @property
+    def entry(self) -> RequestsState:
+        return self.node.part(RequestsState)
+
+    @property
+    def agent(self) -> AgentState:
+        return self.node.part(AgentState)
+
+
+@dataclass
+class Link:
+    ends: dict[NodeId, Process]
+    is_silent: bool = False
--- a/tests/requests/network.py
+++ b/tests/requests/network.py
@@ -4,7 +4,6 @@
 import itertools
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 
 from basilcove.agents.config import AgentsConfig
@@ -33,7 +32,7 @@
     Send,
     Tick,
 )
-from basilcove.core.ids import Incarnation, ModelName, NodeId, Revision, Role, ServiceName, UpstreamName, Zone
+from basilcove.core.ids import Incarnation, NodeId, Revision, Role, UpstreamName
 from basilcove.core.reducer import Node, reduce
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.environment.models import Environment
@@ -46,7 +45,6 @@
     BreakAnswer,
     CallerGone,
     EndAnswer,
-    Refusal,
     RefuseRequest,
     Request,
     RequestArrived,
@@ -56,95 +54,11 @@
 )
 from basilcove.requests.messages import AnswerChunk, AttemptRefused, StartAttempt
 from basilcove.requests.models import RequestsState
+from tests.requests.claims import Claims
+from tests.requests.models import Caller, Link, Process
+from tests.requests.samples import MODEL, SERVICE, ZONE, answer_parts
 
-ZONE = Zone('bunbury-office')
-MODEL, SERVICE = ModelName('guide'), ServiceName('carts')
 DELAY_S, RECONNECT_S, ANNOUNCE_S = 0.01, 0.2, 0.5
-RETRY_SHARE = 0.25
-
-_DIGEST = 'sha256:' + '0' * 64
-
-
-def make_environment(**team: object) -> Environment:
-    fields = {'kind': 'engine', 'zone': ZONE, 'credential_digest': _DIGEST, 'slots': 2}
-    return Environment.model_validate(
-        {
-            'name': 'trails',
-            'priorities': {
-                'urgent': {'level': 1, 'target_first_token_s': 1},
-                'batch': {'level': 3, 'target_first_token_s': 60},
-            },
-            'teams': {'kiosk': {'key_digests': [_DIGEST], 'priorities': ['urgent', 'batch'], **team}},
-            'groups': {'g': {'ranks': 1, 'experts': 1, 'layers': 1, 'upstreams': []}},
-            'models': {MODEL: {'group': 'g'}},
-            'services': {SERVICE: {'calls': [{'method': 'GET', 'path': '/stock', 'repeatable': True}]}},
-            'upstreams': {f'u{index}': fields for index in range(3)},
-            'limits': {'retry_budget': RETRY_SHARE},
-        }
-    )
-
-
-def make_request(name: str, kind: str = 'model', timeout_s: float = 10, key: str | None = None) -> Request:
-    """Build a request; ``kind`` is stream, model, lookup or charge. Its answer depends on its body alone."""
-    is_model = kind in {'model', 'stream'}
-    path = {'lookup': '/stock/1', 'charge': '/book'}.get(kind, '/v1/completions')
-    return Request(
-        name, 'kiosk', 'urgent', MODEL if is_model else None, None if is_model else SERVICE,
-        'GET' if kind == 'lookup' else 'POST', path, {}, (key or name).encode(), timeout_s,
-        stream=kind == 'stream', idempotency_key=key,
-    )  # fmt: skip
-
-
-def answer_parts(body: bytes) -> list[bytes]:
-    """Return the parts of the only right answer to a body, one token each."""
-    return [body + b'/%d;' % index for index in range(1 + sum(body) % 5)]
-
-
-@dataclass
-class Caller:
-    """What a caller got, and the runs of the request on any upstream."""
-
-    request: Request
-    entry: 'Process'
-    due: float
-    head: int | None = None
-    body: bytes = b''
-    end: str | None = None
-    refusal: Refusal | None = None
-    runs: int = 0
-
-
-@dataclass
-class Process:
-    peer: Peer
-    node: Node
-    is_alive: bool = True
-    frozen_at: float | None = None
-    inbox: list[Callable[[], None]] = field(default_factory=list)
-    sent: Counter[str] = field(default_factory=Counter)
-    moved: set[str] = field(default_factory=set)
-
-    @property
-    def entry(self) -> RequestsState:
-        return self.node.part(RequestsState)
-
-    @property
-    def agent(self) -> AgentState:
-        return self.node.part(AgentState)
-
-
-@dataclass
-class Link:
-    ends: dict[NodeId, Process]
-    is_silent: bool = False
-
-
-@dataclass
-class Claim:
-    fingerprint: str
-    owner: str
-    outcome: claims.ClaimOutcome = claims.ClaimOutcome.IN_PROGRESS
-    answer: claims.StoredAnswer | None = None
 
 
 class World:
@@ -160,8 +74,7 @@
         self.pace_s = 0.02
         self.left_at: dict[NodeId, float] = {}
         self.cancelled: set[str] = set()
-        self.claims: dict[str, Claim] = {}
-        self.claims_fault = ''
+        self.claims = Claims()
         self.spans: list[RecordSpan] = []
         self.history: list[tuple[NodeId, Received]] = []
         # By type, the delays in seconds of the copies of the next messages; one without delays is lost.
@@ -348,7 +261,7 @@
             case CancelCall(attempt_id):
                 self.cancelled.add(attempt_id)
             case StartAnswer() | WriteAnswer() | EndAnswer() | BreakAnswer() | RefuseRequest():
-                self._answer(self.callers[effect.request_id], effect)
+                self.callers[effect.request_id].take(effect)
             case StopCompleted():
                 self.at(1, lambda: self._replace(proc))
             case (
@@ -386,28 +299,7 @@
     def _accept(self, proc: Process, peer: Peer, chunk: AnswerChunk) -> None:
         delivery = proc.entry.assemblies.accept(peer, chunk)
         if delivery is not None:
-            self._answer(self.callers[delivery.request_id], WriteAnswer(delivery.request_id, delivery.body))
-
-    def _answer(self, caller: Caller, effect: Effect) -> None:
-        if caller.end in {'gone', 'died'}:
-            return
-        assert caller.end is None, f'{effect} after {caller.end}'
-        match effect:
-            case StartAnswer(_, status, _):
-                assert caller.head is None
-                caller.head = status
-            case WriteAnswer(_, body):
-                assert caller.head is not None
-                caller.body += body
-            case EndAnswer():
-                assert caller.head is not None
-                caller.end = 'whole'
-            case BreakAnswer():
-                assert caller.head is not None
-                caller.end = 'broken'
-            case RefuseRequest(_, refusal):
-                assert caller.head is None
-                caller.end, caller.refusal = 'refused', refusal
+            self.callers[delivery.request_id].take(WriteAnswer(delivery.request_id, delivery.body))
 
     def _call(self, proc: Process, call: CallUpstream) -> None:
         start = call.attempt
@@ -453,32 +345,7 @@
         return self.callers[start.request_id].entry.peer.node
 
     def _claim(self, proc: Process, effect: Effect) -> None:
-        claim = self.claims.get(effect.key)
-        is_owner = claim is not None and claim.owner == effect.attempt_id
-        is_open = is_owner and claim.outcome is claims.ClaimOutcome.IN_PROGRESS
-        outcome, answer = None, None
-        match effect:
-            case claims.RequestClaim():
-                outcome = claims.ClaimOutcome.GRANTED
-                if claim is not None:
-                    is_same = claim.fingerprint == effect.fingerprint
-                    outcome = claim.outcome if is_same else claims.ClaimOutcome.MISMATCH
-                    answer = claim.answer if is_same else None
-                elif self.claims_fault != 'before':
-                    self.claims[effect.key] = Claim(effect.fingerprint, effect.attempt_id)
-            case claims.CompleteClaim():
-                if is_open and self.claims_fault != 'before':
-                    claim.outcome, claim.answer = claims.ClaimOutcome.COMPLETED, effect.answer
-                outcome, answer = claims.ClaimOutcome.COMPLETED, effect.answer
-            case claims.ReleaseClaim():
-                if is_open:
-                    self.claims.pop(effect.key)
-            case claims.AbandonClaim():
-                if is_open:
-                    claim.outcome = claims.ClaimOutcome.UNKNOWN
-        if outcome is None or self.claims_fault == 'silent':
-            return
-        if self.claims_fault:
-            outcome, answer = claims.ClaimOutcome.UNAVAILABLE, None
-        answered = claims.ClaimAnswered(effect.key, effect.attempt_id, claims.ClaimResult(outcome, answer))
-        self.at(DELAY_S, lambda: self.post(proc, answered))
+        result = self.claims.decide(effect)
+        if result is not None:
+            answered = claims.ClaimAnswered(effect.key, effect.attempt_id, result)
+            self.at(DELAY_S, lambda: self.post(proc, answered))
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -4,7 +4,8 @@
 from basilcove.core.ids import Outcome
 from basilcove.requests.const import STOP_TIMEOUT_S
 from basilcove.requests.limits import TeamLimits
-from tests.requests.network import RETRY_SHARE, World, answer_parts, make_environment, make_request
+from tests.requests.network import World
+from tests.requests.samples import RETRY_SHARE, answer_parts, make_environment, make_request
 
 IN_PROGRESS = 'a call with this key is in progress'
 
@@ -155,11 +156,11 @@
         """Guards against a second run of a booking whose entry died at any point."""
         world = World(make_environment())
         first = world.arrive('e0', make_request('first', 'charge', key='k'))
-        world.at(0.025 if fault == 'silent' else 0, lambda: setattr(world, 'claims_fault', fault))
+        world.at(0.025 if fault == 'silent' else 0, lambda: setattr(world.claims, 'fault', fault))
         world.run(died_at_s, tick_s=0.005)
         world.kill('e0')
         world.run(3)
-        world.claims_fault = ''
+        world.claims.fault = ''
         second = world.arrive('e1', make_request('second', 'charge', key='k'))
         world.run(1)
         assert first.end == 'died'
@@ -187,14 +188,14 @@
     def test_late_grant_frees_the_key(self) -> None:
         """Guards against a key that stays claimed although its request was refused as not run."""
         world = World(make_environment())
-        world.claims_fault = 'after'
+        world.claims.fault = 'after'
         first = world.arrive('e0', make_request('first', 'charge', key='k'))
         world.run(1)
         assert (first.refusal.outcome, first.runs) == (Outcome.NOT_RUN, 0)
-        world.claims_fault = ''
+        world.claims.fault = ''
         second = world.arrive('e1', make_request('second', 'charge', key='k'))
         gone = world.arrive('e0', make_request('gone', 'charge', key='other'))
         world.hang_up(gone)
         world.run(1)
         assert second.end == 'whole'
-        assert list(world.claims) == [key for key in world.claims if world.claims[key].answer]
+        assert all(claim.answer for claim in world.claims.by_key.values())
--- a/tests/requests/test_fuzz.py
+++ b/tests/requests/test_fuzz.py
@@ -16,7 +16,8 @@
     CancelAttempt,
     StartAttempt,
 )
-from tests.requests.network import DELAY_S, RETRY_SHARE, World, answer_parts, make_environment, make_request
+from tests.requests.network import DELAY_S, World
+from tests.requests.samples import RETRY_SHARE, answer_parts, make_environment, make_request
 
 # The deadline, the confirmation of a barred attempt, the recording of an answer, and two ticks.
 _END_BOUND_S = CONFIRM_TIMEOUT_S + RECORD_TIMEOUT_S + 0.1
@@ -167,7 +168,7 @@
 
     @rule(fault=st.sampled_from(['', '', 'before', 'after', 'silent']))
     def set_claims_fault(self, fault: str) -> None:
-        self.world.claims_fault = fault
+        self.world.claims.fault = fault
 
     @rule(pick=st.integers(0, 1000), is_crossed=st.booleans(), sender=_AGENTS)
     def deliver_again(self, pick: int, is_crossed: bool, sender: str) -> None:
--- a/tests/requests/test_matching.py
+++ b/tests/requests/test_matching.py
@@ -6,7 +6,8 @@
 from basilcove.core.ids import Role
 from basilcove.requests.assembly import Assemblies
 from basilcove.requests.messages import AnswerChunk, CancelAttempt, StartAttempt
-from tests.requests.network import ZONE, World, make_environment, make_request
+from tests.requests.network import World
+from tests.requests.samples import ZONE, make_environment, make_request
 
 AGENT = Peer('a0', (Role.AGENT,), 2, ZONE)
 
--- a/tests/requests/test_spans.py
+++ b/tests/requests/test_spans.py
@@ -5,7 +5,8 @@
 from basilcove.core.events import RecordSpan
 from basilcove.helpers.contexts import child_of
 from basilcove.helpers.traces import Exporter, TraceConfig, Tracing
-from tests.requests.network import World, make_environment, make_request
+from tests.requests.network import World
+from tests.requests.samples import make_environment, make_request
 
 PARENT = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
 
--- a/tests/requests/test_validation.py
+++ b/tests/requests/test_validation.py
@@ -4,7 +4,7 @@
 
 from basilcove.requests.events import Refusal
 from basilcove.requests.validation import choose_priority, choose_timeout, find_fault, is_repeatable
-from tests.requests.network import make_environment, make_request
+from tests.requests.samples import make_environment, make_request
 
 
 class TestChoosePriority:
