Bound how often a report of popularity is sent again

Cause: while no agent holds the lease of a group, a report to the former holder stays without an answer and went out every 5 s. Ruled out: no sending again, since a lost report would then be missing until the next interval ends. Change: a report is sent three times at most; the next interval has a new one. Conclusion: by calculation the traffic is 7.7 KB/s at most without a holder.

--- a/basilcove/experts/planning/const.py
+++ b/basilcove/experts/planning/const.py
@@ -7,6 +7,9 @@
 COUNTS_INTERVAL_S: Final = 60.0
 # A report waits this long for its answer, which takes two messages on links that are up.
 REPORT_RESEND_S: Final = 5.0
+# A report goes out again so often at most. Without a bound 7 agents would send 31 KB/s to one that lost
+# its lease, for as long as the group has no other holder.
+MAX_RESENDS: Final = 2
 # An engine without a report for this many intervals no longer counts, and the group does not plan.
 SILENT_INTERVALS: Final = 3
 # Fewer selections for each expert than this differ by more than a tenth by chance, and the load of a
--- a/basilcove/experts/planning/models.py
+++ b/basilcove/experts/planning/models.py
@@ -41,6 +41,7 @@
     needs_full: bool = True
     unanswered: PopularityReport | None = None
     resend_at: float = 0
+    resends_left: int = 0
 
     def assign(self, shape: GroupShape, upstream: UpstreamName, url: str) -> None:
         """Report for this engine; for another one or another shape everything starts over."""
--- a/basilcove/experts/planning/reporting.py
+++ b/basilcove/experts/planning/reporting.py
@@ -7,7 +7,7 @@
 from basilcove.core.ids import Role
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.experts.messages import PopularityAnswer, PopularityReport
-from basilcove.experts.planning.const import REPORT_RESEND_S
+from basilcove.experts.planning.const import MAX_RESENDS, REPORT_RESEND_S
 from basilcove.experts.planning.counts import growth, scaled
 from basilcove.experts.planning.events import CountsFailed, CountsRead, PlanningAssigned, ReadCounts
 from basilcove.experts.planning.models import ReportingState
@@ -52,8 +52,11 @@
         state.is_reading = True
         state.read_at = ctx.now + state.interval_s
         effects.append(ReadCounts(state.url))
-    if state.unanswered is not None and state.coordinator is not None and ctx.now >= state.resend_at:
+    if state.unanswered is None or state.coordinator is None or not state.resends_left:
+        return effects
+    if ctx.now >= state.resend_at:
         state.resend_at = ctx.now + REPORT_RESEND_S
+        state.resends_left -= 1
         effects.append(deliver(state.node, state.coordinator, state.unanswered))
     return effects
 
@@ -112,5 +115,6 @@
     )
     state.unanswered = report
     state.resend_at = now + REPORT_RESEND_S
+    state.resends_left = MAX_RESENDS
     yield Count('popularity_reports', (('kind', 'full' if full else 'changes'),))
     yield deliver(state.node, state.coordinator, report)
