Ask the leader for the revision below which a node is not ready

Cause: a restarted node was ready at the highest revision that a majority of control hosts offered. A leader may accept a document, answer and die before a follower hears that it is committed; the followers hold it durably but offer the former revision. An entry that had the document in effect and restarts within the election then came back with the former one: an accepted document reverted.

Ruled out: counting what followers hold durably, which needs the log's index in each offer and closes no more; to wait without a bound for a leader, since an entry would then never serve while the control hosts' disks are full.

Change: each node asks after its start for the newest revision by a linearizable read (ReadRevision) and is not ready below the answer. Without an answer, a node that reaches a majority of the voters waits 8 s for an election before it takes itself as cut off; others wait 2 s as before. The distribution machine has a rule for this failure and its network answers for the leader; its oracle allows a lower revision beside caught-up replicas only after 9 s without any leader.

--- a/basilcove/catalog/commands.py
+++ b/basilcove/catalog/commands.py
@@ -176,6 +176,15 @@
     stage: Stage
 
 
+@message('catalog.read_revision', pb.ReadRevision)
+@dataclass(frozen=True, slots=True)
+class ReadRevision(Message):
+    """Reads the newest revision of a stage, without its document."""
+
+    environment: EnvironmentName
+    stage: Stage
+
+
 @message('catalog.read_lease', pb.ReadLease)
 @dataclass(frozen=True, slots=True)
 class ReadLease(Message):
--- a/basilcove/catalog/outcomes.py
+++ b/basilcove/catalog/outcomes.py
@@ -150,6 +150,14 @@
     document: str
 
 
+@message('catalog.revision_read', pb.RevisionRead)
+@dataclass(frozen=True, slots=True)
+class RevisionRead(Message):
+    """The newest revision; 0 if there is no document."""
+
+    revision: Revision
+
+
 @message('catalog.lease_read', pb.LeaseRead)
 @dataclass(frozen=True, slots=True)
 class LeaseRead(Message):
--- a/basilcove/catalog/reads.py
+++ b/basilcove/catalog/reads.py
@@ -1,9 +1,16 @@
 """Answers to reads of the applied state."""
 
-from basilcove.catalog.commands import ReadDocument, ReadLease, ReadMap, ReadMembers
+from basilcove.catalog.commands import ReadDocument, ReadLease, ReadMap, ReadMembers, ReadRevision
 from basilcove.catalog.control import ControlState
 from basilcove.catalog.models import CatalogState
-from basilcove.catalog.outcomes import CommandRefused, DocumentRead, LeaseRead, MapDecided, MembersRead
+from basilcove.catalog.outcomes import (
+    CommandRefused,
+    DocumentRead,
+    LeaseRead,
+    MapDecided,
+    MembersRead,
+    RevisionRead,
+)
 from basilcove.consensus.models import ConsensusState
 from basilcove.core.events import Message
 from basilcove.core.ids import FencingNumber, NodeId, Revision, Step
@@ -15,6 +22,9 @@
     if isinstance(read, ReadDocument):
         row = catalog.documents.get((read.environment, read.stage))
         return DocumentRead(Revision(0), '') if row is None else DocumentRead(row.revision, row.text)
+    if isinstance(read, ReadRevision):
+        row = catalog.documents.get((read.environment, read.stage))
+        return RevisionRead(Revision(0) if row is None else row.revision)
     if isinstance(read, ReadLease):
         return _read_lease(catalog, read)
     if isinstance(read, ReadMap):
--- a/basilcove/distribution/const.py
+++ b/basilcove/distribution/const.py
@@ -19,6 +19,9 @@
 
 # Without a control majority for this long since the start, a node takes itself as cut off.
 CUT_OFF_AFTER_S: Final = 2.0
+# A node that reaches a majority of the control group, but has no revision confirmed by a leader, waits this
+# long since the start: a group that lost its leader elects another within 2 s, or after a few split votes.
+LEADERLESS_AFTER_S: Final = 8.0
 # How long a cut-off node then waits for the highest offer of its availability zone.
 HIGHEST_OFFER_WAIT_S: Final = 1.0
 
--- a/basilcove/distribution/coordinator.py
+++ b/basilcove/distribution/coordinator.py
@@ -14,7 +14,12 @@
     MAX_KEYS_PER_PEER,
     OFFER_JITTER,
 )
-from basilcove.distribution.events import ControlMembersChanged, ReplicaCaughtUp, ReplicaCutOff
+from basilcove.distribution.events import (
+    ControlMembersChanged,
+    ReplicaCaughtUp,
+    ReplicaCutOff,
+    RevisionConfirmed,
+)
 from basilcove.distribution.messages import Offer
 from basilcove.distribution.models import DistributionState, Held, Key, PeerView
 from basilcove.distribution.pulling import pull_if_due
@@ -116,6 +121,13 @@
     yield from _offer_all(state, ctx)
 
 
+@handles(RevisionConfirmed, DistributionState)
+def on_confirmed(state: DistributionState, event: RevisionConfirmed, ctx: Context) -> Iterator[Effect]:
+    """Note the revision below which the node may not become ready."""
+    state.confirmed = max(state.confirmed or event.revision, event.revision)
+    yield from settle(state, ctx)
+
+
 @handles(ControlMembersChanged, DistributionState)
 def on_members(state: DistributionState, event: ControlMembersChanged, ctx: Context) -> Iterator[Effect]:
     """Count the majority over the new voters, and tell them to the peers."""
--- a/basilcove/distribution/events.py
+++ b/basilcove/distribution/events.py
@@ -20,6 +20,13 @@
     """The control replica of this node hears no leader; its group may have gone on without it."""
 
 
+@dataclass(frozen=True, slots=True)
+class RevisionConfirmed(Event):
+    """The leader stated, confirmed by a majority since this process started, the newest accepted revision."""
+
+    revision: Revision
+
+
 @dataclass(frozen=True, slots=True)
 class ControlMembersChanged(Event):
     """These nodes vote in the control group as of a log index; an older list replaces no newer one."""
--- a/basilcove/distribution/models.py
+++ b/basilcove/distribution/models.py
@@ -168,6 +168,8 @@
     breaches: set[tuple[NodeId, bytes]] = field(default_factory=set)
     started_at: float | None = None
     caught_up: bool = False
+    # Newest accepted revision that the leader stated since the process started; None before its answer.
+    confirmed: Revision | None = None
     ready: bool = False
     announced: Revision = NO_REVISION
 
--- a/basilcove/distribution/readiness.py
+++ b/basilcove/distribution/readiness.py
@@ -3,24 +3,28 @@
 from collections.abc import Iterator
 
 from basilcove.core.ids import Role
-from basilcove.distribution.const import CUT_OFF_AFTER_S, HIGHEST_OFFER_WAIT_S
+from basilcove.distribution.const import CUT_OFF_AFTER_S, HIGHEST_OFFER_WAIT_S, LEADERLESS_AFTER_S
 from basilcove.distribution.models import DistributionState, PeerView
 
 
 def is_ready(state: DistributionState, now: float) -> bool:
     """Tell whether no lower revision than one that this node had in effect can be taken.
 
-    Every accepted revision is known to a majority of the control group, so the
-    highest of a majority's offers is not older than what the node had before
-    its restart. A node that is cut off from a majority relies on the peers of
-    its availability zone instead, and waits for the highest offer.
+    A majority of the control group holds every accepted revision, but may not
+    yet know that it was accepted if the leader died just then. So the node also
+    asks the leader, whose answer a majority confirms after the node started and
+    which is not older than what the node had before its restart. A node that is
+    cut off from a majority relies on the peers of its availability zone
+    instead, and waits for the highest offer.
     """
     held = state.own
-    if held.revision == 0 or held.revision < _highest_offer(state):
+    if held.revision == 0 or held.revision < max(_highest_offer(state), state.confirmed or 0):
         return False
     if not _is_zone_asked(state, now):
         return False
-    return _is_majority_heard(state) or _is_cut_off_long_enough(state, now)
+    if state.confirmed is not None and _is_majority_heard(state):
+        return True
+    return _is_cut_off_long_enough(state, now)
 
 
 def _highest_offer(state: DistributionState) -> int:
@@ -50,8 +54,17 @@
 def _is_cut_off_long_enough(state: DistributionState, now: float) -> bool:
     if state.started_at is None:
         return False
+    is_leaderless = state.confirmed is None and _is_majority_linked(state)
+    after = LEADERLESS_AFTER_S if is_leaderless else CUT_OFF_AFTER_S
     first_link = min((view.found_at for view in _zone_peers(state)), default=state.started_at)
-    return now - max(state.started_at + CUT_OFF_AFTER_S, first_link) >= HIGHEST_OFFER_WAIT_S
+    return now - max(state.started_at + after, first_link) >= HIGHEST_OFFER_WAIT_S
+
+
+def _is_majority_linked(state: DistributionState) -> bool:
+    linked = {view.peer.node for view in state.peers.values() if Role.CONTROL in view.peer.roles}
+    if state.is_control:
+        linked.add(state.node)
+    return len(linked & state.control_nodes) > len(state.control_nodes) // 2
 
 
 def _zone_peers(state: DistributionState) -> Iterator[PeerView]:
--- a/basilcove/roles/common.py
+++ b/basilcove/roles/common.py
@@ -10,6 +10,7 @@
 from basilcove.membership import draining as _draining  # noqa: F401
 from basilcove.membership.models import MembershipState
 from basilcove.rpc import driver as _rpc  # noqa: F401
+from basilcove.wiring.confirmation import Confirmation
 from basilcove.wiring.operators import OperatorsState
 
 
@@ -27,6 +28,7 @@
     documents = DistributionState.from_config(cfg, settings.node, settings.zone, settings.roles)
     node.add(documents)
     node.add(ClientState(settings.node))
+    node.add(Confirmation(settings.node, assembly.identity.incarnation))
     node.add(MembershipState(settings.node))
     node.add(OperatorsState(assembly.identity, settings.environment, settings.stage))
     assembly.metrics.gauge('document_revision', 'Revision in effect.', lambda: documents.own.revision)
--- a/basilcove/wiring/const.py
+++ b/basilcove/wiring/const.py
@@ -13,4 +13,6 @@
 REPORT_INTERVAL_S: Final = 1.0
 
 CATCH_UP_TIMEOUT_S: Final = 1.0
+# The client resends within this time; a question is asked anew only to bound its age.
+CONFIRMATION_TIMEOUT_S: Final = 5.0
 OPERATOR_TIMEOUT_S: Final = 8.0
--- a/tests/distribution/fleet.py
+++ b/tests/distribution/fleet.py
@@ -8,7 +8,7 @@
 from basilcove.core.reducer import Context, handles
 from basilcove.distribution import coordinator, pulling  # noqa: F401
 from basilcove.distribution.config import DistributionConfig
-from basilcove.distribution.events import DistributionReady, ReplicaCaughtUp
+from basilcove.distribution.events import DistributionReady, ReplicaCaughtUp, RevisionConfirmed
 from basilcove.distribution.models import DistributionState
 from basilcove.environment.canonical import canonical
 from basilcove.environment.events import EnvironmentChanged
@@ -16,6 +16,7 @@
 from basilcove.environment.models import Environment
 from tests.distribution.network import FakeNetwork
 
+ELECTION_S = 2.0
 ENVIRONMENT = EnvironmentName('shire')
 
 
@@ -66,6 +67,9 @@
         # Revisions on each control host's disk, and those that its process has applied.
         self.applied: dict[str, int] = {}
         self.replayed: dict[str, int] = {}
+        # The control group has no leader before this time.
+        self.leaderless_until = 0.0
+        self.net.on_tick = self._confirm
         for name, zone in self.layout().items():
             self.start(name, zone)
 
@@ -107,6 +111,45 @@
             self.catch_up(name)
         return revision
 
+    def accept_and_die(self, leader: str, follower: str, teams: int = 2) -> None:
+        """Accept the next document at a leader that dies before its follower hears of it.
+
+        The follower holds the document on its disk.
+        """
+        self.accept([leader], teams)
+        self.applied[follower] = len(self.accepted)
+        self.net.stop(NodeId(leader))
+        self.leaderless_until = self.net.now + ELECTION_S
+
+    def reaches_majority(self, name: str) -> bool:
+        """Tell whether a control host runs and reaches enough others for a leader."""
+        reached = [
+            other
+            for other in self.config.control_nodes
+            if self.is_running(other) and frozenset((NodeId(name), other)) not in self.net.cut
+        ]
+        return self.is_running(name) and len(reached) > len(self.config.control_nodes) // 2
+
+    def _confirm(self) -> None:
+        """Answer the nodes that ask the leader for the newest accepted revision."""
+        if self.net.now < self.leaderless_until:
+            return
+        for name, host in self.net.hosts.items():
+            state = self.state(name)
+            if not host.running or state.ready or state.confirmed is not None:
+                continue
+            linked = [
+                peer.node
+                for peer in (host.peer, *host.links.values())
+                if peer == self.net.hosts[peer.node].peer and frozenset((name, peer.node)) not in self.net.cut
+            ]
+            for control in linked:
+                if control in self.config.control_nodes and self.reaches_majority(control):
+                    # A leader has applied all that is accepted.
+                    self.catch_up(control)
+                    self.net.apply(name, RevisionConfirmed(Revision(len(self.accepted))))
+                    break
+
     def catch_up(self, name: str) -> None:
         """Let a control replica apply all that is accepted."""
         self.applied[name] = len(self.accepted)
--- a/tests/distribution/machine.py
+++ b/tests/distribution/machine.py
@@ -21,6 +21,8 @@
 HIGHEST_OFFER_S = 1.0
 # How long a node looks for a control majority before it takes itself as cut off.
 CUT_OFF_S = 2.0
+# How long a node that reaches a control majority without a leader waits for one.
+LEADERLESS_S = 8.0
 
 _LAYOUT = Fleet.layout()
 _CONTROLS = [name for name in _LAYOUT if name.startswith('control')]
@@ -70,6 +72,20 @@
         if is_majority and all(map(self.fleet.is_running, replicas)):
             self.fleet.accept(list(replicas), teams)
 
+    @rule(pair=st.permutations(_CONTROLS), name=st.sampled_from(_OTHERS), wait_s=st.sampled_from([0, 0.3, 4]))
+    def accept_and_die(self, pair: list[str], name: str, wait_s: float) -> None:
+        """The leader dies before any follower hears of what it accepted, and a node restarts."""
+        leader, follower, other = pair
+        self.net.cut.clear()
+        for control in pair:
+            if not self.fleet.is_running(control):
+                self.restart(control, 100)
+        self.accept((leader, follower, other), 2)
+        self.converge()
+        self.fleet.accept_and_die(leader, follower)
+        self.restart(name, 0)
+        self._run(wait_s)
+
     @rule(duration_s=st.sampled_from([0.1, 0.3, 1, 3.5]))
     def run(self, duration_s: float) -> None:
         self._run(duration_s)
@@ -248,6 +264,9 @@
             return
         settled = self._settled(host, ready_at)
         caught_up = [other for other in settled if other in _CONTROLS and self.held[0][other][1]]
+        is_leaderless = not any(map(self.fleet.reaches_majority, caught_up))
+        if is_leaderless and age_s >= LEADERLESS_S + HIGHEST_OFFER_S - 0.15:
+            return
         heard = len(caught_up) + (name in _CONTROLS and self.held[0][name][1])
         assert heard <= len(_CONTROLS) // 2, f'{name} was ready at {revision} beside {caught_up}'
         for other in settled:
--- a/tests/distribution/network.py
+++ b/tests/distribution/network.py
@@ -37,6 +37,7 @@
         self.now = 100.0
         self.hosts: dict[NodeId, Host] = {}
         self.may_link = may_link
+        self.on_tick: Callable[[], None] = lambda: None
         self.loss = 0.0
         self.duplication = 0.0
         self.corruption = 0.0
@@ -87,6 +88,7 @@
             for name, host in self.hosts.items():
                 if host.running:
                     self.apply(name, Tick())
+            self.on_tick()
 
     def _deliver(self) -> None:
         arrived_at = self.now
--- /dev/null
+++ b/tests/distribution/test_readiness.py
@@ -0,0 +1,34 @@
+import itertools
+
+from basilcove.core.events import Message
+from basilcove.core.ids import NodeId
+from basilcove.distribution.messages import Chunk, Delta
+from tests.distribution.fleet import Fleet
+from tests.distribution.machine import corrupt
+
+REACHED = ('control-1', 'agent-1')
+
+
+def _damage_second(message: Message) -> Message | None:
+    is_second = isinstance(message, Chunk) and message.revision == 2
+    return corrupt(message, 1) if is_second or isinstance(message, Delta) else None
+
+
+class TestCutOff:
+    def test_cut_off_entry_is_not_ready_below_an_offer(self) -> None:
+        """Guards against an entry that acts on a former document while it still fetches a newer one."""
+        fleet = Fleet()
+        fleet.accept(['control-1', 'control-2', 'control-3'])
+        fleet.net.run(3)
+        fleet.net.cut = {frozenset(map(NodeId, pair)) for pair in itertools.combinations(fleet.layout(), 2)}
+        fleet.accept(['control-1', 'control-2'])
+        fleet.net.run(3)
+        fleet.net.corruption = 1
+        fleet.net.corrupt = _damage_second
+        fleet.net.cut -= {frozenset((NodeId('entry-1'), NodeId(other))) for other in REACHED}
+        fleet.start('entry-1', 'nobsa')
+        fleet.net.run(8)
+        assert (fleet.state('entry-1').own.revision, fleet.in_effect('entry-1')) == (1, [])
+        fleet.net.corruption = 0
+        fleet.net.run(4)
+        assert fleet.in_effect('entry-1') == [(2, fleet.accepted[2])]
--- a/tests/wiring/deployment.py
+++ b/tests/wiring/deployment.py
@@ -10,6 +10,7 @@
 from basilcove.distribution import pulling as _pulling  # noqa: F401
 from basilcove.distribution.config import DistributionConfig
 from basilcove.distribution.models import DistributionState
+from basilcove.wiring.confirmation import Confirmation
 from basilcove.wiring.documents import CatchUp
 from tests.consensus.cluster import CLIENT, Cluster
 from tests.consensus.hosts import Host, Probe
@@ -22,7 +23,8 @@
 
     def parts(self, name: NodeId) -> tuple[object, ...]:
         """Return the states of a control host that distributes documents."""
-        return ClientState(name), self._documents(name, Role.CONTROL), CatchUp(name)
+        confirmation = Confirmation(name, Incarnation(next(self._incarnations)))
+        return ClientState(name), self._documents(name, Role.CONTROL), CatchUp(name), confirmation
 
     def start(self, name: NodeId) -> Host:
         """Start a control host, and link it to the entry."""
@@ -40,8 +42,10 @@
     def restart_entry(self, *reached: NodeId) -> DistributionState:
         """Start the entry again, which reaches these control hosts only."""
         documents = self._documents(CLIENT, Role.ENTRY)
-        node = Node(ClientState(CLIENT), documents, Probe(self._on_client_event))
-        self.client = Host(CLIENT, Incarnation(next(self._incarnations)), node, FakeDisk())
+        incarnation = Incarnation(next(self._incarnations))
+        node = Node(ClientState(CLIENT), documents, Confirmation(CLIENT, incarnation))
+        node.add(Probe(self._on_client_event))
+        self.client = Host(CLIENT, incarnation, node, FakeDisk())
         self.cut |= {frozenset((CLIENT, name)) for name in self.hosts}
         self.link(*reached)
         return documents
--- a/tests/wiring/test_documents.py
+++ b/tests/wiring/test_documents.py
@@ -1,6 +1,9 @@
 from basilcove.core.events import Peer, Received
 from basilcove.core.ids import NodeId, Revision, Role, Stage
+from basilcove.distribution.const import HIGHEST_OFFER_WAIT_S, LEADERLESS_AFTER_S
+from basilcove.distribution.events import RevisionConfirmed
 from basilcove.distribution.messages import Offer
+from basilcove.distribution.models import DistributionState
 from tests.consensus.oracle import ENVIRONMENT
 from tests.wiring.deployment import Deployment
 
@@ -65,3 +68,65 @@
         entry = cluster.restart_entry(*cluster.bootstrap[:2])
         cluster.run(BEFORE_CUT_OFF_S)
         assert (entry.ready, entry.announced) == (True, 2)
+
+
+class TestAcceptedJustBefore:
+    def test_entry_waits_for_what_a_leader_accepted_and_took_with_it(self) -> None:
+        """Guards against an entry that had a document in effect and comes back with the former one.
+
+        The followers hold the document durably, but have not heard that it is committed.
+        """
+        cluster = Deployment()
+        followers = _accept_and_lose_leader(cluster)
+        entry = cluster.restart_entry(*followers)
+        held = [cluster.hosts[name].node.part(DistributionState).own.revision for name in followers]
+        assert held == [1, 1]
+        cluster.run_until(lambda: entry.ready, limit=10)
+        assert entry.announced == 2
+
+    def test_entry_waits_for_a_late_election(self) -> None:
+        """Guards against an entry that takes itself as cut off while the group has no leader yet."""
+        cluster = Deployment()
+        followers = _accept_and_lose_leader(cluster)
+        cluster.cut.add(frozenset(followers))
+        entry = cluster.restart_entry(*followers)
+        cluster.run(4)
+        assert not entry.ready
+        cluster.cut.discard(frozenset(followers))
+        cluster.run_until(lambda: entry.ready, limit=10)
+        assert entry.announced == 2
+
+    def test_entry_without_any_leader_is_ready_in_the_end(self) -> None:
+        """Guards against an entry that never serves while the control group can't elect a leader."""
+        cluster = Deployment()
+        followers = _accept_and_lose_leader(cluster)
+        cluster.cut.add(frozenset(followers))
+        entry = cluster.restart_entry(*followers)
+        cluster.run(LEADERLESS_AFTER_S + HIGHEST_OFFER_WAIT_S + 0.2)
+        assert (entry.ready, entry.announced) == (True, 1)
+
+    def test_entry_is_not_ready_below_the_confirmed_revision(self) -> None:
+        """Guards against an entry that reaches only replicas which have not applied the change yet."""
+        cluster = Deployment()
+        cluster.accept(1)
+        entry = cluster.restart_entry(*cluster.bootstrap)
+        cluster.apply(cluster.client, RevisionConfirmed(Revision(2)))
+        cluster.run(15)
+        assert not entry.ready
+        cluster.accept(2)
+        cluster.run(1)
+        assert (entry.ready, entry.announced) == (True, 2)
+
+
+def _accept_and_lose_leader(cluster: Deployment) -> list[NodeId]:
+    """Have revision 2 accepted by a leader that dies before its followers apply it; return these."""
+    cluster.accept(1)
+    cluster.run(3)
+    leader = cluster.elect()
+    followers = [name for name in cluster.bootstrap if name != leader.name]
+    cluster.propose('apply-2', cluster.change(2))
+    cluster.run_until(lambda: cluster.results['apply-2'], step=0.0002)
+    cluster.kill(leader.name)
+    # What the leader had sent last does not arrive either.
+    cluster.cut = {frozenset((leader.name, name)) for name in followers}
+    return followers
