Send the voters only to peers that do not hold them

Cause: each offer of a control host repeated the voters, also every 5 s on idle links. Ruled out: a message of its own, which would need its own resending. Change: offers state the index of the voters held; a control host adds the list for a peer that states a lower one. With the stated index ignored, the extended test fails.

--- a/basilcove/distribution/coordinator.py
+++ b/basilcove/distribution/coordinator.py
@@ -66,6 +66,8 @@
     assert isinstance(offer, Offer)
     key = (offer.environment, offer.stage)
     view = _view(state, event.peer)
+    if view is not None:
+        view.voters_index = max(view.voters_index, offer.voters_index)
     if view is not None and Role.CONTROL in event.peer.roles:
         _note_voters(state, offer.voters_index, offer.voters)
     if view is None or not (key == state.key or state.is_control):
@@ -75,7 +77,7 @@
     if held is not None and offer.revision == held.revision and offer.digest != held.digest:
         yield from breach(state, event.peer.node, key, offer.revision, offer.digest)
     if offer.ask:
-        yield Send(event.peer.node, _offer_of(state, key, held or Held(), ask=False))
+        yield Send(event.peer.node, _offer_of(state, view, key, held or Held(), ask=False))
     elif held is not None and offer.revision < held.revision:
         view.next_offer_at = min(view.next_offer_at, ctx.now + EAGER_OFFER_INTERVAL_S)
     yield from pull_if_due(state, ctx)
@@ -181,7 +183,7 @@
             continue
         is_settled = view.holds(key, held) and (state.ready or not _is_awaited(state, view))
         settled = settled and is_settled
-        yield Send(view.peer.node, _offer_of(state, key, held, ask=not is_settled))
+        yield Send(view.peer.node, _offer_of(state, view, key, held, ask=not is_settled))
     interval = IDLE_OFFER_INTERVAL_S if settled else EAGER_OFFER_INTERVAL_S
     jitter = 1 + OFFER_JITTER * stable_fraction(state.node, view.peer.node)
     view.next_offer_at = ctx.now + interval * jitter
@@ -193,10 +195,10 @@
     return view.peer.node in state.control_nodes and (offer is None or not offer.caught_up)
 
 
-def _offer_of(state: DistributionState, key: Key, held: Held, *, ask: bool) -> Offer:
-    held_as = (*key, held.revision, held.digest, ask)
-    # Other nodes can't tell whether the list that they learned is still the newest.
-    if not (state.caught_up and state.is_control):
-        return Offer(*held_as, caught_up=False)
-    voters = tuple(sorted(state.control_nodes)) if state.voters_index else ()
-    return Offer(*held_as, caught_up=True, voters_index=state.voters_index, voters=voters)
+def _offer_of(state: DistributionState, view: PeerView, key: Key, held: Held, *, ask: bool) -> Offer:
+    is_vouched = state.caught_up and state.is_control
+    # Other nodes can't tell whether the list that they learned is still the newest; they state its index
+    # only, so that control hosts need not send it again.
+    is_needed = is_vouched and view.voters_index < state.voters_index
+    voters = tuple(sorted(state.control_nodes)) if is_needed else ()
+    return Offer(*key, held.revision, held.digest, ask, is_vouched, state.voters_index, voters)
--- a/basilcove/distribution/messages.py
+++ b/basilcove/distribution/messages.py
@@ -13,8 +13,9 @@
 class Offer(Message):
     """Newest document that the sender holds; revision 0 for none.
 
-    A control replica that follows a leader adds the voters of its group and a
-    log index at which they were in effect.
+    ``voters_index`` is a log index at which the newest voters that the sender
+    knows were in effect. A control replica that follows a leader adds them for
+    a peer that holds older ones.
     """
 
     environment: EnvironmentName
--- a/basilcove/distribution/models.py
+++ b/basilcove/distribution/models.py
@@ -112,6 +112,8 @@
     found_at: float
     offers: dict[Key, Offer] = field(default_factory=dict)
     next_offer_at: float = 0
+    # Index of the newest list of voters that the peer is known to hold.
+    voters_index: int = 0
     # Requests in a row that brought nothing; another peer is asked first.
     failures: int = 0
 
--- a/tests/wiring/test_documents.py
+++ b/tests/wiring/test_documents.py
@@ -1,9 +1,10 @@
 from basilcove.core.events import Peer, Received
 from basilcove.core.ids import NodeId, Revision, Role, Stage
-from basilcove.distribution.const import HIGHEST_OFFER_WAIT_S, LEADERLESS_AFTER_S
+from basilcove.distribution.const import HIGHEST_OFFER_WAIT_S, IDLE_OFFER_INTERVAL_S, LEADERLESS_AFTER_S
 from basilcove.distribution.events import RevisionConfirmed
 from basilcove.distribution.messages import Offer
 from basilcove.distribution.models import DistributionState
+from tests.consensus.cluster import CLIENT
 from tests.consensus.oracle import ENVIRONMENT
 from tests.wiring.deployment import Deployment
 
@@ -26,6 +27,11 @@
         cluster.run(BEFORE_CUT_OFF_S)
         assert entry.control_nodes == {kept, *SPARES}
         assert entry.ready
+        # The host need not send the voters again with each of its offers.
+        cluster.run(IDLE_OFFER_INTERVAL_S * 2)
+        view = cluster.hosts[kept].node.part(DistributionState).peers[CLIENT]
+        assert entry.voters_index
+        assert view.voters_index == entry.voters_index
 
     def test_removed_hosts_that_still_run_are_no_majority(self) -> None:
         """Guards against a former majority that vouches for a former revision."""
