Answer for the leader in the benchmark of a returning zone

Cause: nodes that start now ask the leader for the newest revision.

Ruled out: a slower spread. Links to control hosts are up at once and the documents arrive as before; only the answer was missing.

Change: the benchmark's network answers nodes that are linked with a control host, as the tests' network does.

Conclusion: a fault of the fake. Control hosts that elect no leader do delay starting nodes by 9 s, as the design says.

--- a/benchmarks/bench_distribution.py
+++ b/benchmarks/bench_distribution.py
@@ -16,7 +16,7 @@
 )
 from basilcove.distribution import coordinator, pulling  # noqa: F401
 from basilcove.distribution.config import DistributionConfig
-from basilcove.distribution.events import ReplicaCaughtUp
+from basilcove.distribution.events import ReplicaCaughtUp, RevisionConfirmed
 from basilcove.distribution.models import DistributionState
 from basilcove.environment.canonical import make_delta
 from basilcove.helpers.codec import encode
@@ -58,6 +58,8 @@
         self.net = FakeNetwork(1, _may_link)
         self.names = [f'entry-{n}' if n < _ENTRIES else f'agent-{n}' for n in range(nodes)]
         self.documents = [make_document(revision, teams) for revision in (1, 2)]
+        self.accepted = Revision(0)
+        self.net.on_tick = self._confirm
         for name in _CONTROLS:
             self.net.start(name, 'control', (Role.CONTROL,), _build)
             self.net.apply(name, ReplicaCaughtUp())
@@ -73,8 +75,9 @@
 
     def accept(self, revision: int) -> None:
         """Let the control hosts apply a document."""
+        self.accepted = Revision(revision)
         document = self.documents[revision - 1]
-        accepted = DocumentAccepted(ENVIRONMENT, Stage.PRODUCTION, Revision(revision), document)
+        accepted = DocumentAccepted(ENVIRONMENT, Stage.PRODUCTION, self.accepted, document)
         for name in _CONTROLS:
             self.net.apply(name, accepted)
 
@@ -92,6 +95,15 @@
         self.net.sent.clear()
         return len(sizes), sum(sizes)
 
+    def _confirm(self) -> None:
+        """Answer for the leader the nodes that are linked with a control host and ask for the revision."""
+        for name in (*_CONTROLS, *self.names):
+            host = self.net.hosts[NodeId(name)]
+            state = host.node.part(DistributionState)
+            is_linked = state.is_control or any(Role.CONTROL in peer.roles for peer in host.links.values())
+            if is_linked and not state.ready and state.confirmed is None:
+                self.net.apply(name, RevisionConfirmed(self.accepted))
+
     def _is_in_effect(self, revision: int, name: str) -> bool:
         return self.net.hosts[NodeId(name)].node.part(DistributionState).announced >= revision
 
