Install a map of the size that a changed document names

Cause: a group wanted a first map only where it had none. After a document changed its ranks, experts, layers or slots the ranks kept the former map, and the planner did not plan, since map and shape differ.

Ruled out: to let the planner change the number of slots; it moves and swaps within the slots that there are.

Change: a map whose size differs from the document's is replaced by a first map of the new size, asked for at most every 10 s, since engines may refuse it.

Conclusion: a change of the document reaches the ranks without an operator's work on hosts. The new map starts from equal popularity.

--- a/basilcove/wiring/const.py
+++ b/basilcove/wiring/const.py
@@ -16,3 +16,6 @@
 # The client resends within this time; a question is asked anew only to bound its age.
 CONFIRMATION_TIMEOUT_S: Final = 5.0
 OPERATOR_TIMEOUT_S: Final = 8.0
+
+# Engines that can't take the size that the document names would be asked again and again.
+RESIZE_RETRY_S: Final = 10.0
--- a/basilcove/wiring/orders.py
+++ b/basilcove/wiring/orders.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import chain
 
 from basilcove.core.events import Effect, Emit, Event, Message, Peer, Received, Tick
 from basilcove.core.ids import GroupName, NodeId, UpstreamName
@@ -22,6 +23,7 @@
 from basilcove.orders import decisions as _decisions  # noqa: F401 (registers the handlers)
 from basilcove.orders.events import CallEngine, EngineAssigned, SendOrder
 from basilcove.orders.rules import order_in_force
+from basilcove.wiring.const import RESIZE_RETRY_S
 
 _NO_UPSTREAM = UpstreamName('')
 
@@ -35,12 +37,16 @@
 
 @dataclass
 class EngineOfHost:
-    """The engine on this host and the document; the source of the group's assignment."""
+    """The engine on this host and the document; the source of the group's assignment.
+
+    A map of another size is wanted no sooner than ``resize_at``, on the monotonic clock.
+    """
 
     node: NodeId
     upstream: UpstreamName = _NO_UPSTREAM
     url: str = ''
     environment: Environment | None = None
+    resize_at: float = 0
 
 
 class OrderSender:
@@ -104,14 +110,26 @@
 
 @handles(Tick, EngineOfHost)
 def on_tick(state: EngineOfHost, event: Tick, ctx: Context) -> list[Effect]:
-    """Want a first map where the group has none; later ones come from the planner."""
+    """Want a map where the group has none of its size; later ones come from the planner."""
     activation = ctx.node.part(ActivationState)
-    group = _find_group(state)
-    if group is None or activation.phase is not Phase.IDLE:
-        return []
-    if activation.current is not None or activation.wanted is not None:
+    found = _find_group(state)
+    if found is None or activation.phase is not Phase.IDLE or activation.wanted is not None:
         return []
-    return [Emit(MapWanted(first_layers(group[1])))]
+    group = found[1]
+    if activation.current is not None:
+        if ctx.now < state.resize_at or fits(group, activation.current.layers):
+            return []
+        state.resize_at = ctx.now + RESIZE_RETRY_S
+    return [Emit(MapWanted(first_layers(group)))]
+
+
+def fits(group: Group, layers: tuple[Layer, ...]) -> bool:
+    """Tell whether a map has the layers, ranks, experts and slots of a group; all layers are alike."""
+    first = layers[0]
+    slots = group.experts if group.expert_slots is None else group.ranks * group.expert_slots
+    if (len(layers), len(first), sum(map(len, first))) != (group.layers, group.ranks, slots):
+        return False
+    return set(chain.from_iterable(first)) == set(range(group.experts))
 
 
 def first_layers(group: Group) -> tuple[Layer, ...]:
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -56,6 +56,17 @@
         wait_for(lambda: _versions(group) == {2}, 'the map to be activated again at both engines')
         assert len({_switch_step(group, name) for name in _ENGINES}) == 1
 
+    def test_changed_document_gives_all_ranks_a_map_of_its_size(self, group: Cluster, tmp_path: Path) -> None:
+        """Guards against a change of a group that never reaches its engines."""
+        wait_for(lambda: _versions(group) == {1}, 'the first map at both engines')
+        document = _document()
+        document['groups']['riders']['expert_slots'] = 6
+        path = documents.write(tmp_path, document, 'slots.yaml')
+        group.cli('apply', str(path), '--expected-revision', '1', '--request-id', 'slots')
+        wait_for(lambda: _versions(group) == {2}, 'a map with 6 slots at both engines')
+        for name in _ENGINES:
+            assert [[len(rank) for rank in layer] for layer in _last_layers(group, name)] == [[6, 6], [6, 6]]
+
 
 class TestPlanning:
     def test_skewed_popularity_leads_to_a_second_map_on_all_ranks(self, counted_group: Cluster) -> None:
--- a/tests/wiring/test_orders.py
+++ b/tests/wiring/test_orders.py
@@ -4,7 +4,7 @@
 
 from basilcove.core.ids import UpstreamName
 from basilcove.environment.models import Group
-from basilcove.wiring.orders import first_layers
+from basilcove.wiring.orders import first_layers, fits
 
 ENGINES = (UpstreamName('engine-1'),)
 
@@ -22,3 +22,11 @@
             assert max(copies.values()) <= min(copies.values()) + 1
             assert all(len(set(rank)) == len(rank) for rank in layer)
             assert copies.total() == filled
+
+    @pytest.mark.parametrize('change', [{'ranks': 2}, {'experts': 6}, {'layers': 3}, {'expert_slots': 3}])
+    def test_it_fits_only_a_group_of_its_size(self, change: dict[str, int]) -> None:
+        """Guards against a group that keeps a map of its former size when the document changes."""
+        group = Group(ranks=4, experts=8, layers=2, upstreams=ENGINES)
+        layers = first_layers(group)
+        assert fits(group, layers)
+        assert not fits(group.model_copy(update=change), layers)
