--- a/tests/harness/demo.py
+++ b/examples/demo.py
@@ -4,6 +4,7 @@
 import sys
 import tempfile
 import time
+from http import HTTPStatus
 from pathlib import Path
 
 import yaml
@@ -39,15 +40,15 @@
     answer = cluster.call('entry-1', 'POST', '/v1/chat/completions', body, headers=urgent)
     events = answer.data.decode().strip().split('\n\n')
     print(f'streamed model request: {answer.status}, {len(events)} events, last: {events[-1]}')
-    _expect(answer.status == 200 and events[-1] == 'data: [DONE]')
+    _expect(answer.status == HTTPStatus.OK and events[-1] == 'data: [DONE]')
     answer = cluster.call('entry-2', 'GET', '/services/hire/stock')
     print(f'stock lookup: {answer.status} {answer.data.decode()}')
-    _expect(answer.status == 200)
+    _expect(answer.status == HTTPStatus.OK)
     keyed = {'Idempotency-Key': 'demo-booking-1'}
     for entry in ('entry-1', 'entry-2'):
         answer = cluster.call(entry, 'POST', '/services/hire/bookings', {'cart': 'A7'}, headers=keyed)
         print(f'booking charge through {entry}, same key: {answer.status} {answer.data.decode()}')
-        _expect(answer.status == 201)
+        _expect(answer.status == HTTPStatus.CREATED)
     runs = len(cluster.state_of('hire-1')['bookings'])
     print(f'booking runs at the service: {runs}')
     _expect(runs == 1)
@@ -64,7 +65,7 @@
     started = time.monotonic()
     body = {'model': 'rider-assistant', 'messages': [_message()]}
     wait_for(
-        lambda: all(_status(cluster, entry, body) == 403 for entry in cluster.entries),
+        lambda: all(_status(cluster, entry, body) == HTTPStatus.FORBIDDEN for entry in cluster.entries),
         'the changed document at both entries',
     )
     print(f'in effect at both entries after {time.monotonic() - started:.2f} s')
--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -74,11 +74,6 @@
         """Tell whether the process has not ended."""
         return self._child.poll() is None
 
-    @property
-    def exit_status(self) -> int | None:
-        """Return the exit status of an ended process."""
-        return self._child.poll()
-
     def stop(self) -> None:
         """Ask the process to stop gracefully."""
         self._signal(signal.SIGTERM)
