Check in one place that a map covers the experts of its group

Cause: the planner and the comparison with the document's size each compared the layers and the experts of a map; the soak wrote HTTP statuses as numbers.

Ruled out: one function for both checks; the planner does not know the ranks and slots that the document names.

Change: covers() in experts/models.py serves both; the soak uses HTTPStatus.

Conclusion: behaviour is the same.

--- a/basilcove/experts/models.py
+++ b/basilcove/experts/models.py
@@ -1,6 +1,7 @@
 """Expert maps, popularity and plans."""
 
 from dataclasses import dataclass
+from itertools import chain
 from typing import TypeAlias
 
 # Experts in the slots of each rank, in one layer.
@@ -18,6 +19,11 @@
     layers: tuple[Layer, ...]
 
 
+def covers(layers: tuple[Layer, ...], count: int, experts: int) -> bool:
+    """Tell whether there are so many layers, which all hold these experts as the first one does."""
+    return len(layers) == count and set(chain.from_iterable(layers[0])) == set(range(experts))
+
+
 @dataclass(frozen=True, slots=True)
 class Popularity:
     """Decayed counts per layer and expert."""
--- a/basilcove/experts/planning/coordinator.py
+++ b/basilcove/experts/planning/coordinator.py
@@ -9,7 +9,7 @@
 from basilcove.experts.activation.events import MapWanted
 from basilcove.experts.activation.models import ActivationState, Phase
 from basilcove.experts.messages import PopularityAnswer, PopularityReport
-from basilcove.experts.models import Cost, ExpertMap
+from basilcove.experts.models import Cost, ExpertMap, covers
 from basilcove.experts.planner import expected_skew
 from basilcove.experts.planning.const import (
     LEAD_S,
@@ -20,7 +20,6 @@
 )
 from basilcove.experts.planning.events import (
     ComputePlan,
-    GroupShape,
     PlanComputed,
     PlanFailed,
     PlanningAssigned,
@@ -146,7 +145,7 @@
     if current is None or state.basis is not None or state.merger is None:
         return
     # The document may name another size than the map has that the ranks run.
-    if not _fits(current, state.shape):
+    if not covers(current.layers, state.shape.layers, state.shape.experts):
         return
     popularity = state.merger.popularity(LEAD_S)
     state.skew = expected_skew(popularity, current)
@@ -172,8 +171,3 @@
     if lease is None or ctx.now >= lease.until or current is None:
         return False
     return (lease.fence, current.version) == (basis.fence, basis.version)
-
-
-def _fits(current: ExpertMap, shape: GroupShape) -> bool:
-    experts = {expert for rank in current.layers[0] for expert in rank}
-    return len(current.layers) == shape.layers and experts == set(range(shape.experts))
--- a/basilcove/wiring/orders.py
+++ b/basilcove/wiring/orders.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from itertools import chain
 
 from basilcove.core.events import Effect, Emit, Event, Message, Peer, Received, Tick
 from basilcove.core.ids import GroupName, NodeId, UpstreamName
@@ -13,7 +12,7 @@
 from basilcove.experts.activation import coordinator as _activation  # noqa: F401 (registers the handlers)
 from basilcove.experts.activation.events import GroupAssigned, MapWanted
 from basilcove.experts.activation.models import ActivationState, Phase
-from basilcove.experts.models import Layer
+from basilcove.experts.models import Layer, covers
 from basilcove.experts.placement import greedy
 from basilcove.experts.planning import coordinator as _planning  # noqa: F401 (registers the handlers)
 from basilcove.experts.planning import reporting as _reporting  # noqa: F401 (registers the handlers)
@@ -125,11 +124,10 @@
 
 def fits(group: Group, layers: tuple[Layer, ...]) -> bool:
     """Tell whether a map has the layers, ranks, experts and slots of a group; all layers are alike."""
-    first = layers[0]
     slots = group.experts if group.expert_slots is None else group.ranks * group.expert_slots
-    if (len(layers), len(first), sum(map(len, first))) != (group.layers, group.ranks, slots):
+    if not covers(layers, group.layers, group.experts):
         return False
-    return set(chain.from_iterable(first)) == set(range(group.experts))
+    return (len(layers[0]), sum(map(len, layers[0]))) == (group.ranks, slots)
 
 
 def first_layers(group: Group) -> tuple[Layer, ...]:
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -15,6 +15,7 @@
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable
+from http import HTTPStatus
 from pathlib import Path
 
 import urllib3
@@ -33,8 +34,6 @@
 _FAILURE_S = (0.5, 1.7, 2.2, 3.5)
 _PAUSE_S = (0.3, 1, 4)
 _CHANGE_INTERVAL_S = 3.0
-_CREATED = 201
-_OK = 200
 # What was sent before a connection broke is not known.
 _UNKNOWN = 'unknown'
 
@@ -52,7 +51,7 @@
     def check_stream(self, count: int, answer: urllib3.BaseHTTPResponse) -> None:
         """Check one answer to a request for a number of tokens."""
         text = answer.data.decode()
-        if answer.status != _OK:
+        if answer.status != HTTPStatus.OK:
             self.answers[f'stream: {answer.json()["outcome"]}'] += 1
         elif 'data: [DONE]' in text:
             self.answers['stream: complete'] += 1
@@ -131,7 +130,7 @@
         except urllib3.exceptions.HTTPError:
             self._stopped.wait(0.1)
         else:
-            told = 'ran' if answer.status == _CREATED else str(answer.json()['outcome'])
+            told = 'ran' if answer.status == HTTPStatus.CREATED else str(answer.json()['outcome'])
         self._findings.bookings[cart].append(told)
         self._findings.answers[f'booking: {told}'] += 1
         return told
