--- a/basilcove/__main__.py
+++ b/basilcove/__main__.py
@@ -18,12 +18,17 @@
     parser.add_argument('--settings', type=Path, required=True, help='YAML file with the settings')
     parser.add_argument('--check', action='store_true', help='validate the settings and exit')
     args = parser.parse_args()
+    return run(args.settings, only_check=args.check)
+
+
+def run(path: Path, *, only_check: bool = False) -> int:
+    """Run the daemon of a settings file, or only check the file; return the exit status."""
     try:
-        settings = load_settings(args.settings)
+        settings = load_settings(path)
     except SettingsError as exc:
         sys.stderr.write(f'{exc}\n')
         return _EXIT_SETTINGS
-    if args.check:
+    if only_check:
         return 0
     poll_without_pool()
     daemon = importlib.import_module('basilcove.daemon')
--- a/basilcove/catalog/commands.py
+++ b/basilcove/catalog/commands.py
@@ -32,6 +32,20 @@
     request_id: RequestId
 
 
+@message('catalog.put_document', pb.PutDocument)
+@dataclass(frozen=True, slots=True)
+class PutDocument(Message):
+    """Replaces a document (canonical JSON) by one of a higher revision; any other changes nothing.
+
+    The operator numbers the revisions, so a resend needs no request id.
+    """
+
+    environment: EnvironmentName
+    stage: Stage
+    revision: Revision
+    document: str
+
+
 @message('catalog.trial_evidence', pb.TrialEvidence)
 @dataclass(frozen=True, slots=True)
 class TrialEvidence(Message):
--- a/basilcove/catalog/documents.py
+++ b/basilcove/catalog/documents.py
@@ -5,7 +5,7 @@
 
 from pydantic import BaseModel, ValidationError
 
-from basilcove.catalog.commands import ApplyDocument, PromoteDocument, TrialEvidence
+from basilcove.catalog.commands import ApplyDocument, PromoteDocument, PutDocument, TrialEvidence
 from basilcove.catalog.models import CatalogState, DocumentKey, DocumentRow
 from basilcove.catalog.outcomes import DocumentApplied, DocumentRefused, PromotionRefused, RevisionConflict
 from basilcove.catalog.registry import applies
@@ -44,6 +44,17 @@
     return _accept(state, key, command.document, _NO_REVISION)
 
 
+@applies(PutDocument)
+def _put_document(state: CatalogState, command: PutDocument) -> Message:
+    key = (command.environment, command.stage)
+    current = _revision_of(state, key)
+    if command.revision <= current:
+        return DocumentApplied(current)
+    if len(command.document) > MAX_DOCUMENT_BYTES:
+        return DocumentRefused((f'the document exceeds {MAX_DOCUMENT_BYTES} bytes',))
+    return _accept(state, key, command.document, _NO_REVISION, command.revision)
+
+
 @applies(PromoteDocument)
 def _promote_document(state: CatalogState, command: PromoteDocument) -> Message:
     trial = state.documents.get((command.environment, Stage.TRIAL))
@@ -80,8 +91,15 @@
         raise ValueError(f'{path}: {fault["msg"]}') from exc
 
 
-def _accept(state: CatalogState, key: DocumentKey, text: str, promoted_from: Revision) -> Message:
-    revision = Revision(_revision_of(state, key) + 1)
+def _accept(
+    state: CatalogState,
+    key: DocumentKey,
+    text: str,
+    promoted_from: Revision,
+    revision: Revision | None = None,
+) -> Message:
+    if revision is None:
+        revision = Revision(_revision_of(state, key) + 1)
     state.documents[key] = DocumentRow(*key, revision, text, state.time, promoted_from)
     _derive_limits(state, key[0])
     return DocumentApplied(revision)
--- a/basilcove/consensus/config.py
+++ b/basilcove/consensus/config.py
@@ -11,6 +11,9 @@
 class ControlConfig(BaseModel):
     """First members of the control group and the folder of the durable state.
 
+    A host without first members joins the group of the hosts that it is linked with.
+    With ``admits_unknown`` the group takes in every control host that asks, and replaces members that are lost.
+
     A snapshot is taken after ``snapshot_after_entries`` log entries; ``kept_entries`` before it stay
     in memory for members that lag a little.
     """
@@ -19,6 +22,7 @@
 
     bootstrap: tuple[NodeId, ...]
     data_folder: Path
+    admits_unknown: bool = False
     snapshot_after_entries: int = Field(SNAPSHOT_AFTER_ENTRIES, ge=1)
     kept_entries: int = Field(KEPT_ENTRIES, ge=0)
 
@@ -26,5 +30,5 @@
     @classmethod
     def _check_bootstrap(cls, bootstrap: tuple[NodeId, ...]) -> tuple[NodeId, ...]:
         if len(set(bootstrap)) != len(bootstrap) or len(bootstrap) not in MEMBER_COUNTS:
-            raise ValueError('bootstrap must list 3, 5 or 7 different nodes')
+            raise ValueError('bootstrap must list 1, 3, 5 or 7 different nodes, or none')
         return bootstrap
--- a/basilcove/consensus/const.py
+++ b/basilcove/consensus/const.py
@@ -15,8 +15,10 @@
 FORMING_INTERVAL_S: Final = 0.25
 JOIN_INTERVAL_S: Final = 0.5
 JOIN_AFTER_S: Final = 3.0
+# A host that is only restarted or cut off for a few seconds keeps its place.
+LOST_AFTER_S: Final = 8.0
 
-MEMBER_COUNTS: Final = frozenset((3, 5, 7))
+MEMBER_COUNTS: Final = frozenset((0, 1, 3, 5, 7))
 MAX_MEMBERS: Final = 9
 
 MAX_APPEND_BYTES: Final = 256 * 1024
--- a/basilcove/consensus/coordinator.py
+++ b/basilcove/consensus/coordinator.py
@@ -14,7 +14,7 @@
     ReadRefused,
 )
 from basilcove.consensus.forming import ask_first_members, ask_to_join, form_if_ready
-from basilcove.consensus.membership import leave_if_removed, promote_learner
+from basilcove.consensus.membership import leave_if_removed, promote_learner, remove_lost
 from basilcove.consensus.models import ConsensusState, PendingRead, Standing, node_of
 from basilcove.consensus.replication import (
     advance_commit,
@@ -53,7 +53,7 @@
     effects = resend_overdue(state, ctx.now)
     if ctx.now - state.leading.heartbeat_at >= HEARTBEAT_INTERVAL_S:
         effects.extend(heartbeat(state, ctx))
-    return [*effects, *promote_learner(state, ctx)]
+    return [*effects, *(promote_learner(state, ctx) or remove_lost(state, ctx))]
 
 
 @handles(Persisted, ConsensusState)
--- a/basilcove/consensus/forming.py
+++ b/basilcove/consensus/forming.py
@@ -41,11 +41,11 @@
 
 
 def ask_first_members(state: ConsensusState, now: float) -> list[Effect]:
-    """Ask the other first members what their disks hold, from time to time."""
+    """Ask the other first members and all linked hosts what their disks hold, from time to time."""
     if now - state.forming.asked_at < FORMING_INTERVAL_S:
         return []
     state.forming.asked_at = now
-    return [Send(node, Identify(state.incarnation)) for node in _others(state)]
+    return [Send(node, Identify(state.incarnation)) for node in sorted({*state.peers, *_others(state)})]
 
 
 def ask_to_join(state: ConsensusState, now: float) -> list[Effect]:
--- a/basilcove/consensus/membership.py
+++ b/basilcove/consensus/membership.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from basilcove.consensus.const import MAX_MEMBERS
+from basilcove.consensus.const import LOST_AFTER_S, MAX_MEMBERS
 from basilcove.consensus.events import ChangeMembers, EntryAppended, EntryRefused
-from basilcove.consensus.models import ConsensusState, Member, Members
+from basilcove.consensus.models import NEVER, ConsensusState, Member, Members
 from basilcove.consensus.replication import append_own
 from basilcove.consensus.terms import follow
 from basilcove.core.events import Effect, Emit, Log
@@ -14,6 +14,8 @@
 
 _MIN_VOTERS = 2
 _MAX_VOTERS = 7
+# Voters that a group keeps while it removes lost ones; it then bears the loss of one more.
+_TARGET_VOTERS = 3
 
 
 def may_change(state: ConsensusState) -> bool:
@@ -30,9 +32,11 @@
 def admit_identity(state: ConsensusState, node: NodeId, member: str, ctx: Context) -> list[Effect]:
     """Make a host that joins with an empty disk a learner, in place of its former identity."""
     known = state.members.find(node)
-    if not may_change(state) or known is None or node == state.node:
+    if not may_change(state) or node == state.node:
         return []
-    if _number(member) <= _number(known.member):
+    if known is None and (not state.admits_unknown or len(state.members.members) >= MAX_MEMBERS):
+        return []
+    if known is not None and _number(member) <= _number(known.member):
         return []
     log = Log('warning', 'control host joins under a new identity', (('member', member),))
     return [log, *_change(state, state.members.replaced(node, Member(node, member, voter=False)), ctx)]
@@ -52,6 +56,30 @@
     return []
 
 
+def remove_lost(state: ConsensusState, ctx: Context) -> list[Effect]:
+    """Remove a voter that was silent for long, once enough others vote without it.
+
+    Only in a group that takes in every host: there a replaced host leaves its place behind, and one that was
+    only cut off joins again.
+    """
+    if not state.admits_unknown or not may_change(state):
+        return []
+    voters = [member for member in state.members.members if member.voter]
+    lost = [member for member in voters if _is_lost(state, member, ctx.now)]
+    if not lost or len(voters) - len(lost) < _TARGET_VOTERS:
+        return []
+    log = Log('warning', 'lost voter is removed', (('member', lost[0].member),))
+    return [log, *_change(state, state.members.replaced(lost[0].node, None), ctx)]
+
+
+def _is_lost(state: ConsensusState, member: Member, now: float) -> bool:
+    progress = state.leading.progress.get(member.member)
+    if member.member == state.member:
+        return False
+    heard_at = progress.heard_at if progress is not None else NEVER
+    return now - max(heard_at, state.leading.elected_at) > LOST_AFTER_S
+
+
 def leave_if_removed(state: ConsensusState, now: float) -> list[Effect]:
     """Stop leading once a group without this member is committed."""
     if not state.is_leader or state.history[-1][0] > state.commit:
--- a/basilcove/consensus/models.py
+++ b/basilcove/consensus/models.py
@@ -195,6 +195,7 @@
     matched: int = 0
     snapshot_after: int = SNAPSHOT_AFTER_ENTRIES
     kept_entries: int = KEPT_ENTRIES
+    admits_unknown: bool = False
     history: list[tuple[int, Members]] = field(default_factory=list)
     snapshot: Snapshot | None = None
     snapshot_wanted: bool = False
--- a/basilcove/core/ids.py
+++ b/basilcove/core/ids.py
@@ -10,6 +10,8 @@
 ModelName = NewType('ModelName', str)
 GroupName = NewType('GroupName', str)
 ServiceName = NewType('ServiceName', str)
+RouteName = NewType('RouteName', str)
+InstanceId = NewType('InstanceId', str)
 PriorityName = NewType('PriorityName', str)
 EnvironmentName = NewType('EnvironmentName', str)
 RequestId = NewType('RequestId', str)
@@ -26,6 +28,7 @@
 
     CONTROL = 'control'
     ENTRY = 'entry'
+    GATEWAY = 'gateway'
     AGENT = 'agent'
     OPERATOR = 'operator'
 
--- a/basilcove/daemon.py
+++ b/basilcove/daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import importlib
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final, Self
 
@@ -25,7 +25,8 @@
 
 _POLL_INTERVAL_S: Final = 0.05
 
-Unload = Callable[[], None]
+# A step of setting up or unloading; one that waits returns what it waits for.
+Step = Callable[[], Awaitable[None] | None]
 
 
 @dataclass
@@ -38,8 +39,8 @@
     links: LinkTable
     metrics: Metrics
     tracing: Tracing
-    setups: list[Callable[[], None]] = field(default_factory=list)
-    unloads: list[Unload] = field(default_factory=list)
+    setups: list[Step] = field(default_factory=list)
+    unloads: list[Step] = field(default_factory=list)
     readiness: list[Callable[[], str | None]] = field(default_factory=list)
     idle_checks: list[Callable[[], bool]] = field(default_factory=list)
 
@@ -120,16 +121,18 @@
     async def _setup(self) -> None:
         assembly = self._assembly
         runtime = assembly.runtime
-        for driver in (assembly.links, self._operators, assembly.metrics, assembly.tracing):
+        for driver in (assembly.links, self._dialer, self._operators, assembly.metrics, assembly.tracing):
             runtime.add_driver(driver)
         runtime.add_driver(self._logs)
         runtime.add_driver(self._tracker)
         _add_link_gauges(assembly.metrics, assembly.links)
         for role in self._settings.roles:
             _BUILDERS[role](assembly)
+        adapter = self._settings.adapter
+        if adapter is not None:
+            importlib.import_module(adapter.module).build(assembly, adapter.listen)
         await runtime.start()
-        for setup in assembly.setups:
-            setup()
+        await _take(assembly.setups)
         await self._server.setup()
         await self._dialer.setup()
 
@@ -153,13 +156,19 @@
     async def _unload(self) -> None:
         await self._dialer.unload()
         await self._server.unload()
-        for unload in reversed(self._assembly.unloads):
-            unload()
+        await _take(reversed(self._assembly.unloads))
         await self._assembly.runtime.stop()
         self._assembly.tracing.unload()
         logger.info('stopped')
 
 
+async def _take(steps: Iterable[Step]) -> None:
+    for step in steps:
+        waits_for = step()
+        if waits_for is not None:
+            await waits_for
+
+
 def _add_link_gauges(metrics: Metrics, links: LinkTable) -> None:
     metrics.gauge('links', 'Nodes that are linked.', lambda: len(links.nodes))
     metrics.gauge('link_bytes_sent', 'Bytes sent to peers.', lambda: links.sent.size_bytes)
--- a/basilcove/environment/checks.py
+++ b/basilcove/environment/checks.py
@@ -176,6 +176,24 @@
             seen.add(subject)
 
 
+@check
+def check_routes(draft: Draft) -> Iterator[Finding]:
+    """Refuse routes that lead nowhere, or that share their place."""
+    places: list[tuple[object, str]] = []
+    for name, route in draft.environment.routes.items():
+        places.append(((route.host.lower(), route.path_prefix), name))
+        wanted = [target.service for target in route.targets]
+        for missing in draft.missing('services', wanted):
+            yield ('routes', name, 'targets'), f'no service is called {missing}'
+        if not sum(target.weight for target in route.targets):
+            yield ('routes', name, 'targets'), 'the weights sum to 0'
+        for unknown in draft.missing('priorities', (route.priority,)):
+            yield ('routes', name, 'priority'), f'no priority is called {unknown}'
+    for _, sharers in _shared(places):
+        for other in sharers[1:]:
+            yield ('routes', other, 'path_prefix'), f'{sharers[0]} has the same host and prefix'
+
+
 def _plain_services(draft: Draft, group: Group) -> Iterator[str]:
     for name in group.upstreams:
         known = draft.environment.upstreams.get(name)
--- a/basilcove/environment/loading.py
+++ b/basilcove/environment/loading.py
@@ -9,7 +9,7 @@
 from basilcove.environment.const import MAX_DOCUMENT_BYTES, MAX_FAULTS
 from basilcove.environment.exceptions import DocumentError
 from basilcove.environment.faults import DocumentFault, DocumentFaults
-from basilcove.environment.models import Environment, Group, Model, Priority, Service, Team, Upstream
+from basilcove.environment.models import Environment, Group, Model, Priority, Route, Service, Team, Upstream
 from basilcove.environment.source import Source, fault_at, read_source
 
 _SECTIONS: Final[Mapping[str, type[BaseModel]]] = {
@@ -19,6 +19,7 @@
     'models': Model,
     'services': Service,
     'upstreams': Upstream,
+    'routes': Route,
 }
 _TEXTS: Final[Mapping[str, str]] = {'extra_forbidden': 'unknown key', 'missing': 'missing'}
 
@@ -30,6 +31,15 @@
     source = read_source(text)
     if source.content is None and source.faults:
         return _sorted_faults(source)
+    return _check(source)
+
+
+def load_content(content: object) -> Environment | DocumentFaults:
+    """Check a document that has been read already; its faults have paths but no lines."""
+    return _check(Source(content))
+
+
+def _check(source: Source) -> Environment | DocumentFaults:
     if not isinstance(source.content, dict):
         fault_at(source, (), 'the document must be a mapping')
         return _sorted_faults(source)
--- a/basilcove/environment/models.py
+++ b/basilcove/environment/models.py
@@ -11,6 +11,7 @@
     ModelName,
     NodeId,
     PriorityName,
+    RouteName,
     ServiceName,
     TeamName,
     UpstreamName,
@@ -106,9 +107,46 @@
 
 
 class Service(_Section):
-    """A plain service; a call that no entry matches is not repeatable."""
+    """A plain service; a call that no entry matches is not repeatable.
+
+    ``max_connections`` is what one of its upstreams accepts from all callers together.
+    """
 
     calls: tuple[Call, ...] = ()
+    max_connections: PositiveInt | None = None
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated: safe requests always, streams only where they may be resumed."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    STREAM = 'stream'
+
+
+class RouteTarget(_Section):
+    """A service that a route sends to, with its relative weight."""
+
+    service: ServiceName
+    weight: Annotated[float, Field(ge=0, le=_MAX_FLOAT)] = 1
+
+
+class Route(_Section):
+    """Passes requests of a host whose path begins with a prefix through to services.
+
+    The longest prefix wins. ``max_attempts`` bounds the upstreams that one request is sent to.
+    """
+
+    host: str
+    path_prefix: Annotated[str, Field(pattern='^/(.*/)?$')]
+    kind: RouteKind
+    timeout_s: PositiveFloat
+    priority: PriorityName
+    targets: Annotated[tuple[RouteTarget, ...], Field(min_length=1)]
+    target_first_byte_s: PositiveFloat = 1
+    max_attempts: PositiveInt = 1
+    is_public: bool = False
+    is_resumable: bool = False
 
 
 class Limits(_Section):
@@ -122,6 +160,9 @@
     max_claims: PositiveInt = 100_000
     max_queued_work: PositiveInt = 2_000_000
     max_queued_attempts: PositiveInt = 2_000
+    max_header_bytes: PositiveInt = 16 * 1024
+    header_timeout_s: PositiveFloat = 10
+    idle_timeout_s: PositiveFloat = 60
 
 
 class Evidence(_Section):
@@ -133,7 +174,10 @@
 
 
 class Environment(_Section):
-    """One environment: who is served, by what, and in which order."""
+    """One environment: who is served, by what, and in which order.
+
+    ``annotations`` hold text of other tools, which no decision reads.
+    """
 
     name: Name
     priorities: dict[PriorityName, Priority]
@@ -142,8 +186,10 @@
     models: dict[ModelName, Model] = {}
     services: dict[ServiceName, Service] = {}
     upstreams: dict[UpstreamName, Upstream] = {}
+    routes: dict[RouteName, Route] = {}
     limits: Limits = Limits()
     evidence: Evidence = Evidence()
+    annotations: dict[str, str] = {}
 
     @functools.cached_property
     def team_by_digest(self) -> dict[str, TeamName]:
--- /dev/null
+++ b/basilcove/gateway/config.py
@@ -0,0 +1,42 @@
+"""Settings of a gateway."""
+
+from pydantic import BaseModel, ConfigDict, Field
+
+
+class HeaderNames(BaseModel):
+    """Names of the headers that carry what a gateway reads or sets, in any case."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    request_id: str = 'Basilcove-Request-Id'
+    timeout_ms: str = 'Basilcove-Timeout-Ms'
+    expected_instance: str = 'Basilcove-Expected-Instance'
+    team: str = 'Basilcove-Team'
+    priority: str = 'Basilcove-Priority'
+    not_run: str = 'Basilcove-Not-Run'
+    load: str = 'Basilcove-Load'
+    size: str = 'Basilcove-Tokens'
+
+
+class RetryConfig(BaseModel):
+    """The budget of repeats that all gateways share, for each service.
+
+    In any window of ``window_s`` repeats are bounded by ``ratio`` of the requests plus ``base``.
+    """
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    ratio: float = Field(0.1, ge=0)
+    base: float = Field(20, ge=0)
+    window_s: float = Field(10, gt=0)
+
+
+class GatewayConfig(BaseModel):
+    """Where a gateway listens for callers, and the scheme by which they state their keys."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    listen: str
+    key_scheme: str = 'Bearer'
+    headers: HeaderNames = HeaderNames()
+    retries: RetryConfig = RetryConfig()
--- /dev/null
+++ b/basilcove/gateway/coordinator.py
@@ -0,0 +1,170 @@
+"""Decides on requests at a gateway: routes, attempts, repeats and answers of its own."""
+
+from basilcove.core.events import Effect, Log, PeerFound, PeerLost, Received, StopRequested, Tick
+from basilcove.core.ids import Role, TeamName
+from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.environment.events import EnvironmentChanged
+from basilcove.gateway.attempts import end_attempt, expire_if_due, release, start_attempt
+from basilcove.gateway.const import STOP_NOTICE_S
+from basilcove.gateway.events import (
+    AnswerBegun,
+    AttemptEnded,
+    CallerLeft,
+    CancelAttempt,
+    RequestArrived,
+    RequestHead,
+)
+from basilcove.gateway.models import GatewayState, OpenRequest
+from basilcove.gateway.outcomes import BAD_KEY, NO_DOCUMENT, NO_ROUTE, refuse
+from basilcove.gateway.routes import NamedRoute, RouteTable, pick_service
+from basilcove.registry.messages import Registrations
+from basilcove.requests.events import StopCompleted
+
+_NO_TEAM = TeamName('')
+
+
+@handles(EnvironmentChanged, GatewayState)
+def _on_environment(state: GatewayState, event: EnvironmentChanged, ctx: Context) -> list[Effect]:
+    state.table = RouteTable.from_environment(event.environment)
+    former, state.revision = state.revision, event.revision
+    fields = (
+        ('revision', str(event.revision)),
+        ('former_revision', str(former)),
+        ('routes', str(len(event.environment.routes))),
+    )
+    return [Log('info', 'document in effect', fields)]
+
+
+@handles(PeerFound, GatewayState)
+def _on_peer_found(state: GatewayState, event: PeerFound, ctx: Context) -> list[Effect]:
+    if Role.CONTROL not in event.peer.roles:
+        return []
+    state.sources.add(event.peer.node)
+    return [Log('info', 'control host linked', (('peer', event.peer.node), ('linked', str(len(state.sources)))))]
+
+
+@handles(PeerLost, GatewayState)
+def _on_peer_lost(state: GatewayState, event: PeerLost, ctx: Context) -> list[Effect]:
+    if event.peer.node not in state.sources:
+        return []
+    state.sources.discard(event.peer.node)
+    state.pools.forget_source(event.peer.node)
+    fields = (('peer', event.peer.node), ('linked', str(len(state.sources))))
+    return [Log('warning', 'control host lost', fields)]
+
+
+@handles_message(Registrations, GatewayState)
+def _on_registrations(state: GatewayState, event: Received, ctx: Context) -> list[Effect]:
+    msg = event.message
+    assert isinstance(msg, Registrations)
+    state.gateways = max(state.gateways, msg.gateways)
+    effects: list[Effect] = []
+    for registration in msg.registrations:
+        is_silent = registration.instance in msg.silent
+        if state.pools.take(registration, event.peer.node, silent=is_silent) is None:
+            continue
+        fields = (
+            ('instance', registration.instance),
+            ('service', registration.service),
+            ('standing', registration.standing.value),
+            ('silent', str(is_silent)),
+            ('sequence', str(registration.sequence)),
+            ('source', event.peer.node),
+        )
+        effects.append(Log('info', 'upstream learned', fields))
+    return effects
+
+
+@handles(RequestArrived, GatewayState)
+def _on_arrived(state: GatewayState, event: RequestArrived, ctx: Context) -> list[Effect]:
+    head = event.head
+    if state.table is None:
+        return refuse(state, event.key, head.request_id, NO_DOCUMENT, ctx)
+    found = state.table.find(head.host, head.path)
+    if found is None:
+        return refuse(state, event.key, head.request_id, NO_ROUTE, ctx)
+    team = _team_of(state.table, found, head)
+    if team is None:
+        return refuse(state, event.key, head.request_id, BAD_KEY, ctx)
+    req = _open(state, event.key, head, found, team, ctx.now)
+    state.requests[event.key] = req
+    state.budget(req.service).note_request(ctx.now)
+    return start_attempt(state, req, ctx)
+
+
+def _team_of(table: RouteTable, found: NamedRoute, head: RequestHead) -> TeamName | None:
+    """Return the team of a request, empty on public routes; None if its key is unknown."""
+    team = table.team_of(head.credential) if head.credential else None
+    if team is not None:
+        return team
+    return _NO_TEAM if found.route.is_public or not table.teams else None
+
+
+def _open(
+    state: GatewayState, key: int, head: RequestHead, found: NamedRoute, team: TeamName, now: float
+) -> OpenRequest:
+    table = state.table
+    assert table is not None
+    timeout_s = found.route.timeout_s
+    if head.timeout_s is not None:
+        timeout_s = min(timeout_s, head.timeout_s)
+    return OpenRequest(
+        key,
+        head.request_id,
+        found,
+        pick_service(found.route, head.request_id),
+        team,
+        table.level_of(team or None, found),
+        now,
+        now + timeout_s,
+    )
+
+
+@handles(AnswerBegun, GatewayState)
+def _on_begun(state: GatewayState, event: AnswerBegun, ctx: Context) -> list[Effect]:
+    req = state.requests.get(event.key)
+    if req is not None:
+        req.has_begun = True
+    return []
+
+
+@handles(AttemptEnded, GatewayState)
+def _on_attempt_ended(state: GatewayState, event: AttemptEnded, ctx: Context) -> list[Effect]:
+    req = state.requests.get(event.key)
+    if req is None or req.number != event.number:
+        return []
+    return end_attempt(state, req, event, ctx)
+
+
+@handles(CallerLeft, GatewayState)
+def _on_caller_left(state: GatewayState, event: CallerLeft, ctx: Context) -> list[Effect]:
+    req = state.requests.pop(event.key, None)
+    if req is None:
+        return []
+    release(state, req)
+    fields = (
+        ('request', req.request_id),
+        ('instance', req.instance or ''),
+        ('waited_s', f'{ctx.now - req.arrived_at:.3f}'),
+        ('left_s', f'{req.deadline - ctx.now:.3f}'),
+    )
+    return [CancelAttempt(event.key), Log('info', 'caller left', fields)]
+
+
+@handles(Tick, GatewayState)
+def _on_tick(state: GatewayState, event: Tick, ctx: Context) -> list[Effect]:
+    effects: list[Effect] = []
+    for req in tuple(state.requests.values()):
+        effects.extend(expire_if_due(state, req, ctx))
+    if state.stopping_since is not None and not state.is_stopped:
+        has_noticed = ctx.now - state.stopping_since >= STOP_NOTICE_S
+        if has_noticed and not state.requests:
+            state.is_stopped = True
+            effects.append(StopCompleted(Role.GATEWAY))
+    return effects
+
+
+@handles(StopRequested, GatewayState)
+def _on_stop(state: GatewayState, event: StopRequested, ctx: Context) -> list[Effect]:
+    state.stopping_since = ctx.now
+    return []
--- /dev/null
+++ b/basilcove/gateway/driver.py
@@ -0,0 +1,262 @@
+"""Carries out what the gateway decides: takes requests from callers and sends them to upstreams."""
+
+import asyncio
+import itertools
+import math
+from collections.abc import Callable
+
+from loguru import logger
+
+from basilcove.const import MILLISECONDS_PER_S
+from basilcove.core.events import Event
+from basilcove.core.runtime import carries_out
+from basilcove.gateway.config import GatewayConfig
+from basilcove.gateway.const import (
+    CONNECT_TIMEOUT_S,
+    DEFAULT_KEPT_S,
+    KEPT_MARGIN_S,
+    MAX_KEPT_PER_UPSTREAM,
+    MAX_REQUEST_BYTES_HELD,
+    UNACKNOWLEDGED_TIMEOUT_MS,
+)
+from basilcove.gateway.events import (
+    AttemptEnded,
+    AttemptResult,
+    BreakAnswer,
+    CallerLeft,
+    CancelAttempt,
+    DeliverHeld,
+    Refuse,
+    RequestArrived,
+    RequestHead,
+    StartAttempt,
+)
+from basilcove.gateway.exchange import Attempt, Exchange
+from basilcove.http1.client import ClientConfig, UpstreamConnections
+from basilcove.http1.headers import Headers, HttpRequest, end_to_end, request_bytes
+from basilcove.http1.server import CallerConnection, ConnectionLimits, HttpServer
+
+_CLIENT = ClientConfig(
+    CONNECT_TIMEOUT_S, DEFAULT_KEPT_S, KEPT_MARGIN_S, MAX_KEPT_PER_UPSTREAM, UNACKNOWLEDGED_TIMEOUT_MS
+)
+
+
+class GatewayDriver:
+    """Joins callers' connections and connections to upstreams; the handler of its server."""
+
+    def __init__(self, cfg: GatewayConfig, apply: Callable[[Event], None]) -> None:
+        """Deliver events to ``apply``, on the loop's thread."""
+        self._cfg = cfg
+        self._apply = apply
+        self._keys = itertools.count(1)
+        self._exchanges: dict[int, Exchange] = {}
+        self._by_caller: dict[CallerConnection, int] = {}
+        self._held_bytes = 0
+        self._connecting: set[asyncio.Task[None]] = set()
+        self.upstreams = UpstreamConnections(_CLIENT)
+        self.server = HttpServer(cfg.listen, self)
+        self._headers = _OwnHeaders(cfg)
+
+    @classmethod
+    def from_config(cls, cfg: GatewayConfig, apply: Callable[[Event], None]) -> 'GatewayDriver':
+        """Build the driver of a gateway."""
+        return cls(cfg, apply)
+
+    async def unload(self) -> None:
+        """Close all connections."""
+        await self.server.unload()
+        self.upstreams.close_all()
+
+    def take_limits(self, limits: ConnectionLimits) -> None:
+        """Take the bounds of callers' requests from a document."""
+        self.server.limits = limits
+
+    @property
+    def open_exchanges(self) -> int:
+        """Return how many requests have no whole answer."""
+        return len(self._exchanges)
+
+    # Handler of the server.
+
+    def on_request(self, conn: CallerConnection, request: HttpRequest) -> None:
+        """Let the reducer decide on a request."""
+        key = next(self._keys)
+        self._exchanges[key] = Exchange(key, conn, request)
+        self._by_caller[conn] = key
+        self._held_bytes += len(request.body)
+        if self._held_bytes > MAX_REQUEST_BYTES_HELD:
+            self.refuse(Refuse(key, 503, 'too many bytes of requests are held', 1))
+            return
+        self._apply(RequestArrived(key, self._headers.read(request)))
+
+    def on_closed(self, conn: CallerConnection) -> None:
+        """Tell the reducer that a caller left."""
+        key = self._by_caller.get(conn)
+        if key is not None:
+            self._apply(CallerLeft(key))
+            self._close(key)
+
+    # Effects.
+
+    def start(self, effect: StartAttempt) -> None:
+        """Send a request to an upstream."""
+        exchange = self._exchanges.get(effect.key)
+        if exchange is None:
+            return
+        attempt = Attempt(exchange, effect, self._cfg.headers, self._report)
+        exchange.attempt = attempt
+        content = self._headers.write(exchange.request, effect)
+        conn = self.upstreams.kept(effect.address)
+        if conn is not None:
+            attempt.conn = conn
+            conn.send(content, exchange.request.method, attempt)
+            return
+        task = asyncio.get_running_loop().create_task(self._connect(effect, attempt, content, exchange))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+
+    def cancel(self, key: int) -> None:
+        """End the attempt of a request."""
+        exchange = self._exchanges.get(key)
+        if exchange is not None and exchange.attempt is not None:
+            exchange.attempt.cancel()
+
+    def refuse(self, effect: Refuse) -> None:
+        """Answer a request by the gateway itself."""
+        exchange = self._exchanges.get(effect.key)
+        if exchange is None:
+            return
+        if exchange.has_begun:
+            self.break_answer(effect.key)
+            return
+        headers: Headers = [(b'Content-Type', b'text/plain; charset=utf-8')]
+        if effect.retry_after_s is not None:
+            headers.append((b'Retry-After', f'{effect.retry_after_s:g}'.encode()))
+        self._close(effect.key)
+        exchange.caller.answer(effect.status, headers, f'{effect.reason}\n'.encode())
+
+    def deliver_held(self, key: int) -> None:
+        """Hand on the failure of an upstream that is held."""
+        exchange = self._close(key)
+        if exchange is not None and exchange.held is not None:
+            exchange.deliver(exchange.held)
+
+    def break_answer(self, key: int) -> None:
+        """End an answer that has begun."""
+        exchange = self._close(key)
+        if exchange is not None:
+            exchange.caller.abort()
+
+    def _report(self, event: Event) -> None:
+        if isinstance(event, AttemptEnded) and event.result is AttemptResult.ANSWERED:
+            self._close(event.key)
+        self._apply(event)
+
+    def _close(self, key: int) -> Exchange | None:
+        exchange = self._exchanges.pop(key, None)
+        if exchange is not None:
+            self._by_caller.pop(exchange.caller, None)
+            self._held_bytes -= len(exchange.request.body)
+        return exchange
+
+    async def _connect(
+        self, effect: StartAttempt, attempt: Attempt, content: bytes, exchange: Exchange
+    ) -> None:
+        try:
+            conn = await self.upstreams.open(effect.address)
+        except (OSError, TimeoutError) as exc:
+            reason = f'{effect.address}: {exc or "no connection in time"}'
+            if not attempt.is_over:
+                self._report(AttemptEnded(effect.key, effect.number, AttemptResult.UNSENT, reason))
+            return
+        if attempt.is_over:
+            conn.on_idle(conn)
+            return
+        attempt.conn = conn
+        conn.send(content, exchange.request.method, attempt)
+
+
+class _OwnHeaders:
+    """Reads the headers that decide on a request, and writes those that a gateway sets."""
+
+    def __init__(self, cfg: GatewayConfig) -> None:
+        names = cfg.headers
+        self._scheme = f'{cfg.key_scheme} '.lower()
+        self._request_id = names.request_id.lower().encode()
+        self._timeout_ms = names.timeout_ms.lower().encode()
+        self._size = names.size.lower().encode()
+        self._names = names
+        self._set = frozenset(
+            name.lower().encode()
+            for name in (names.timeout_ms, names.expected_instance, names.team, names.priority)
+        )
+
+    def read(self, request: HttpRequest) -> RequestHead:
+        """Return what decides on a request."""
+        credential = request.header(b'authorization')
+        has_scheme = credential.lower().startswith(self._scheme)
+        return RequestHead(
+            request.header(self._request_id),
+            request.method.decode('latin-1'),
+            request.header(b'host').partition(':')[0],
+            request.path,
+            credential[len(self._scheme) :].strip() if has_scheme else '',
+            _milliseconds(request.header(self._timeout_ms)),
+            _sum(request.header(self._size)),
+        )
+
+    def write(self, request: HttpRequest, start: StartAttempt) -> bytes:
+        """Return the request as the upstream gets it; the caller's key stays here."""
+        left_out = {*self._set, b'authorization', b'expect'}
+        if start.last_event:
+            left_out.add(b'last-event-id')
+        headers = end_to_end(request.headers, left_out)
+        timeout_ms = max(1, math.floor(start.timeout_s * MILLISECONDS_PER_S))
+        headers.append((self._names.timeout_ms.encode(), b'%d' % timeout_ms))
+        headers.append((self._names.expected_instance.encode(), start.instance.encode()))
+        headers.append((self._names.priority.encode(), b'%d' % start.urgency))
+        if start.team:
+            headers.append((self._names.team.encode(), start.team.encode()))
+        if start.last_event:
+            headers.append((b'Last-Event-Id', start.last_event.encode()))
+        return request_bytes(request.method, request.target, headers, request.body)
+
+
+def _milliseconds(text: str) -> float | None:
+    try:
+        duration_s = float(text) / MILLISECONDS_PER_S
+    except ValueError:
+        if text:
+            logger.warning('a caller states a timeout that is no number')
+        return None
+    return duration_s if math.isfinite(duration_s) and duration_s >= 0 else None
+
+
+def _sum(text: str) -> int:
+    parts = [part.strip() for part in text.split(',')]
+    return sum(int(part) for part in parts if part.isdigit())
+
+
+@carries_out(StartAttempt, GatewayDriver)
+def _start(driver: GatewayDriver, effect: StartAttempt) -> None:
+    driver.start(effect)
+
+
+@carries_out(CancelAttempt, GatewayDriver)
+def _cancel(driver: GatewayDriver, effect: CancelAttempt) -> None:
+    driver.cancel(effect.key)
+
+
+@carries_out(Refuse, GatewayDriver)
+def _refuse(driver: GatewayDriver, effect: Refuse) -> None:
+    driver.refuse(effect)
+
+
+@carries_out(DeliverHeld, GatewayDriver)
+def _deliver_held(driver: GatewayDriver, effect: DeliverHeld) -> None:
+    driver.deliver_held(effect.key)
+
+
+@carries_out(BreakAnswer, GatewayDriver)
+def _break_answer(driver: GatewayDriver, effect: BreakAnswer) -> None:
+    driver.break_answer(effect.key)
--- /dev/null
+++ b/basilcove/gateway/outcomes.py
@@ -0,0 +1,79 @@
+"""Answers that a gateway gives by itself, and the log lines of how requests end."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final
+
+from basilcove.core.events import Count, Effect, Log
+from basilcove.core.reducer import Context
+from basilcove.gateway.const import DEFAULT_RETRY_AFTER_S, RETRY_AFTER_SPREAD
+from basilcove.gateway.events import Refuse
+from basilcove.gateway.models import GatewayState, OpenRequest
+from basilcove.helpers.hashing import stable_fraction
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Status and reason of an answer of the gateway's own.
+
+    The statuses 429 and 503 state that the request did not run and never will; 502 and 504 state nothing.
+    """
+
+    status: HTTPStatus
+    reason: str
+
+    @property
+    def may_return(self) -> bool:
+        """Tell whether the caller is asked to come back."""
+        return self.status in {HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS}
+
+
+NO_DOCUMENT: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no document is in effect')
+NO_ROUTE: Final = Refusal(HTTPStatus.NOT_FOUND, 'no route matches')
+BAD_KEY: Final = Refusal(HTTPStatus.UNAUTHORIZED, 'the key is unknown')
+NO_UPSTREAM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no upstream takes the request')
+NO_ROOM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the upstreams have no room')
+NOT_STARTED: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the deadline passed before the request ran')
+ANSWER_LOST: Final = Refusal(HTTPStatus.BAD_GATEWAY, 'the answer of the upstream was lost')
+TIMED_OUT: Final = Refusal(HTTPStatus.GATEWAY_TIMEOUT, 'the deadline passed')
+
+
+def refuse(
+    state: GatewayState, key: int, request_id: str, refusal: Refusal, ctx: Context, *details: tuple[str, str]
+) -> list[Effect]:
+    """Answer a request by a refusal."""
+    retry_after_s = None
+    if refusal.may_return:
+        spread = 1 + RETRY_AFTER_SPREAD * stable_fraction(request_id)
+        retry_after_s = round(DEFAULT_RETRY_AFTER_S * spread, 3)
+    fields = (
+        ('request', request_id),
+        ('status', str(refusal.status.value)),
+        ('reason', refusal.reason),
+        ('revision', str(state.revision)),
+        *details,
+    )
+    labels = (('status', str(refusal.status.value)), ('reason', refusal.reason))
+    return [
+        Refuse(key, refusal.status.value, refusal.reason, retry_after_s),
+        Log('warning', 'request refused', fields),
+        Count('gateway_refusals', labels),
+    ]
+
+
+def conclude(state: GatewayState, req: OpenRequest, refusal: Refusal, ctx: Context) -> list[Effect]:
+    """End a request that was accepted by a refusal."""
+    state.requests.pop(req.key, None)
+    details = (*progress_of(req, ctx.now), ('left_s', f'{req.deadline - ctx.now:.3f}'))
+    return refuse(state, req.key, req.request_id, refusal, ctx, *details)
+
+
+def progress_of(req: OpenRequest, now: float) -> tuple[tuple[str, str], ...]:
+    """Return the log fields that tell how far a request got."""
+    return (
+        ('route', req.named.name),
+        ('team', req.team),
+        ('level', str(req.level)),
+        ('sent', str(req.sent)),
+        ('waited_s', f'{now - req.arrived_at:.3f}'),
+    )
--- /dev/null
+++ b/basilcove/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams that register themselves with the control hosts and have no agent."""
--- /dev/null
+++ b/basilcove/registry/coordinator.py
@@ -0,0 +1,118 @@
+"""Keeps the registered upstreams on control hosts and tells other hosts and the gateways of them."""
+
+from collections.abc import Iterable
+
+from basilcove.core.events import Effect, Log, PeerFound, PeerLost, Received, Send, Tick
+from basilcove.core.ids import InstanceId, Role
+from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.registry.const import FORGOTTEN_AFTER_S, PAUSE_S, SILENT_AFTER_S
+from basilcove.registry.events import UpstreamRegistered
+from basilcove.registry.messages import Registration, Registrations, Standing
+from basilcove.registry.models import RegistryState, Row
+
+
+@handles(PeerFound, RegistryState)
+def _on_peer_found(state: RegistryState, event: PeerFound, ctx: Context) -> list[Effect]:
+    node = event.peer.node
+    if Role.CONTROL in event.peer.roles:
+        state.hosts.add(node)
+    elif Role.GATEWAY in event.peer.roles:
+        state.gateways.add(node)
+    else:
+        return []
+    return [Send(node, _message(state, state.rows))]
+
+
+@handles(PeerLost, RegistryState)
+def _on_peer_lost(state: RegistryState, event: PeerLost, ctx: Context) -> list[Effect]:
+    state.hosts.discard(event.peer.node)
+    state.gateways.discard(event.peer.node)
+    return []
+
+
+@handles(UpstreamRegistered, RegistryState)
+def _on_registered(state: RegistryState, event: UpstreamRegistered, ctx: Context) -> list[Effect]:
+    return _merge(state, event.registration, 'call', ctx.now)
+
+
+@handles_message(Registrations, RegistryState)
+def _on_registrations(state: RegistryState, event: Received, ctx: Context) -> list[Effect]:
+    msg = event.message
+    assert isinstance(msg, Registrations)
+    effects: list[Effect] = []
+    for registration in msg.registrations:
+        if registration.instance not in msg.silent:
+            effects.extend(_merge(state, registration, event.peer.node, ctx.now))
+    return effects
+
+
+def _merge(state: RegistryState, registration: Registration, source: str, now: float) -> list[Effect]:
+    former = state.rows.get(registration.instance)
+    if not state.merge(registration, now):
+        return []
+    if source == 'call':
+        state.heard[registration.instance] = None
+    if registration.instance not in state.changed:
+        return []
+    fields = (
+        ('instance', registration.instance),
+        ('service', registration.service),
+        ('address', registration.address),
+        ('standing', registration.standing.value),
+        ('former_standing', former.registration.standing.value if former else 'unknown'),
+        ('born_ms', str(registration.born_ms)),
+        ('sequence', str(registration.sequence)),
+        ('source', source),
+    )
+    return [Log('info', 'upstream registered', fields)]
+
+
+@handles(Tick, RegistryState)
+def _on_tick(state: RegistryState, event: Tick, ctx: Context) -> list[Effect]:
+    _note_pause(state, ctx.now)
+    effects = _age(state, ctx.now)
+    if state.changed:
+        msg = _message(state, state.changed)
+        effects.extend(Send(node, msg) for node in sorted(state.gateways))
+    if state.heard and state.hosts:
+        msg = _message(state, state.heard)
+        effects.extend(Send(node, msg) for node in sorted(state.hosts))
+    state.changed.clear()
+    state.heard.clear()
+    return effects
+
+
+def _note_pause(state: RegistryState, now: float) -> None:
+    if state.ticked_at is not None and now - state.ticked_at > PAUSE_S:
+        paused_s = now - state.ticked_at
+        for row in state.rows.values():
+            row.heard_at = min(now, row.heard_at + paused_s)
+    state.ticked_at = now
+
+
+def _age(state: RegistryState, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    for instance, row in tuple(state.rows.items()):
+        silent_s = now - row.heard_at
+        if silent_s > FORGOTTEN_AFTER_S:
+            _forget(state, instance, row)
+        elif silent_s > SILENT_AFTER_S and not row.is_silent and row.registration.standing is not Standing.GONE:
+            row.is_silent = True
+            state.changed[instance] = None
+            fields = (('instance', instance), ('silent_s', f'{silent_s:.1f}'))
+            effects.append(Log('warning', 'upstream no longer registers', fields))
+    return effects
+
+
+def _forget(state: RegistryState, instance: InstanceId, row: Row) -> None:
+    del state.rows[instance]
+    if state.addresses.get(row.registration.address) is row.registration:
+        del state.addresses[row.registration.address]
+
+
+def _message(state: RegistryState, instances: Iterable[InstanceId]) -> Registrations:
+    rows = [state.rows[instance] for instance in instances if instance in state.rows]
+    silent = tuple(row.registration.instance for row in rows if row.is_silent)
+    return Registrations(tuple(row.registration for row in rows), silent, len(state.gateways))
+
+
--- /dev/null
+++ b/basilcove/registry/events.py
@@ -0,0 +1,13 @@
+"""Events of the registry."""
+
+from dataclasses import dataclass
+
+from basilcove.core.events import Event
+from basilcove.registry.messages import Registration
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRegistered(Event):
+    """An upstream called this control host."""
+
+    registration: Registration
--- /dev/null
+++ b/basilcove/registry/messages.py
@@ -0,0 +1,56 @@
+"""Messages between control hosts and gateways about registered upstreams."""
+
+import enum
+from dataclasses import dataclass
+
+from basilcove.core.events import Message
+from basilcove.core.ids import InstanceId, ServiceName, Zone
+from basilcove.helpers.codec import message
+from basilcove.registry import registry_pb2 as pb
+
+
+class Standing(enum.Enum):
+    """What an upstream says of itself."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    GONE = 'gone'
+
+
+@message('registry.registration', pb.Registration)
+@dataclass(frozen=True, slots=True)
+class Registration(Message):
+    """What one start of an upstream said of itself last.
+
+    ``born_ms`` is the time of its start in milliseconds since the epoch and ``sequence`` grows with each call;
+    together they order the calls of an instance. ``cold_s`` is how much longer it is slow after its start.
+    """
+
+    instance: InstanceId
+    service: ServiceName
+    address: str
+    zone: Zone
+    born_ms: int
+    sequence: int
+    standing: Standing
+    slots: int = 1
+    cold_s: float = 0
+    is_group_open: bool = True
+
+    @property
+    def age_key(self) -> tuple[int, int]:
+        """Return what orders the calls of an instance."""
+        return self.born_ms, self.sequence
+
+
+@message('registry.registrations', pb.Registrations)
+@dataclass(frozen=True, slots=True)
+class Registrations(Message):
+    """Registrations that are new to the receiver, and instances that the sender no longer hears.
+
+    ``gateways`` is how many gateways the sender has links to; 0 from a sender that doesn't count them.
+    """
+
+    registrations: tuple[Registration, ...]
+    silent: tuple[InstanceId, ...] = ()
+    gateways: int = 0
--- /dev/null
+++ b/basilcove/registry/models.py
@@ -0,0 +1,91 @@
+"""State of the registry on a control host."""
+
+from dataclasses import dataclass, field, replace
+
+from basilcove.core.ids import InstanceId, NodeId
+from basilcove.registry.const import MAX_INSTANCES, MAX_SEQUENCE
+from basilcove.registry.messages import Registration, Standing
+
+
+@dataclass(slots=True)
+class Row:
+    """A registration and when it was last renewed, in monotonic seconds."""
+
+    registration: Registration
+    heard_at: float
+    is_silent: bool = False
+
+
+@dataclass(slots=True)
+class RegistryState:
+    """Upstreams known, and what the linked nodes have not been told yet.
+
+    Control hosts are told of each call, gateways only of changes.
+    """
+
+    rows: dict[InstanceId, Row] = field(default_factory=dict)
+    # The newest start at each address; an older one can no longer be there.
+    addresses: dict[str, Registration] = field(default_factory=dict)
+    hosts: set[NodeId] = field(default_factory=set)
+    gateways: set[NodeId] = field(default_factory=set)
+    heard: dict[InstanceId, None] = field(default_factory=dict)
+    changed: dict[InstanceId, None] = field(default_factory=dict)
+    ticked_at: float | None = None
+
+    def merge(self, registration: Registration, now: float) -> bool:
+        """Take a registration unless a newer one is known; tell whether it was taken."""
+        row = self.rows.get(registration.instance)
+        if row is not None and registration.age_key <= row.registration.age_key:
+            return False
+        if row is None and len(self.rows) >= MAX_INSTANCES:
+            return False
+        at_address = self.addresses.get(registration.address)
+        if at_address is not None and self._is_displaced(registration, at_address):
+            return False
+        self.addresses[registration.address] = registration
+        if row is None or row.is_silent or differs(row.registration, registration):
+            self.changed[registration.instance] = None
+        self.rows[registration.instance] = Row(registration, now)
+        return True
+
+    def departure_of(self, instance: InstanceId) -> Registration | None:
+        """Return the last word of an instance that leaves; None if it isn't known."""
+        row = self.rows.get(instance)
+        if row is None:
+            return None
+        last = replace(row.registration, standing=Standing.GONE)
+        return last if row.registration.standing is Standing.GONE else replace(last, sequence=MAX_SEQUENCE)
+
+    def _is_displaced(self, registration: Registration, at_address: Registration) -> bool:
+        if at_address.instance == registration.instance:
+            return False
+        if at_address.born_ms > registration.born_ms:
+            return True
+        former = self.rows.get(at_address.instance)
+        if former is not None and former.registration.address == registration.address:
+            self._retire(former)
+        return False
+
+    def _retire(self, row: Row) -> None:
+        # Another process has the address, so this one has ended without a word.
+        if row.registration.standing is Standing.GONE:
+            return
+        row.is_silent = True
+        self.changed[row.registration.instance] = None
+
+
+def differs(former: Registration, latest: Registration) -> bool:
+    """Tell whether a gateway would act differently on the later registration."""
+    return _substance(former) != _substance(latest)
+
+
+def _substance(registration: Registration) -> tuple[object, ...]:
+    return (
+        registration.born_ms,
+        registration.service,
+        registration.address,
+        registration.zone,
+        registration.standing,
+        registration.slots,
+        registration.is_group_open,
+    )
--- a/basilcove/roles/common.py
+++ b/basilcove/roles/common.py
@@ -12,6 +12,7 @@
 from basilcove.rpc import driver as _rpc  # noqa: F401
 from basilcove.wiring.confirmation import Confirmation
 from basilcove.wiring.operators import OperatorsState
+from basilcove.wiring.peers import PeerAddresses
 
 
 def add_common(assembly: Assembly) -> None:
@@ -30,6 +31,8 @@
     node.add(ClientState(settings.node))
     node.add(Confirmation(settings.node, assembly.identity.incarnation))
     node.add(MembershipState(settings.node))
+    if settings.addresses is not None:
+        node.add(PeerAddresses(settings.node, settings.addresses.port))
     node.add(OperatorsState(assembly.identity, settings.environment, settings.stage))
     assembly.metrics.gauge('document_revision', 'Revision in effect.', lambda: documents.own.revision)
     assembly.readiness.append(lambda: None if documents.ready else 'no current document is known')
--- a/basilcove/roles/control.py
+++ b/basilcove/roles/control.py
@@ -6,6 +6,8 @@
 from basilcove.consensus.models import ConsensusState
 from basilcove.core.ids import Role
 from basilcove.daemon import Assembly, builds
+from basilcove.registry import coordinator as _registry  # noqa: F401
+from basilcove.registry.models import RegistryState
 from basilcove.roles.common import add_common
 from basilcove.storage.driver import StorageDriver
 from basilcove.storage.journal import Journal
@@ -25,6 +27,7 @@
     consensus = ConsensusState.from_recovered(identity.node, identity.incarnation, cfg.bootstrap, recovered)
     consensus.snapshot_after = cfg.snapshot_after_entries
     consensus.kept_entries = cfg.kept_entries
+    consensus.admits_unknown = cfg.admits_unknown
     node.add(consensus)
     assembly.readiness.append(lambda: f'storage failed: {consensus.failure}' if consensus.failure else None)
     assembly.metrics.gauge(
@@ -34,6 +37,7 @@
     )
     node.add(ControlState.from_recovered(identity.node, recovered))
     node.add(CatchUp(identity.node))
+    node.add(RegistryState())
     storage = StorageDriver(journal, assembly.runtime.post)
     assembly.runtime.add_driver(storage)
     assembly.setups.append(storage.setup)
--- /dev/null
+++ b/basilcove/roles/gateway.py
@@ -0,0 +1,31 @@
+"""The way from callers to upstreams without an agent."""
+
+from basilcove.core.ids import Role
+from basilcove.daemon import Assembly, builds
+from basilcove.gateway import coordinator as _gateway  # noqa: F401
+from basilcove.gateway.driver import GatewayDriver
+from basilcove.gateway.models import GatewayState
+from basilcove.roles.common import add_common
+from basilcove.wiring.limits import CallerLimits
+
+
+@builds(Role.GATEWAY)
+def build_gateway(assembly: Assembly) -> None:
+    """Add the way from callers to upstreams without an agent."""
+    cfg = assembly.settings.gateway
+    assert cfg is not None
+    add_common(assembly)
+    runtime = assembly.runtime
+    state = GatewayState.from_config(cfg, assembly.settings.zone)
+    driver = GatewayDriver.from_config(cfg, runtime.apply)
+    for part in (state, CallerLimits()):
+        runtime.node.add(part)
+    runtime.add_driver(driver)
+    assembly.metrics.gauge('gateway_requests_open', 'Requests not ended.', lambda: len(state.requests))
+    assembly.metrics.gauge('gateway_revision', 'Revision that routes requests.', lambda: state.revision)
+    assembly.metrics.gauge('gateway_upstreams', 'Upstreams known.', lambda: len(state.pools.by_instance))
+    assembly.metrics.gauge('gateway_connections_opened', 'To upstreams.', lambda: driver.upstreams.opened)
+    assembly.readiness.append(lambda: None if state.table is not None else 'no document is in effect')
+    assembly.idle_checks.append(lambda: driver.open_exchanges == 0)
+    assembly.setups.append(driver.server.setup)
+    assembly.unloads.append(driver.unload)
--- a/basilcove/rpc/dialer.py
+++ b/basilcove/rpc/dialer.py
@@ -35,7 +35,8 @@
         """Take addresses and credentials from settings."""
         self._cfg = cfg
         self._table = table
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._leaving: set[asyncio.Task[None]] = set()
 
     @classmethod
     def from_config(cls, cfg: RpcConfig, table: LinkTable) -> Self:
@@ -44,12 +45,22 @@
 
     async def setup(self) -> None:
         """Start dialing."""
-        for text in self._cfg.seeds:
-            self._tasks.append(asyncio.create_task(self._keep(Seed.from_config(text))))
+        self.keep(frozenset())
+
+    def keep(self, others: frozenset[str]) -> None:
+        """Dial these addresses besides the seeds, and no longer those that are neither."""
+        wanted = {*self._cfg.seeds, *others}
+        for address in self._tasks.keys() - wanted:
+            task = self._tasks.pop(address)
+            self._leaving.add(task)
+            task.add_done_callback(self._leaving.discard)
+            task.cancel()
+        for address in sorted(wanted - self._tasks.keys()):
+            self._tasks[address] = asyncio.create_task(self._keep(Seed.from_config(address)))
 
     async def unload(self) -> None:
         """Stop dialing and end the links."""
-        pending = set(self._tasks)
+        pending = {*self._tasks.values(), *self._leaving}
         while pending:
             # gRPC loses a cancellation that coincides with the refusal of a call.
             for task in pending:
--- a/basilcove/settings.py
+++ b/basilcove/settings.py
@@ -12,6 +12,7 @@
 from basilcove.core.ids import EnvironmentName, NodeId, Role, Stage, Zone
 from basilcove.exceptions import BasilcoveError
 from basilcove.helpers.traces import TraceConfig
+from basilcove.gateway.config import GatewayConfig
 from basilcove.http.config import AnnounceConfig, HttpConfig, StatusConfig
 from basilcove.rpc.config import RpcConfig
 
@@ -20,6 +21,37 @@
     """The settings file can't be used; the text names every fault with its line."""
 
 
+class AddressConfig(BaseModel):
+    """Control hosts known by their IP addresses only, whose node ids are these addresses.
+
+    In place of ``control_nodes``, ``rpc.seeds`` and ``control.bootstrap``. Ports of the ``control`` addresses are
+    those of another interface and ignored; links use ``port``. With ``first_start`` these hosts form the group.
+    """
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    control: tuple[str, ...] = Field(min_length=1)
+    port: int = Field(gt=0, le=65535)
+    first_start: bool = False
+
+    @property
+    def nodes(self) -> tuple[NodeId, ...]:
+        """Return the node ids of the hosts."""
+        return tuple(NodeId(address.partition(':')[0]) for address in self.control)
+
+
+class AdapterConfig(BaseModel):
+    """A module that speaks a foreign interface of operators and upstreams, and where it listens.
+
+    The module has a function ``build(assembly, listen)``.
+    """
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    module: str
+    listen: str
+
+
 class Settings(BaseModel):
     """Settings of one process; ``stop_timeout_s`` bounds a graceful stop."""
 
@@ -34,16 +66,36 @@
     control: ControlConfig | None = None
     http: HttpConfig | None = None
     agent: AnnounceConfig | None = None
+    gateway: GatewayConfig | None = None
+    adapter: AdapterConfig | None = None
+    addresses: AddressConfig | None = None
     status: StatusConfig | None = None
     traces: TraceConfig = TraceConfig()
     log_level: str = Field('INFO', pattern='^(DEBUG|INFO|WARNING|ERROR)$')
     stop_timeout_s: float = Field(600, gt=0)
     control_nodes: tuple[NodeId, ...] = Field(min_length=1)
 
+    @model_validator(mode='before')
+    @classmethod
+    def _derive_from_addresses(cls, content: Any) -> Any:
+        if not isinstance(content, dict) or content.get('addresses') is None:
+            return content
+        cfg = AddressConfig.model_validate(content['addresses'])
+        derived = {**content, 'control_nodes': cfg.nodes}
+        derived['rpc'] = {**content.get('rpc', {}), 'seeds': [f'{node}:{cfg.port}' for node in cfg.nodes]}
+        if content.get('control') is not None:
+            derived['control'] = {**content['control'], 'bootstrap': cfg.nodes if cfg.first_start else ()}
+        return derived
+
     @model_validator(mode='after')
     def _check_roles(self) -> 'Settings':
-        sections = {Role.CONTROL: self.control, Role.ENTRY: self.http, Role.AGENT: self.agent}
-        names = {Role.CONTROL: 'control', Role.ENTRY: 'http', Role.AGENT: 'agent'}
+        sections = {
+            Role.CONTROL: self.control,
+            Role.ENTRY: self.http,
+            Role.AGENT: self.agent,
+            Role.GATEWAY: self.gateway,
+        }
+        names = {Role.CONTROL: 'control', Role.ENTRY: 'http', Role.AGENT: 'agent', Role.GATEWAY: 'gateway'}
         for role in self.roles:
             if role not in sections:
                 raise ValueError(f'{role.value} is no role of a daemon')
--- a/basilcove/wiring/const.py
+++ b/basilcove/wiring/const.py
@@ -19,3 +19,6 @@
 
 # Engines that can't take the size that the document names would be asked again and again.
 RESIZE_RETRY_S: Final = 10.0
+
+# An operator that got no answer asks another host after about a second; a later answer still counts.
+DOCUMENT_TIMEOUT_S: Final = 3.0
--- /dev/null
+++ b/basilcove/wiring/document_gate.py
@@ -0,0 +1,112 @@
+"""Lets an adapter put and read documents whose operator numbers the revisions."""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from basilcove.catalog.commands import PutDocument, ReadDocument
+from basilcove.catalog.control import ControlState
+from basilcove.catalog.events import ProposalFailed, Propose, Proposed, Query, QueryAnswered, QueryFailed
+from basilcove.catalog.outcomes import DocumentApplied, DocumentRead
+from basilcove.core.events import Effect, Event, Message
+from basilcove.core.ids import EnvironmentName, Incarnation, NodeId, Revision, Stage
+from basilcove.core.reducer import Context, handles
+from basilcove.core.runtime import Runtime, carries_out
+from basilcove.wiring.const import DOCUMENT_TIMEOUT_S
+
+_NO_REVISION = Revision(0)
+
+
+@dataclass(frozen=True, slots=True)
+class Concluded(Effect):
+    """A question of an adapter has its answer, or None."""
+
+    name: str
+    answer: Message | None
+
+
+@dataclass
+class GateState:
+    """Marks the node as one whose adapters ask questions; their names begin with ``prefix``."""
+
+    prefix: str
+
+
+class DocumentGate:
+    """Asks the catalog on behalf of an adapter; the driver of ``Concluded``."""
+
+    def __init__(
+        self, runtime: Runtime, node: NodeId, incarnation: Incarnation, environment: EnvironmentName, stage: Stage
+    ) -> None:
+        """Ask for the documents of one environment and stage."""
+        self._runtime = runtime
+        self._key = (environment, stage)
+        self._prefix = f'gate/{node}/{incarnation}/'
+        self._numbers = itertools.count(1)
+        self._waiting: dict[str, asyncio.Future[Message | None]] = {}
+        runtime.node.add(GateState(self._prefix))
+        runtime.add_driver(self)
+
+    async def put(self, revision: Revision, text: str) -> bool:
+        """Tell whether a majority holds this revision or a higher one durably; False if that isn't known."""
+        if revision <= self.committed_revision:
+            return True
+        answer = await self._ask(lambda name, until: Propose(name, PutDocument(*self._key, revision, text), until))
+        return isinstance(answer, DocumentApplied)
+
+    async def read(self) -> tuple[Revision, str] | None:
+        """Return the newest document, confirmed by a majority; None if that isn't possible now."""
+        answer = await self._ask(lambda name, until: Query(name, ReadDocument(*self._key), until))
+        if not isinstance(answer, DocumentRead):
+            return None
+        return answer.revision, answer.document
+
+    @property
+    def committed_revision(self) -> Revision:
+        """Return the newest revision that this host knows to be committed."""
+        row = self._runtime.node.part(ControlState).catalog.documents.get(self._key)
+        return row.revision if row is not None else _NO_REVISION
+
+    def conclude(self, name: str, answer: Message | None) -> None:
+        """Hand an answer to whoever waits for it."""
+        fut = self._waiting.pop(name, None)
+        if fut is not None and not fut.done():
+            fut.set_result(answer)
+
+    async def _ask(self, question: Callable[[str, float], Event]) -> Message | None:
+        name = f'{self._prefix}{next(self._numbers)}'
+        fut: asyncio.Future[Message | None] = asyncio.get_running_loop().create_future()
+        self._waiting[name] = fut
+        self._runtime.apply(question(name, time.monotonic() + DOCUMENT_TIMEOUT_S))
+        return await fut
+
+
+@handles(Proposed, GateState)
+def _on_proposed(state: GateState, event: Proposed, ctx: Context) -> list[Effect]:
+    return _conclude(state, event.proposal_id, event.result)
+
+
+@handles(ProposalFailed, GateState)
+def _on_proposal_failed(state: GateState, event: ProposalFailed, ctx: Context) -> list[Effect]:
+    return _conclude(state, event.proposal_id, None)
+
+
+@handles(QueryAnswered, GateState)
+def _on_answered(state: GateState, event: QueryAnswered, ctx: Context) -> list[Effect]:
+    return _conclude(state, event.query_id, event.answer)
+
+
+@handles(QueryFailed, GateState)
+def _on_query_failed(state: GateState, event: QueryFailed, ctx: Context) -> list[Effect]:
+    return _conclude(state, event.query_id, None)
+
+
+def _conclude(state: GateState, name: str, answer: Message | None) -> list[Effect]:
+    return [Concluded(name, answer)] if name.startswith(state.prefix) else []
+
+
+@carries_out(Concluded, DocumentGate)
+def _carry_out(gate: DocumentGate, effect: Concluded) -> None:
+    gate.conclude(effect.name, effect.answer)
