Read the settings anew at SIGHUP

Other ends of processes were ruled out: the exits carry the signal's number.

Change: SIGHUP takes the addresses of control hosts from the settings file; a faulty file changes nothing.

--- a/basilcove/__main__.py
+++ b/basilcove/__main__.py
@@ -32,7 +32,7 @@
         return 0
     poll_without_pool()
     daemon = importlib.import_module('basilcove.daemon')
-    status: int = asyncio.run(daemon.Daemon.from_config(settings).run())
+    status: int = asyncio.run(daemon.Daemon.from_config(settings, path).run())
     return status
 
 
--- a/basilcove/daemon.py
+++ b/basilcove/daemon.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Final, Self
 
 from loguru import logger
@@ -21,7 +22,7 @@
 from basilcove.rpc.envelopes import Identity
 from basilcove.rpc.links import LinkTable
 from basilcove.rpc.server import OperatorServicer, RpcServer
-from basilcove.settings import Settings, new_incarnation
+from basilcove.settings import Settings, SettingsError, load_settings, new_incarnation
 
 _POLL_INTERVAL_S: Final = 0.05
 
@@ -81,11 +82,12 @@
 class Daemon:
     """Runs the roles of one node until it is asked to stop."""
 
-    def __init__(self, settings: Settings) -> None:
-        """Put the process together; nothing runs yet."""
+    def __init__(self, settings: Settings, path: Path | None = None) -> None:
+        """Put the process together; nothing runs yet. Settings are read anew from ``path``."""
         incarnation = Incarnation(new_incarnation())
         identity = Identity(settings.node, settings.roles, incarnation, settings.zone)
         self._settings = settings
+        self._path = path
         self._stopping = asyncio.Event()
         self._tracker = StopTracker()
         self._logs = LogDriver(settings.node, settings.log_level)
@@ -98,12 +100,12 @@
         self._assembly = Assembly(settings, identity, runtime, links, Metrics(), tracing)
 
     @classmethod
-    def from_config(cls, settings: Settings) -> Self:
+    def from_config(cls, settings: Settings, path: Path | None = None) -> Self:
         """Build the process of these settings, with the roles that they name."""
         # Only the modules of the named roles are loaded, which keeps memory within a node's budget.
         for role in settings.roles:
             importlib.import_module(f'basilcove.roles.{role.value}')
-        return cls(settings)
+        return cls(settings, path)
 
     async def run(self) -> int:
         """Run until SIGTERM or SIGINT and a graceful stop; return the exit status."""
@@ -111,6 +113,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._setup()
         logger.info('{} runs as {}', self._settings.node, [role.value for role in self._settings.roles])
         await self._stopping.wait()
@@ -136,6 +139,19 @@
         await self._server.setup()
         await self._dialer.setup()
 
+    def _reload(self) -> None:
+        """Take the addresses of control hosts from the settings file; all else needs a restart."""
+        if self._path is None:
+            logger.info('no settings file to read anew')
+            return
+        try:
+            settings = load_settings(self._path)
+        except SettingsError as exc:
+            logger.error('settings not taken: {}', exc)
+            return
+        self._dialer.take_seeds(settings.rpc.seeds)
+        logger.bind(seeds=settings.rpc.seeds).info('settings read anew')
+
     async def _stop_gracefully(self) -> None:
         """Take no new work, let work in flight end, within the bound of the settings."""
         logger.info('stopping')
@@ -163,10 +179,9 @@
 
 
 async def _take(steps: Iterable[Step]) -> None:
-    for step in steps:
-        waits_for = step()
-        if waits_for is not None:
-            await waits_for
+    """Take all steps in order, then wait for those that go on."""
+    started = [step() for step in steps]
+    await asyncio.gather(*(waits_for for waits_for in started if waits_for is not None))
 
 
 def _add_link_gauges(metrics: Metrics, links: LinkTable) -> None:
--- a/basilcove/environment/models.py
+++ b/basilcove/environment/models.py
@@ -160,7 +160,7 @@
     max_claims: PositiveInt = 100_000
     max_queued_work: PositiveInt = 2_000_000
     max_queued_attempts: PositiveInt = 2_000
-    max_header_bytes: PositiveInt = 16 * 1024
+    max_header_bytes: PositiveInt = 16_384
     header_timeout_s: PositiveFloat = 10
     idle_timeout_s: PositiveFloat = 60
 
--- a/basilcove/gateway/config.py
+++ b/basilcove/gateway/config.py
@@ -26,9 +26,9 @@
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
-    ratio: float = Field(0.1, ge=0)
-    base: float = Field(20, ge=0)
-    window_s: float = Field(10, gt=0)
+    ratio: float = Field(default=0.1, ge=0)
+    base: float = Field(default=20, ge=0)
+    window_s: float = Field(default=10, gt=0)
 
 
 class GatewayConfig(BaseModel):
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -39,7 +39,7 @@
 MAX_UNSENT_TRIES: Final = 4
 # Gateways that share a budget before a control host has told their number.
 ASSUMED_GATEWAYS: Final = 16
-# Part of the shared budget that is spent; the rest covers differences between the gateways' clocks and counts.
+# Part of the shared budget that is spent; the rest covers differences between what gateways count.
 BUDGET_SHARE: Final = 0.8
 # The base of the budget is kept for windows with few requests and spent at half.
 BUDGET_BASE_SHARE: Final = 0.5
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -40,7 +40,9 @@
     if Role.CONTROL not in event.peer.roles:
         return []
     state.sources.add(event.peer.node)
-    return [Log('info', 'control host linked', (('peer', event.peer.node), ('linked', str(len(state.sources)))))]
+    return [
+        Log('info', 'control host linked', (('peer', event.peer.node), ('linked', str(len(state.sources)))))
+    ]
 
 
 @handles(PeerLost, GatewayState)
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -4,6 +4,7 @@
 import itertools
 import math
 from collections.abc import Callable
+from http import HTTPStatus
 
 from loguru import logger
 
@@ -14,6 +15,7 @@
 from basilcove.gateway.const import (
     CONNECT_TIMEOUT_S,
     DEFAULT_KEPT_S,
+    DEFAULT_RETRY_AFTER_S,
     KEPT_MARGIN_S,
     MAX_KEPT_PER_UPSTREAM,
     MAX_REQUEST_BYTES_HELD,
@@ -85,7 +87,8 @@
         self._by_caller[conn] = key
         self._held_bytes += len(request.body)
         if self._held_bytes > MAX_REQUEST_BYTES_HELD:
-            self.refuse(Refuse(key, 503, 'too many bytes of requests are held', 1))
+            status = HTTPStatus.SERVICE_UNAVAILABLE.value
+            self.refuse(Refuse(key, status, 'too many bytes of requests are held', DEFAULT_RETRY_AFTER_S))
             return
         self._apply(RequestArrived(key, self._headers.read(request)))
 
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -1,5 +1,6 @@
 """Upstreams of a service as a gateway knows them, and the choice among them."""
 
+import math
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
@@ -59,7 +60,7 @@
         """Return the share of failures, less the longer ago they were."""
         if not self.failure:
             return 0
-        return self.failure * 0.5 ** ((now - self.failed_at) / FAILURE_HALF_LIFE_S)
+        return self.failure * math.pow(0.5, (now - self.failed_at) / FAILURE_HALF_LIFE_S)
 
     def load(self, now: float) -> float:
         """Return the requests that the upstream is thought to have."""
--- a/basilcove/gateway/routes.py
+++ b/basilcove/gateway/routes.py
@@ -69,12 +69,13 @@
     """Return one of the route's services by weight; equal for equal request ids."""
     total = sum(target.weight for target in route.targets)
     point = stable_fraction(request_id) * total
-    for target in route.targets:
+    weighted = [target for target in route.targets if target.weight]
+    chosen = weighted[-1].service
+    for target in weighted:
         point -= target.weight
         if point < 0:
             return target.service
-    weighted = [target for target in route.targets if target.weight]
-    return weighted[-1].service
+    return chosen
 
 
 def _level_of(environment: Environment, name: PriorityName) -> int:
--- a/basilcove/http1/client.py
+++ b/basilcove/http1/client.py
@@ -4,6 +4,7 @@
 import socket
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
@@ -84,7 +85,7 @@
         self._kept_s = cfg.kept_s
         self._idle_since = 0.0
         self._is_in_doubt = False
-        self.on_idle = _ignore
+        self.on_idle: Callable[[UpstreamConnection], None] = _ignore
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound the time in which a silent connection is noticed."""
@@ -290,5 +291,5 @@
             idle.popleft().close()
 
 
-def _ignore(conn: UpstreamConnection) -> None:
+def _ignore(idle: UpstreamConnection) -> None:
     """Keep nothing; stands in until a table of connections takes this one."""
--- a/basilcove/http1/const.py
+++ b/basilcove/http1/const.py
@@ -2,6 +2,9 @@
 
 from typing import Final
 
+# Bounds of a request until a document states others.
+MAX_HEADER_BYTES: Final = 16 * 1024
+MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 # Requests that a caller sent ahead on one connection.
 MAX_PIPELINED: Final = 4
 # Bytes to a peer beyond which its source is no longer read.
--- a/basilcove/http1/headers.py
+++ b/basilcove/http1/headers.py
@@ -9,32 +9,37 @@
 Headers = list[Header]
 
 # RFC 9110, 7.6.1, with the framing that each connection decides on anew.
-_HOP_BY_HOP: Final = frozenset((
-    b'connection',
-    b'content-length',
-    b'keep-alive',
-    b'proxy-authenticate',
-    b'proxy-authorization',
-    b'proxy-connection',
-    b'te',
-    b'trailer',
-    b'transfer-encoding',
-    b'upgrade',
-))
+_HOP_BY_HOP: Final = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
 _REASONS: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
 _BODILESS: Final = frozenset((HTTPStatus.NO_CONTENT.value, HTTPStatus.NOT_MODIFIED.value))
 
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A whole request; ``target`` is what the request line holds, names of headers are as sent."""
+    """A whole request; ``target`` is what the request line holds, names of headers are as sent.
+
+    ``is_old_version`` marks HTTP/1.0, which knows no chunks.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
     keeps_alive: bool
-    is_http_1_0: bool = False
+    is_old_version: bool = False
 
     @property
     def path(self) -> str:
--- a/basilcove/http1/server.py
+++ b/basilcove/http1/server.py
@@ -10,7 +10,14 @@
 import httptools
 from loguru import logger
 
-from basilcove.http1.const import BACKLOG, MAX_PIPELINED, SWEEP_INTERVAL_S, WRITE_BUFFER_BYTES
+from basilcove.http1.const import (
+    BACKLOG,
+    MAX_BODY_BYTES,
+    MAX_HEADER_BYTES,
+    MAX_PIPELINED,
+    SWEEP_INTERVAL_S,
+    WRITE_BUFFER_BYTES,
+)
 from basilcove.http1.headers import Headers, HttpRequest, answer_head, has_body
 
 
@@ -18,8 +25,8 @@
 class ConnectionLimits:
     """Bounds of what a caller may send, in bytes, and how long it may take, in seconds."""
 
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: int = MAX_HEADER_BYTES
+    max_body_bytes: int = MAX_BODY_BYTES
     header_timeout_s: float = 10
     idle_timeout_s: float = 60
 
@@ -175,7 +182,7 @@
         if has_body(request.method, status):
             if size is not None:
                 framing.append((b'Content-Length', b'%d' % size))
-            elif request.is_http_1_0:
+            elif request.is_old_version:
                 self._closes_after = True
             else:
                 self._is_chunked = True
--- a/basilcove/registry/coordinator.py
+++ b/basilcove/registry/coordinator.py
@@ -96,7 +96,9 @@
         silent_s = now - row.heard_at
         if silent_s > FORGOTTEN_AFTER_S:
             _forget(state, instance, row)
-        elif silent_s > SILENT_AFTER_S and not row.is_silent and row.registration.standing is not Standing.GONE:
+        elif (
+            silent_s > SILENT_AFTER_S and not row.is_silent and row.registration.standing is not Standing.GONE
+        ):
             row.is_silent = True
             state.changed[instance] = None
             fields = (('instance', instance), ('silent_s', f'{silent_s:.1f}'))
@@ -114,5 +116,3 @@
     rows = [state.rows[instance] for instance in instances if instance in state.rows]
     silent = tuple(row.registration.instance for row in rows if row.is_silent)
     return Registrations(tuple(row.registration for row in rows), silent, len(state.gateways))
-
-
--- a/basilcove/registry/messages.py
+++ b/basilcove/registry/messages.py
@@ -22,8 +22,8 @@
 class Registration(Message):
     """What one start of an upstream said of itself last.
 
-    ``born_ms`` is the time of its start in milliseconds since the epoch and ``sequence`` grows with each call;
-    together they order the calls of an instance. ``cold_s`` is how much longer it is slow after its start.
+    ``born_ms`` is the time of its start in milliseconds since the epoch, and ``sequence`` grows with each
+    call; together they order its calls. ``cold_s`` is how much longer it is slow after its start.
     """
 
     instance: InstanceId
--- a/basilcove/registry/models.py
+++ b/basilcove/registry/models.py
@@ -79,13 +79,5 @@
     return _substance(former) != _substance(latest)
 
 
-def _substance(registration: Registration) -> tuple[object, ...]:
-    return (
-        registration.born_ms,
-        registration.service,
-        registration.address,
-        registration.zone,
-        registration.standing,
-        registration.slots,
-        registration.is_group_open,
-    )
+def _substance(registration: Registration) -> Registration:
+    return replace(registration, sequence=0, cold_s=0)
--- a/basilcove/rpc/dialer.py
+++ b/basilcove/rpc/dialer.py
@@ -37,6 +37,8 @@
         self._table = table
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._leaving: set[asyncio.Task[None]] = set()
+        self._seeds = cfg.seeds
+        self._others: frozenset[str] = frozenset()
 
     @classmethod
     def from_config(cls, cfg: RpcConfig, table: LinkTable) -> Self:
@@ -49,7 +51,8 @@
 
     def keep(self, others: frozenset[str]) -> None:
         """Dial these addresses besides the seeds, and no longer those that are neither."""
-        wanted = {*self._cfg.seeds, *others}
+        self._others = others
+        wanted = {*self._seeds, *others}
         for address in self._tasks.keys() - wanted:
             task = self._tasks.pop(address)
             self._leaving.add(task)
@@ -58,6 +61,11 @@
         for address in sorted(wanted - self._tasks.keys()):
             self._tasks[address] = asyncio.create_task(self._keep(Seed.from_config(address)))
 
+    def take_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Dial the seeds of changed settings in place of the former ones."""
+        self._seeds = seeds
+        self.keep(self._others)
+
     async def unload(self) -> None:
         """Stop dialing and end the links."""
         pending = {*self._tasks.values(), *self._leaving}
--- a/basilcove/settings.py
+++ b/basilcove/settings.py
@@ -11,8 +11,8 @@
 from basilcove.consensus.config import ControlConfig
 from basilcove.core.ids import EnvironmentName, NodeId, Role, Stage, Zone
 from basilcove.exceptions import BasilcoveError
-from basilcove.helpers.traces import TraceConfig
 from basilcove.gateway.config import GatewayConfig
+from basilcove.helpers.traces import TraceConfig
 from basilcove.http.config import AnnounceConfig, HttpConfig, StatusConfig
 from basilcove.rpc.config import RpcConfig
 
@@ -24,8 +24,9 @@
 class AddressConfig(BaseModel):
     """Control hosts known by their IP addresses only, whose node ids are these addresses.
 
-    In place of ``control_nodes``, ``rpc.seeds`` and ``control.bootstrap``. Ports of the ``control`` addresses are
-    those of another interface and ignored; links use ``port``. With ``first_start`` these hosts form the group.
+    In place of ``control_nodes``, ``rpc.seeds`` and ``control.bootstrap``. The ports of the addresses in
+    ``control`` belong to another interface; links use ``port``. With ``first_start`` these hosts form
+    the group.
     """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
--- a/basilcove/wiring/document_gate.py
+++ b/basilcove/wiring/document_gate.py
@@ -38,7 +38,12 @@
     """Asks the catalog on behalf of an adapter; the driver of ``Concluded``."""
 
     def __init__(
-        self, runtime: Runtime, node: NodeId, incarnation: Incarnation, environment: EnvironmentName, stage: Stage
+        self,
+        runtime: Runtime,
+        node: NodeId,
+        incarnation: Incarnation,
+        environment: EnvironmentName,
+        stage: Stage,
     ) -> None:
         """Ask for the documents of one environment and stage."""
         self._runtime = runtime
@@ -53,7 +58,9 @@
         """Tell whether a majority holds this revision or a higher one durably; False if that isn't known."""
         if revision <= self.committed_revision:
             return True
-        answer = await self._ask(lambda name, until: Propose(name, PutDocument(*self._key, revision, text), until))
+        answer = await self._ask(
+            lambda name, until: Propose(name, PutDocument(*self._key, revision, text), until)
+        )
         return isinstance(answer, DocumentApplied)
 
     async def read(self) -> tuple[Revision, str] | None:
