Admit requests by the attempts that all gateways have open

Ruled out: processor (4 to 5% of a core) and bad placement (the busiest engine had 1.1 times the mean).

Change: gateways tell control hosts their open attempts on change, each is told the sum of the others, and a request is refused at once when the least loaded upstream has no place left; less urgent levels leave some places free and keep a floor.

--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -51,11 +51,14 @@
         return conclude(state, req, NOT_STARTED, ctx)
     chosen = state.pools.choose(req.service, ctx.now, req.tried, req.request_id)
     if chosen is None:
-        return conclude(state, req, NO_ROOM if req.sent else NO_UPSTREAM, ctx)
-    return _send(req, chosen, ctx)
+        return _give_up(state, req, ctx)
+    load = state.pools.load(chosen, ctx.now)
+    if not req.sent and not state.admission.admits(req.level, load, chosen.registration.slots, ctx.now):
+        return conclude(state, req, NO_ROOM, ctx, ('load', f'{load:.1f}'))
+    return _send(req, chosen, load, ctx)
 
 
-def _send(req: OpenRequest, chosen: PooledUpstream, ctx: Context) -> list[Effect]:
+def _send(req: OpenRequest, chosen: PooledUpstream, load: float, ctx: Context) -> list[Effect]:
     registration = chosen.registration
     req.number += 1
     req.sent += 1
@@ -65,8 +68,7 @@
         ('request', req.request_id),
         ('attempt', str(req.number)),
         ('instance', registration.instance),
-        ('load', f'{chosen.load(ctx.now):.1f}'),
-        ('load_age_s', f'{ctx.now - chosen.loaded_at:.2f}' if chosen.loaded_at else ''),
+        ('load', f'{load:.1f}'),
         ('failure_share', f'{chosen.failure_share(ctx.now):.2f}'),
         *progress_of(req, ctx.now),
     )
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -50,3 +50,11 @@
 
 # Callers learn from the balancer within this time that a stopping gateway takes no new connections.
 STOP_NOTICE_S: Final = 3.0
+
+# Requests beyond an upstream's places that urgent work may add; each waits for a place.
+QUEUE_ALLOWANCE: Final = 1.0
+# Part of an upstream's places that each less urgent level leaves free.
+RESERVED_SHARE: Final = 0.17
+# Share of its requests that each level keeps when urgent work takes all places.
+LEVEL_FLOOR: Final = 0.3
+ADMISSION_WINDOW_S: Final = 4.0
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -4,6 +4,7 @@
 from basilcove.core.ids import Role, TeamName
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.environment.events import EnvironmentChanged
+from basilcove.gateway import sharing as _sharing  # noqa: F401
 from basilcove.gateway.attempts import end_attempt, expire_if_due, release, start_attempt
 from basilcove.gateway.const import STOP_NOTICE_S
 from basilcove.gateway.events import (
@@ -39,20 +40,15 @@
 def _on_peer_found(state: GatewayState, event: PeerFound, ctx: Context) -> list[Effect]:
     if Role.CONTROL not in event.peer.roles:
         return []
-    state.sources.add(event.peer.node)
-    return [
-        Log('info', 'control host linked', (('peer', event.peer.node), ('linked', str(len(state.sources)))))
-    ]
+    return [Log('info', 'control host linked', (('peer', event.peer.node),))]
 
 
 @handles(PeerLost, GatewayState)
 def _on_peer_lost(state: GatewayState, event: PeerLost, ctx: Context) -> list[Effect]:
-    if event.peer.node not in state.sources:
+    if Role.CONTROL not in event.peer.roles:
         return []
-    state.sources.discard(event.peer.node)
     state.pools.forget_source(event.peer.node)
-    fields = (('peer', event.peer.node), ('linked', str(len(state.sources))))
-    return [Log('warning', 'control host lost', fields)]
+    return [Log('warning', 'control host lost', (('peer', event.peer.node),))]
 
 
 @handles_message(Registrations, GatewayState)
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -5,6 +5,7 @@
 
 from basilcove.core.ids import InstanceId, NodeId, Revision, ServiceName, TeamName, Zone
 from basilcove.environment.models import RouteKind
+from basilcove.gateway.admission import Admission
 from basilcove.gateway.budget import RetryBudget
 from basilcove.gateway.config import GatewayConfig, RetryConfig
 from basilcove.gateway.pools import Pools
@@ -44,6 +45,15 @@
         return kind is RouteKind.SAFE or (kind is RouteKind.STREAM and self.named.route.is_resumable)
 
 
+@dataclass(slots=True)
+class Sharing:
+    """Linked control hosts with their availability zones, the one that tells totals, and what it was told."""
+
+    hosts: dict[NodeId, Zone] = field(default_factory=dict)
+    host: NodeId | None = None
+    told: dict[str, int] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class GatewayState:
     """Routes, upstreams and open requests of a gateway."""
@@ -54,7 +64,8 @@
     table: RouteTable | None = None
     requests: dict[int, OpenRequest] = field(default_factory=dict)
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
-    sources: set[NodeId] = field(default_factory=set)
+    sharing: Sharing = field(default_factory=Sharing)
+    admission: Admission = field(default_factory=Admission)
     # The most gateways that a control host had links to; a host behind a partition sees fewer.
     gateways: int = 0
     stopping_since: float | None = None
--- a/basilcove/gateway/outcomes.py
+++ b/basilcove/gateway/outcomes.py
@@ -61,10 +61,12 @@
     ]
 
 
-def conclude(state: GatewayState, req: OpenRequest, refusal: Refusal, ctx: Context) -> list[Effect]:
+def conclude(
+    state: GatewayState, req: OpenRequest, refusal: Refusal, ctx: Context, *facts: tuple[str, str]
+) -> list[Effect]:
     """End a request that was accepted by a refusal."""
     state.requests.pop(req.key, None)
-    details = (*progress_of(req, ctx.now), ('left_s', f'{req.deadline - ctx.now:.3f}'))
+    details = (*progress_of(req, ctx.now), ('left_s', f'{req.deadline - ctx.now:.3f}'), *facts)
     return refuse(state, req.key, req.request_id, refusal, ctx, *details)
 
 
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -24,13 +24,13 @@
     """An upstream; times are monotonic seconds.
 
     ``heard`` holds what each linked control host says: whether it still hears the upstream.
-    ``others`` is the load that other gateways had put on it when it last answered.
+    ``stated_others`` is the load that other gateways had put on it when it last answered.
     """
 
     registration: Registration
     heard: dict[NodeId, bool] = field(default_factory=dict)
     open_attempts: int = 0
-    others: float = 0
+    stated_others: float = 0
     loaded_at: float = 0
     failure: float = 0
     failed_at: float = 0
@@ -48,7 +48,7 @@
 
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Take the load of an answer; this gateway's own attempts are counted exactly."""
-        self.others = max(0, load.running + load.waiting - self.open_attempts)
+        self.stated_others = max(0, load.running + load.waiting - self.open_attempts)
         self.loaded_at = now
 
     def note_result(self, now: float, *, failed: bool) -> None:
@@ -62,16 +62,10 @@
             return 0
         return self.failure * math.pow(0.5, (now - self.failed_at) / FAILURE_HALF_LIFE_S)
 
-    def load(self, now: float) -> float:
-        """Return the requests that the upstream is thought to have."""
+    def stated_load(self, now: float) -> float:
+        """Return the load that others put on the upstream, by its last answer."""
         age = (now - self.loaded_at) / LOAD_LIFETIME_S
-        return self.open_attempts + self.others * max(0, 1 - age)
-
-    def cost(self, zone: Zone, now: float) -> float:
-        """Return the cost of one more request, in parts of the upstream's slots."""
-        slots = max(1, self.registration.slots)
-        cost = (self.load(now) + 1) / slots + FAILURE_COST * self.failure_share(now)
-        return cost if self.registration.zone == zone else cost + REMOTE_ZONE_COST
+        return self.stated_others * max(0, 1 - age)
 
 
 @dataclass(slots=True)
@@ -81,6 +75,8 @@
     zone: Zone
     by_instance: dict[InstanceId, PooledUpstream] = field(default_factory=dict)
     by_service: dict[ServiceName, dict[InstanceId, PooledUpstream]] = field(default_factory=dict)
+    # Open attempts of all other gateways by instance; None while no control host tells them.
+    others: dict[str, int] | None = None
 
     def take(self, registration: Registration, source: NodeId, *, silent: bool) -> PooledUpstream | None:
         """Take what a control host says of an upstream; None if a newer word is known."""
@@ -100,6 +96,19 @@
         for known in self.by_instance.values():
             known.heard.pop(source, None)
 
+    def load(self, known: PooledUpstream, now: float) -> float:
+        """Return the requests that an upstream is thought to have."""
+        if self.others is None:
+            return known.open_attempts + known.stated_load(now)
+        return known.open_attempts + self.others.get(known.registration.instance, 0)
+
+    def cost(self, known: PooledUpstream, now: float) -> float:
+        """Return the cost of one more request, in parts of the upstream's slots."""
+        registration = known.registration
+        load = (self.load(known, now) + 1) / max(1, registration.slots)
+        cost = load + FAILURE_COST * known.failure_share(now)
+        return cost if registration.zone == self.zone else cost + REMOTE_ZONE_COST
+
     def choose(
         self, service: ServiceName, now: float, excluded: Collection[InstanceId], salt: str
     ) -> PooledUpstream | None:
@@ -111,7 +120,7 @@
             if instance in excluded:
                 continue
             tie = _TIE_COST * stable_fraction(salt, instance)
-            cost = (known.is_silent, known.cost(self.zone, now) + tie)
+            cost = (known.is_silent, self.cost(known, now) + tie)
             if best is None or cost < best_cost:
                 best, best_cost = known, cost
         return best
--- /dev/null
+++ b/basilcove/gateway/sharing.py
@@ -0,0 +1,65 @@
+"""Tells control hosts of the attempts that this gateway has open, and takes those of the others."""
+
+from collections.abc import Iterator
+
+from basilcove.core.events import Effect, PeerFound, PeerLost, Received, Send, Tick
+from basilcove.core.ids import NodeId, Role, Zone
+from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.gateway.messages import OpenAttempts, OtherAttempts
+from basilcove.gateway.models import GatewayState
+
+
+@handles(PeerFound, GatewayState)
+def _on_peer_found(state: GatewayState, event: PeerFound, ctx: Context) -> list[Effect]:
+    if Role.CONTROL not in event.peer.roles:
+        return []
+    state.sharing.hosts[event.peer.node] = event.peer.zone
+    return list(_choose_host(state))
+
+
+@handles(PeerLost, GatewayState)
+def _on_peer_lost(state: GatewayState, event: PeerLost, ctx: Context) -> list[Effect]:
+    if state.sharing.hosts.pop(event.peer.node, None) is None:
+        return []
+    return list(_choose_host(state))
+
+
+@handles_message(OtherAttempts, GatewayState)
+def _on_other_attempts(state: GatewayState, event: Received, ctx: Context) -> list[Effect]:
+    msg = event.message
+    if isinstance(msg, OtherAttempts) and event.peer.node == state.sharing.host:
+        state.pools.others = msg.counts
+    return []
+
+
+@handles(Tick, GatewayState)
+def _on_tick(state: GatewayState, event: Tick, ctx: Context) -> Iterator[Effect]:
+    counts = _own_counts(state)
+    if counts != state.sharing.told:
+        yield from _tell_all(state, counts)
+
+
+def preferred_host(hosts: dict[NodeId, Zone], zone: Zone) -> NodeId | None:
+    """Return the linked control host that tells totals: one of the own availability zone if there is any."""
+    ranked = sorted(hosts, key=lambda node: (hosts[node] != zone, node))
+    return ranked[0] if ranked else None
+
+
+def _choose_host(state: GatewayState) -> Iterator[Effect]:
+    """Ask another host for totals if need be; every host that comes is told anew."""
+    chosen = preferred_host(state.sharing.hosts, state.pools.zone)
+    if chosen != state.sharing.host:
+        state.sharing.host = chosen
+        state.pools.others = None
+    yield from _tell_all(state, _own_counts(state))
+
+
+def _tell_all(state: GatewayState, counts: dict[str, int]) -> Iterator[Effect]:
+    state.sharing.told = counts
+    for node in state.sharing.hosts:
+        yield Send(node, OpenAttempts(counts, node == state.sharing.host))
+
+
+def _own_counts(state: GatewayState) -> dict[str, int]:
+    known = state.pools.by_instance
+    return {instance: each.open_attempts for instance, each in known.items() if each.open_attempts}
--- a/basilcove/roles/control.py
+++ b/basilcove/roles/control.py
@@ -6,6 +6,7 @@
 from basilcove.consensus.models import ConsensusState
 from basilcove.core.ids import Role
 from basilcove.daemon import Assembly, builds
+from basilcove.gateway.totals import AttemptTotals
 from basilcove.registry import coordinator as _registry  # noqa: F401
 from basilcove.registry.models import RegistryState
 from basilcove.roles.common import add_common
@@ -38,6 +39,7 @@
     node.add(ControlState.from_recovered(identity.node, recovered))
     node.add(CatchUp(identity.node))
     node.add(RegistryState())
+    node.add(AttemptTotals())
     storage = StorageDriver(journal, assembly.runtime.post)
     assembly.runtime.add_driver(storage)
     assembly.setups.append(storage.setup)
