--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -95,7 +95,7 @@
     team = table.team_of(head.credential) if head.credential else None
     if team is not None:
         return team
-    return _NO_TEAM if found.route.is_public or not table.teams else None
+    return _NO_TEAM if found.route.is_public else None
 
 
 def _open(
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -83,12 +83,16 @@
         known = self.by_instance.get(registration.instance)
         if known is not None and registration.age_key < known.registration.age_key:
             return None
+        if known is not None:
+            self.by_service[known.registration.service].pop(registration.instance, None)
         if known is None or known.registration.born_ms != registration.born_ms:
-            heard = {} if known is None else known.heard
-            known = PooledUpstream(registration, heard)
+            known = PooledUpstream(registration, known.heard if known is not None else {})
             self.by_instance[registration.instance] = known
-        self._index(known, registration)
+        known.registration = registration
         known.heard[source] = not silent
+        serving = self.by_service.setdefault(registration.service, {})
+        if registration.standing is not Standing.GONE:
+            serving[registration.instance] = known
         return known
 
     def forget_source(self, source: NodeId) -> None:
@@ -130,12 +134,3 @@
         for known in self.by_service.get(service, {}).values():
             if known.is_ready:
                 yield known
-
-    def _index(self, known: PooledUpstream, registration: Registration) -> None:
-        former = self.by_service.get(known.registration.service)
-        if former is not None:
-            former.pop(registration.instance, None)
-        known.registration = registration
-        if registration.standing is Standing.GONE:
-            return
-        self.by_service.setdefault(registration.service, {})[registration.instance] = known
--- a/basilcove/http1/const.py
+++ b/basilcove/http1/const.py
@@ -12,3 +12,5 @@
 # How often connections are checked for their timeouts.
 SWEEP_INTERVAL_S: Final = 0.5
 BACKLOG: Final = 1024
+# How long a caller may go on sending a request that was refused.
+REFUSED_LINGER_S: Final = 1.0
--- a/basilcove/http1/server.py
+++ b/basilcove/http1/server.py
@@ -15,10 +15,12 @@
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
     MAX_PIPELINED,
+    REFUSED_LINGER_S,
     SWEEP_INTERVAL_S,
     WRITE_BUFFER_BYTES,
 )
 from basilcove.http1.headers import Headers, HttpRequest, answer_head, has_body
+from basilcove.http1.resets import reset
 
 
 @dataclass(slots=True)
@@ -61,6 +63,7 @@
         self._is_chunked = False
         self._closes_after = False
         self._is_refused = False
+        self._refused_at = 0.0
         self._touched_at = time.monotonic()
         self.is_writable = True
         self.on_resumed = _nothing
@@ -88,8 +91,8 @@
         self._touched_at = time.monotonic()
         if self._is_refused:
             return
-        if self._is_in_head or not self._is_reading:
-            self._head_bytes += len(chunk)
+        # A head that begins in this segment may follow a long body, so it is counted from the next one on.
+        self._head_bytes = self._head_bytes + len(chunk) if self._is_in_head else 0
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
@@ -130,7 +133,10 @@
     def on_headers_complete(self) -> None:
         """Let a caller go on that asks before it sends its body."""
         self._is_in_head = False
-        self._head_bytes = 0
+        size = len(self._target) + sum(len(name) + len(content) for name, content in self._headers)
+        if size > self._server.limits.max_header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, 'the headers are too large')
+            return
         expectation = [content for name, content in self._headers if name.lower() == b'expect']
         if expectation and self._transport is not None:
             self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
@@ -217,7 +223,7 @@
         """End the connection so that an answer which has begun doesn't look complete."""
         self._current = None
         if self._transport is not None:
-            self._transport.abort()
+            reset(self._transport)
 
     @property
     def is_idle(self) -> bool:
@@ -231,12 +237,17 @@
 
     def sweep(self, now: float) -> None:
         """Close a connection that is idle, or whose request arrives, for too long."""
-        waited_s = now - self._touched_at
         if self._current is not None or self._transport is None:
             return
-        if self._is_reading and waited_s > self._server.limits.header_timeout_s:
+        limits = self._server.limits
+        if self._is_refused:
+            if now - self._refused_at > REFUSED_LINGER_S:
+                self._transport.close()
+            return
+        waited_s = now - self._touched_at
+        if self._is_reading and waited_s > limits.header_timeout_s:
             self._refuse(HTTPStatus.REQUEST_TIMEOUT, 'the request did not arrive in time')
-        elif not self._is_reading and waited_s > self._server.limits.idle_timeout_s:
+        elif not self._is_reading and waited_s > limits.idle_timeout_s:
             self._transport.close()
 
     def _hand_on(self) -> None:
@@ -248,6 +259,7 @@
         if self._is_refused or self._transport is None:
             return
         self._is_refused = True
+        self._refused_at = time.monotonic()
         logger.bind(status=status.value).warning('request not accepted: {}', reason)
         if self._current is not None:
             # The answer to an earlier request is under way; nothing may be written into it.
@@ -256,7 +268,9 @@
         body = reason.encode()
         framing = [(b'Content-Length', b'%d' % len(body)), (b'Connection', b'close')]
         self._transport.write(answer_head(status.value, b'', framing) + body)
-        self._transport.close()
+        # A connection that is closed before all was read is reset, and the caller would lose this answer.
+        # What still comes is dropped until the caller closes, or a sweep finds the time spent.
+        self._transport.write_eof()
 
 
 class HttpServer:
--- /dev/null
+++ b/tests/gateway/test_routes.py
@@ -0,0 +1,58 @@
+from collections import Counter
+
+import pytest
+
+from basilcove.environment.models import Environment
+from basilcove.gateway.routes import RouteTable, pick_service
+from tests.gateway.world import HOST, document
+
+
+def table_of(*prefixes: str) -> RouteTable:
+    content = document()
+    pattern = content['routes']['lookup']
+    content['routes'] = {
+        f'r{number}': {**pattern, 'path_prefix': each} for number, each in enumerate(prefixes)
+    }
+    return RouteTable.from_environment(Environment.model_validate(content))
+
+
+class TestRouteTable:
+    @pytest.mark.parametrize(
+        ('path', 'prefix'),
+        [
+            ('/a/b/c', '/a/b/'),
+            ('/a/b/', '/a/b/'),
+            ('/a/b', '/a/'),
+            ('/a/x/b/', '/a/'),
+            ('/x', '/'),
+            ('/', '/'),
+        ],
+    )
+    def test_longest_prefix_wins(self, path: str, prefix: str) -> None:
+        """Guards against a request that goes to the service of a shorter prefix."""
+        found = table_of('/', '/a/', '/a/b/').find(HOST.upper(), path)
+        assert found is not None
+        assert found.route.path_prefix == prefix
+
+    def test_no_route(self) -> None:
+        """Guards against a match of half a segment, or of another host."""
+        table = table_of('/a/')
+        assert table.find(HOST, '/ab') is None
+        assert table.find(HOST, '/') is None
+        assert table.find(HOST, '') is None
+        assert table.find('other.example', '/a/') is None
+
+
+class TestWeights:
+    def test_services_get_their_share(self) -> None:
+        """Guards against a split route that sends all to one service, or any to one without weight."""
+        content = document(services={'desk': {}, 'new': {}, 'none': {}})
+        content['routes']['lookup']['targets'] = [
+            {'service': 'desk', 'weight': 90},
+            {'service': 'new', 'weight': 10},
+            {'service': 'none', 'weight': 0},
+        ]
+        route = Environment.model_validate(content).routes['lookup']  # type: ignore[index]
+        counts = Counter(pick_service(route, f'request-{number}') for number in range(5000))
+        assert counts['none'] == 0  # type: ignore[index]
+        assert 350 < counts['new'] < 650  # type: ignore[index]
--- /dev/null
+++ b/tests/gateway/world.py
@@ -0,0 +1,120 @@
+"""A gateway's reducer with a document and registered upstreams, under a virtual clock."""
+
+import itertools
+from collections.abc import Iterator
+from typing import Any
+
+from basilcove.core.events import Effect, Event, Log, Peer, PeerFound, Received
+from basilcove.core.ids import Incarnation, InstanceId, NodeId, Revision, Role, ServiceName, Zone
+from basilcove.core.reducer import Node, reduce
+from basilcove.environment.events import EnvironmentChanged
+from basilcove.environment.keys import digest_of_secret
+from basilcove.environment.models import Environment
+from basilcove.gateway import coordinator as _gateway  # noqa: F401
+from basilcove.gateway.config import GatewayConfig, RetryConfig
+from basilcove.gateway.events import AttemptEnded, AttemptResult, RequestArrived, RequestHead, StartAttempt
+from basilcove.gateway.messages import OtherAttempts
+from basilcove.gateway.models import GatewayState
+from basilcove.registry.messages import Registration, Registrations, Standing
+
+CONTROL = Peer(NodeId('10.0.0.1'), (Role.CONTROL,), Incarnation(1), Zone('a'))
+OTHER_CONTROL = Peer(NodeId('10.0.0.2'), (Role.CONTROL,), Incarnation(1), Zone('b'))
+HOST = 'desk.example'
+KEY = 'key-1'
+SLOTS = 4
+
+
+def document(**changes: Any) -> dict[str, Any]:
+    """Return a document with a route of each kind to one service, and an urgent and a slow stream."""
+    route = {'host': HOST, 'timeout_s': 8, 'priority': 'urgent', 'targets': [{'service': 'desk'}]}
+    stream = {**route, 'kind': 'stream', 'max_attempts': 2, 'is_resumable': True}
+    content = {
+        'name': 'desk',
+        'priorities': {
+            'urgent': {'level': 1, 'target_first_token_s': 1},
+            'slow': {'level': 3, 'target_first_token_s': 1},
+        },
+        'teams': {'shire': {'key_digests': [digest_of_secret(KEY)], 'priorities': ['urgent', 'slow']}},
+        'services': {'desk': {}},
+        'routes': {
+            'lookup': {**route, 'path_prefix': '/lookup/', 'kind': 'safe', 'max_attempts': 2},
+            'book': {**route, 'path_prefix': '/book/', 'kind': 'unsafe', 'max_attempts': 2},
+            'brief': {**stream, 'path_prefix': '/brief/'},
+            'summary': {**stream, 'path_prefix': '/summary/', 'priority': 'slow'},
+            'once': {**stream, 'path_prefix': '/once/', 'is_resumable': False},
+        },
+    }
+    return {**content, **changes}
+
+
+def registration(name: str, sequence: int = 1, **changes: Any) -> Registration:
+    """Return what an upstream of the service says of itself."""
+    content: dict[str, Any] = {
+        'instance': InstanceId(name),
+        'service': ServiceName('desk'),
+        'address': f'{name}:80',
+        'zone': Zone('a'),
+        'born_ms': 1,
+        'sequence': sequence,
+        'standing': Standing.READY,
+        'slots': SLOTS,
+    }
+    return Registration(**{**content, **changes})
+
+
+class World:
+    """Feeds events to the reducer and keeps its effects."""
+
+    def __init__(self, *upstreams: str, retries: RetryConfig | None = None) -> None:
+        cfg = GatewayConfig(listen='127.0.0.1:0', retries=retries or RetryConfig(base=1000))
+        self.state = GatewayState.from_config(cfg, Zone('a'))
+        self.node = Node(self.state)
+        self.now = 100.0
+        self._keys = itertools.count(1)
+        self.apply(PeerFound(CONTROL))
+        self.take(document())
+        self.learn(*(registration(name) for name in upstreams))
+
+    def apply(self, event: Event) -> list[Effect]:
+        """Return the effects of an event, without log lines."""
+        found = reduce(self.node, event, self.now, self.now)
+        return [effect for effect in found if not isinstance(effect, Log)]
+
+    def take(self, content: dict[str, Any], revision: int = 1) -> None:
+        """Take a document into effect."""
+        self.apply(EnvironmentChanged(Revision(revision), Environment.model_validate(content)))
+
+    def learn(
+        self, *registrations: Registration, source: Peer = CONTROL, silent: tuple[str, ...] = ()
+    ) -> None:
+        """Hear of upstreams from a control host."""
+        names = tuple(InstanceId(name) for name in silent)
+        self.apply(Received(source, Registrations(registrations, names, 1)))
+
+    def hear_others(self, counts: dict[str, int]) -> None:
+        """Hear how many attempts the other gateways have open."""
+        self.apply(Received(CONTROL, OtherAttempts(counts)))
+
+    def ask(self, path: str = '/lookup/x', key: str = KEY, timeout_s: float | None = 5) -> list[Effect]:
+        """Return the effects of a new request; ``key_of`` names it."""
+        number = next(self._keys)
+        head = RequestHead(f'request-{number}', 'POST', HOST, path, key, timeout_s)
+        return self.apply(RequestArrived(number, head))
+
+    def end(self, start: StartAttempt, result: AttemptResult, **details: Any) -> list[Effect]:
+        """Return the effects of the end of an attempt."""
+        return self.apply(AttemptEnded(start.key, start.number, result, **details))
+
+
+def starts(effects: list[Effect]) -> Iterator[StartAttempt]:
+    """Yield the attempts that were started."""
+    for effect in effects:
+        if isinstance(effect, StartAttempt):
+            yield effect
+
+
+def only_start(effects: list[Effect]) -> StartAttempt:
+    """Return the one attempt that was started."""
+    found = list(starts(effects))
+    assert len(found) == 1
+    return found[0]
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,91 @@
+import json
+from typing import Any
+
+import pytest
+from adapter.documents import ConfigurationError, read_configuration, source_of
+
+from basilcove.environment.loading import load_accepted
+from basilcove.environment.models import RouteKind
+
+
+def configuration(**changes: Any) -> dict[str, Any]:
+    route = {
+        'name': 'r-1',
+        'hostname': 'Desk.example',
+        'path_prefix': '/a/',
+        'type': 'streaming',
+        'timeout_ms': 8000,
+        'target_latency_ms': 402,
+        'priority': 0,
+        'backends': [{'service': 's-1', 'weight': 90}, {'service': 's-2', 'weight': 10}],
+        'max_attempts': 2,
+        'public': False,
+        'resumable': True,
+    }
+    other = {**route, 'name': 'r-2', 'path_prefix': '/b/', 'type': 'unsafe', 'priority': 2, 'service': 's-2'}
+    del other['backends']
+    content = {
+        'version': 7,
+        'routes': [route, other],
+        'services': [{'name': 's-1', 'max_connections': 408}, {'name': 's-2'}],
+        'limits': {'max_header_bytes': 16384, 'header_timeout_ms': 3000, 'idle_timeout_ms': 15000},
+        'tenants': [{'name': 't-1', 'api_keys': ['k-1', 'k-2'], 'priority': 1}],
+        'unknown': {'to': 'us'},
+    }
+    return {**content, **changes}
+
+
+def translate(content: Any) -> str:
+    return read_configuration('production', json.dumps(content), content)
+
+
+class TestConfiguration:
+    def test_meaning_is_kept(self) -> None:
+        """Guards against a route, limit, team or key that means something else than the operator said."""
+        environment = load_accepted(translate(configuration()))
+        route = environment.routes['r-1']  # type: ignore[index]
+        assert (route.host, route.kind, route.timeout_s) == ('Desk.example', RouteKind.STREAM, 8)
+        assert [(target.service, target.weight) for target in route.targets] == [('s-1', 90), ('s-2', 10)]
+        assert environment.priorities[route.priority].level == 1
+        other = environment.routes['r-2']  # type: ignore[index]
+        assert (other.kind, environment.priorities[other.priority].level) == (RouteKind.UNSAFE, 3)
+        assert environment.limits.header_timeout_s == 3
+        team = environment.teams['t-1']  # type: ignore[index]
+        assert len(team.key_digests) == 2
+        assert environment.priorities[team.priorities[0]].level == 2
+
+    def test_source_is_read_back_unchanged(self) -> None:
+        """Guards against a configuration that is read back without what the product doesn't know."""
+        content = configuration()
+        assert json.loads(source_of(load_accepted(translate(content)))) == content
+
+    def test_without_teams_no_key_is_asked_for(self) -> None:
+        """Guards against 401 where there are no keys, and against open routes where all keys were revoked."""
+        for teams, is_open in (([], True), ([{'name': 't-1', 'api_keys': []}], False)):
+            environment = load_accepted(translate(configuration(tenants=teams)))
+            assert {route.is_public for route in environment.routes.values()} == {is_open}
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'routes': [{**configuration()['routes'][1], 'service': 'unknown'}]},
+            {'routes': [configuration()['routes'][0], {**configuration()['routes'][0], 'name': 'r-3'}]},
+            {'routes': [{**configuration()['routes'][0], 'backends': [{'service': 's-1', 'weight': 0}]}]},
+            {'routes': [{**configuration()['routes'][0], 'timeout_ms': 0}]},
+            {'routes': [{**configuration()['routes'][0], 'timeout_ms': '8'}]},
+            {'routes': [{**configuration()['routes'][0], 'type': 'other'}]},
+            {'routes': None},
+            {'services': None},
+            {'tenants': [{'name': 't', 'api_keys': ['k']}, {'name': 'u', 'api_keys': ['k']}]},
+        ],
+    )
+    def test_invalid_configuration_is_refused(self, change: dict[str, Any]) -> None:
+        """Guards against the acknowledgement of a configuration that no gateway could follow."""
+        with pytest.raises(ConfigurationError):
+            translate(configuration(**change))
+
+    @pytest.mark.parametrize('content', [None, [], 'text', {}, {'routes': 1, 'services': []}])
+    def test_another_shape_is_refused(self, content: Any) -> None:
+        """Guards against a failure of the process that reads another shape."""
+        with pytest.raises(ConfigurationError):
+            translate(content)
--- /dev/null
+++ b/tests/registry/test_coordinator.py
@@ -0,0 +1,138 @@
+from basilcove.core.events import Effect, Peer, PeerFound, Received, Send, Tick
+from basilcove.core.ids import Incarnation, InstanceId, NodeId, Role, ServiceName, Zone
+from basilcove.core.reducer import Node, reduce
+from basilcove.registry import coordinator as _registry  # noqa: F401
+from basilcove.registry.const import FORGOTTEN_AFTER_S, SILENT_AFTER_S
+from basilcove.registry.events import UpstreamRegistered
+from basilcove.registry.messages import Registration, Registrations, Standing
+from basilcove.registry.models import RegistryState
+from tests.gateway.world import registration
+
+GATEWAY = Peer(NodeId('g1'), (Role.GATEWAY,), Incarnation(1), Zone('a'))
+HOST = Peer(NodeId('c2'), (Role.CONTROL,), Incarnation(1), Zone('b'))
+
+
+class Control:
+    """A control host's registry with one linked gateway and one other control host."""
+
+    def __init__(self) -> None:
+        self.state = RegistryState()
+        self.node = Node(self.state)
+        self.now = 0.0
+        for peer in (GATEWAY, HOST):
+            self.apply(PeerFound(peer))
+
+    def apply(self, event: object) -> list[Effect]:
+        return reduce(self.node, event, self.now, 0)  # type: ignore[arg-type]
+
+    def call(self, word: Registration) -> None:
+        self.apply(UpstreamRegistered(word))
+
+    def told(self, node: NodeId) -> list[Registrations]:
+        sends = [effect for effect in self.apply(Tick()) if isinstance(effect, Send)]
+        return [send.message for send in sends if send.node == node]  # type: ignore[misc]
+
+    def run(self, seconds: float) -> list[Registrations]:
+        told = []
+        for _ in range(int(seconds / 0.1)):
+            self.now += 0.1
+            told.extend(self.told(GATEWAY.node))
+        return told
+
+
+class TestRegistry:
+    def test_gateways_hear_of_changes_only(self) -> None:
+        """Guards against a message to every gateway for each call of every upstream."""
+        control = Control()
+        control.call(registration('up', 1))
+        assert [msg.registrations for msg in control.told(GATEWAY.node)] == [(registration('up', 1),)]
+        control.call(registration('up', 2))
+        assert not control.told(GATEWAY.node)
+
+    def test_other_hosts_hear_of_each_call(self) -> None:
+        """Guards against an upstream that looks silent because it calls another host."""
+        control = Control()
+        control.call(registration('up', 1))
+        control.told(HOST.node)
+        control.call(registration('up', 2))
+        assert control.told(HOST.node)
+
+    def test_draining_is_told_with_the_next_tick(self) -> None:
+        """Guards against new requests for an upstream whose leaving was acknowledged."""
+        control = Control()
+        control.call(registration('up', 1))
+        control.told(GATEWAY.node)
+        control.call(registration('up', 2, standing=Standing.DRAINING))
+        msg = control.told(GATEWAY.node)[0]
+        assert msg.registrations[0].standing is Standing.DRAINING
+
+    def test_late_calls_change_nothing(self) -> None:
+        """Guards against an upstream that is ready again by a call from before it left."""
+        control = Control()
+        control.call(registration('up', 5, standing=Standing.DRAINING))
+        control.call(registration('up', 4))
+        assert control.state.rows[InstanceId('up')].registration.standing is Standing.DRAINING
+
+    def test_departure_is_the_last_word_of_a_start(self) -> None:
+        """Guards against a late call that brings an upstream back, and an id that can't return."""
+        control = Control()
+        control.call(registration('up', 5))
+        departure = control.state.departure_of(InstanceId('up'))
+        assert departure is not None
+        control.call(departure)
+        control.call(registration('up', 6))
+        assert control.state.rows[InstanceId('up')].registration.standing is Standing.GONE
+        control.call(registration('up', 1, born_ms=2))
+        assert control.state.rows[InstanceId('up')].registration.standing is Standing.READY
+
+    def test_unknown_departure(self) -> None:
+        """Guards against the acknowledgement of a departure that no gateway can be told."""
+        assert Control().state.departure_of(InstanceId('up')) is None
+
+    def test_older_start_does_not_take_an_address_back(self) -> None:
+        """Guards against a call held up by a partition whose sender's address was given to another."""
+        control = Control()
+        control.call(registration('new', 1, born_ms=2, address='a:1', service=ServiceName('other')))
+        control.call(registration('old', 9, born_ms=1, address='a:1'))
+        assert InstanceId('old') not in control.state.rows
+
+    def test_former_holder_of_an_address_counts_as_silent(self) -> None:
+        """Guards against requests for a process that ended without a word."""
+        control = Control()
+        control.call(registration('old', 1, address='a:1'))
+        control.call(registration('new', 1, born_ms=2, address='a:1'))
+        msg = control.told(GATEWAY.node)[0]
+        assert msg.silent == ('old',)
+
+
+class TestSilence:
+    def test_silent_upstream_is_told_and_heard_again(self) -> None:
+        """Guards against requests for an upstream that crashed without a word."""
+        control = Control()
+        control.call(registration('up', 1))
+        told = control.run(SILENT_AFTER_S + 0.3)
+        assert [msg.silent for msg in told] == [(), ('up',)]
+        control.call(registration('up', 2))
+        assert [msg.silent for msg in control.told(GATEWAY.node)] == [()]
+
+    def test_pause_of_the_host_is_no_silence(self) -> None:
+        """Guards against a host that wakes and takes all upstreams for dead."""
+        control = Control()
+        control.call(registration('up', 1))
+        control.told(GATEWAY.node)
+        control.now += 20
+        assert not control.told(GATEWAY.node)
+
+    def test_what_another_host_no_longer_hears_is_not_renewed(self) -> None:
+        """Guards against two hosts that keep a dead upstream alive by telling each other of it."""
+        control = Control()
+        control.apply(Received(HOST, Registrations((registration('up', 1),), (InstanceId('up'),))))
+        assert not control.state.rows
+
+    def test_forgotten_in_the_end(self) -> None:
+        """Guards against a table that grows with every upstream there ever was."""
+        control = Control()
+        control.call(registration('up', 1))
+        control.run(FORGOTTEN_AFTER_S + 1)
+        assert not control.state.rows
+        assert not control.state.addresses
