Refuse what arrives long after a planned stop was asked for

The platform sends new connections to a stopping machine where few others are in rotation. Ruled out: the upstream (it was at work) and streams sent before the stop.

--- /dev/null
+++ b/basilcove/experts/remote/const.py
@@ -0,0 +1,38 @@
+"""Constants of expert maps of remote groups."""
+
+from typing import Final
+
+# A rank answers within milliseconds; an order without an answer is sent again.
+CALL_TIMEOUT_S: Final = 0.4
+RESEND_S: Final = 0.3
+# An order that got no answer may still be carried out for this long.
+LATE_ORDER_S: Final = 13.0
+# What a rank says of itself lags by some hundred milliseconds.
+REPORT_LAG_S: Final = 0.6
+REPORT_INTERVAL_S: Final = 0.35
+
+# Popularity changes within seconds, and each reading is charged and pauses the group for a moment.
+COUNTS_INTERVAL_S: Final = 3.0
+# Every so many ranks one is read: requests are spread over ranks, so a part of them is a fair sample.
+SAMPLED_RANKS: Final = 4
+# What earlier readings weigh beside the latest one.
+COUNTS_DECAY: Final = 0.3
+# Maps are changed while the group has this part of its slots taken; below it, passes are short enough.
+MIN_UTILISATION: Final = 0.4
+# Expected skew, slowest over mean load of the ranks, by which a new map must be better.
+MIN_GAIN: Final = 0.2
+# The search in one layer ends here, far below what a change of popularity costs.
+SKEW_WANTED: Final = 1.08
+
+PREPARE_TIMEOUT_S: Final = 4.0
+HOLD_TIMEOUT_S: Final = 1.5
+# How far ahead the step lies at which the ranks change their map, so that no pass waits for an order.
+AHEAD_S: Final = 1.0
+MIN_AHEAD_STEPS: Final = 4
+# How long ranks that refuse to be armed are asked again before the change is given up.
+ARM_TIMEOUT_S: Final = 3.0
+# After a change that was given up.
+PAUSE_S: Final = 4.0
+
+# No map has this number, so that disarming it changes nothing but the fence of a rank.
+UNUSED_VERSION: Final = 2**31 - 1
--- /dev/null
+++ b/basilcove/experts/remote/events.py
@@ -0,0 +1,33 @@
+"""Events and effects of remote groups."""
+
+from dataclasses import dataclass
+
+from basilcove.core.events import Effect, Event
+from basilcove.core.ids import GroupName, InstanceId, Rank
+from basilcove.experts.remote.orders import Order, Question, Reply
+
+
+@dataclass(frozen=True, slots=True)
+class CallRank(Effect):
+    """Calls a rank; ``number`` tells calls to it apart."""
+
+    group: GroupName
+    rank: Rank
+    number: int
+    instance: InstanceId
+    address: str
+    epoch: int
+    token: int
+    call: Order | Question
+
+
+@dataclass(frozen=True, slots=True)
+class RankAnswered(Event):
+    """A call to a rank ended."""
+
+    group: GroupName
+    rank: Rank
+    number: int
+    epoch: int
+    call: Order | Question
+    reply: Reply
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -48,8 +48,8 @@
 # Callers return spread over this part of the time that they are told.
 RETRY_AFTER_SPREAD: Final = 0.5
 
-# Callers learn from the balancer within this time that a stopping gateway takes no new connections.
-STOP_NOTICE_S: Final = 3.0
+# A balancer that asks each second stops sending new connections after two misses.
+STOP_NOTICE_S: Final = 2.8
 
 # Requests beyond an upstream's places that urgent work may add; each waits for a place.
 QUEUE_ALLOWANCE: Final = 1.0
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -16,7 +16,7 @@
     RequestHead,
 )
 from basilcove.gateway.models import GatewayState, OpenRequest
-from basilcove.gateway.outcomes import BAD_KEY, NO_DOCUMENT, NO_ROUTE, refuse
+from basilcove.gateway.outcomes import BAD_KEY, NO_DOCUMENT, NO_ROUTE, STOPPING, refuse
 from basilcove.gateway.routes import NamedRoute, RouteTable, pick_service
 from basilcove.registry.messages import Registrations
 from basilcove.requests.events import StopCompleted
@@ -78,6 +78,9 @@
     head = event.head
     if state.table is None:
         return refuse(state, event.key, head.request_id, NO_DOCUMENT, ctx)
+    if state.stopping_since is not None and ctx.now - state.stopping_since >= STOP_NOTICE_S:
+        # What comes this late could not end before the process does.
+        return refuse(state, event.key, head.request_id, STOPPING, ctx)
     found = state.table.find(head.host, head.path)
     if found is None:
         return refuse(state, event.key, head.request_id, NO_ROUTE, ctx)
--- a/basilcove/gateway/outcomes.py
+++ b/basilcove/gateway/outcomes.py
@@ -29,6 +29,7 @@
 
 
 NO_DOCUMENT: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no document is in effect')
+STOPPING: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the gateway is stopping')
 NO_ROUTE: Final = Refusal(HTTPStatus.NOT_FOUND, 'no route matches')
 BAD_KEY: Final = Refusal(HTTPStatus.UNAUTHORIZED, 'the key is unknown')
 NO_UPSTREAM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no upstream takes the request')
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from basilcove.core.events import Effect, Tick
+from basilcove.core.events import Effect, StopRequested, Tick
+from basilcove.core.ids import Role
 from basilcove.core.reducer import Node, reduce
 from basilcove.gateway.config import GatewayConfig, RetryConfig
 from basilcove.gateway.events import (
@@ -18,6 +19,7 @@
 )
 from basilcove.gateway.models import GatewayState
 from basilcove.registry.messages import Standing
+from basilcove.requests.events import StopCompleted
 from tests.gateway.world import HOST, KEY, SLOTS, World, document, only_start, registration, starts
 
 
@@ -237,6 +239,27 @@
             world.now += 0.1
 
 
+class TestStops:
+    def test_late_requests_are_refused_as_not_run(self) -> None:
+        """Guards against a request that is taken long after the stop was asked for, and cut by the stop."""
+        world = World('up-1')
+        world.apply(StopRequested())
+        world.now += 1
+        assert only_start(world.ask('/brief/x'))
+        world.now += 3
+        assert refusal(world.ask('/brief/x')).status == HTTPStatus.SERVICE_UNAVAILABLE
+
+    def test_stop_waits_for_open_requests(self) -> None:
+        """Guards against a planned stop that cuts the requests under way."""
+        world = World('up-1')
+        start = only_start(world.ask('/brief/x'))
+        world.apply(StopRequested())
+        world.now += 4
+        assert StopCompleted(Role.GATEWAY) not in world.apply(Tick())
+        world.end(start, AttemptResult.ANSWERED)
+        assert StopCompleted(Role.GATEWAY) in world.apply(Tick())
+
+
 class TestDraining:
     def test_draining_upstream_gets_nothing(self) -> None:
         """Guards against requests for an upstream that leaves."""
