--- a/tests/catalog/test_apply.py
+++ b/tests/catalog/test_apply.py
@@ -14,6 +14,7 @@
     CompleteClaim,
     DecideMap,
     PromoteDocument,
+    PutDocument,
     ReleaseClaim,
     RenewLease,
     TrialEvidence,
@@ -52,6 +53,7 @@
     Stage,
     Step,
 )
+from basilcove.environment.const import MAX_DOCUMENT_BYTES
 from basilcove.helpers.codec import encode
 
 ENVIRONMENT = EnvironmentName('boyaca')
@@ -68,6 +70,10 @@
     return ApplyDocument(ENVIRONMENT, stage, Revision(revision), text or document(), RequestId(request))
 
 
+def put(state: CatalogState, revision: int, text: str) -> Message:
+    return apply(state, PutDocument(ENVIRONMENT, Stage.PRODUCTION, Revision(revision), text), 0)
+
+
 def claim(attempt: str, fingerprint: str = 'print', key: str = 'key') -> Claim:
     return Claim(key, fingerprint, OWNER, AttemptId(attempt), ENVIRONMENT)
 
@@ -118,6 +124,29 @@
         assert isinstance(apply(state, again, 60), PromotionRefused)
 
 
+class TestNumberedDocuments:
+    def test_highest_revision_wins_and_all_else_changes_nothing(self) -> None:
+        """Guards against a resent or overtaken document that is refused, or takes effect again."""
+        state = CatalogState()
+        first, other, newest = document(), document(annotations={'a': 'b'}), document(annotations={'a': 'c'})
+        outcomes = [put(state, 7, first), put(state, 7, other), put(state, 9, newest), put(state, 8, other)]
+        assert outcomes == [DocumentApplied(Revision(each)) for each in (7, 7, 9, 9)]
+        assert state.documents[ENVIRONMENT, Stage.PRODUCTION].text == newest
+
+    def test_too_large_a_document_is_refused(self) -> None:
+        """Guards against a document that no peer would take."""
+        text = document(annotations={'a': 'x' * MAX_DOCUMENT_BYTES})
+        assert isinstance(put(CatalogState(), 1, text), DocumentRefused)
+
+    def test_revision_survives_a_snapshot(self) -> None:
+        """Guards against a document that comes back under another revision."""
+        state = CatalogState()
+        put(state, 7, document())
+        restored = decode_state(encode_state(state))
+        assert put(restored, 7, document(annotations={'a': 'b'})) == DocumentApplied(Revision(7))
+        assert restored.documents == state.documents
+
+
 class TestClaims:
     def test_each_end_of_an_attempt(self) -> None:
         """Guards against a second run of a call, at each point where an attempt can end."""
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -46,10 +46,18 @@
 class Cluster:
     """Control hosts and one client node; every random choice comes from ``seed``."""
 
-    def __init__(self, size: int = 3, seed: int = 0, snapshot_after: int = 4096, kept: int = 512) -> None:
+    def __init__(
+        self,
+        size: int = 3,
+        seed: int = 0,
+        snapshot_after: int = 4096,
+        kept: int = 512,
+        admits_unknown: bool = False,
+    ) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
         self.snapshot_after, self.kept = snapshot_after, kept
+        self.admits_unknown = admits_unknown
         self.loss = 0.0
         self.duplication = 0.0
         self.delay = (0.001, 0.003)
@@ -82,8 +90,11 @@
         """Start a process with what its disk holds."""
         recovered: Recovered = self.disks[name].recover()
         incarnation = Incarnation(next(self._incarnations))
-        consensus = ConsensusState.from_recovered(name, incarnation, self.bootstrap, recovered)
+        # A host that came later knows no first members.
+        first = self.bootstrap if name in self.bootstrap else ()
+        consensus = ConsensusState.from_recovered(name, incarnation, first, recovered)
         consensus.snapshot_after, consensus.kept_entries = self.snapshot_after, self.kept
+        consensus.admits_unknown = self.admits_unknown
         node = Node(consensus, ControlState.from_recovered(name, recovered), *self.parts(name))
         host = Host(name, incarnation, node, self.disks[name])
         node.add(Probe(lambda event: self._on_host_event(host, event)))
--- a/tests/distribution/fleet.py
+++ b/tests/distribution/fleet.py
@@ -58,11 +58,13 @@
 class Fleet:
     """A control group of three, entries and agents in two availability zones."""
 
-    def __init__(self, seed: int = 0) -> None:
+    def __init__(self, seed: int = 0, **settings: object) -> None:
         self.net = FakeNetwork(seed, _may_link)
         self.accepted: dict[int, str] = {}
         self.config = DistributionConfig(
-            environment=ENVIRONMENT, control_nodes=tuple(NodeId(f'control-{number}') for number in (1, 2, 3))
+            environment=ENVIRONMENT,
+            control_nodes=tuple(NodeId(f'control-{number}') for number in (1, 2, 3)),
+            **settings,
         )
         # Revisions on each control host's disk, and those that its process has applied.
         self.applied: dict[str, int] = {}
--- a/tests/distribution/test_pulling.py
+++ b/tests/distribution/test_pulling.py
@@ -26,6 +26,31 @@
         assert fleet.in_effect('entry-1')[-1] == (2, fleet.accepted[2])
 
 
+class TestCost:
+    def test_documents_in_quick_succession_are_taken_together(self) -> None:
+        """Guards against a node whose requests wait for each of many documents to be read."""
+        fleet = Fleet(min_interval_s=0.5)
+        fleet.accept(['control-1', 'control-2', 'control-3'])
+        fleet.net.run(5)
+        for _ in range(20):
+            fleet.accept(['control-1', 'control-2', 'control-3'])
+            fleet.net.run(0.1)
+        fleet.net.run(2)
+        taken = fleet.in_effect('entry-1')
+        assert taken[-1][0] == 21
+        assert len(taken) <= 7
+
+    def test_without_deltas_whole_copies_are_sent(self) -> None:
+        """Guards against a node that computes changes which nobody asks for."""
+        fleet = Fleet(deltas=False)
+        for _ in range(3):
+            fleet.accept(['control-1', 'control-2', 'control-3'], teams=60)
+            fleet.net.run(5)
+        assert fleet.in_effect('entry-1')[-1] == (3, fleet.accepted[3])
+        assert not fleet.state('entry-1').own.history.steps
+        assert not fleet.state('control-1').own.history.steps
+
+
 class TestLoss:
     def test_a_change_is_everywhere_in_time_over_links_that_lose_a_fifth(self) -> None:
         """Guards against an offer or request whose loss delays a change beyond 4 s."""
--- /dev/null
+++ b/tests/environment/test_routes.py
@@ -0,0 +1,47 @@
+from typing import Any
+
+import pytest
+
+from basilcove.environment.faults import DocumentFaults
+from basilcove.environment.loading import load_content
+from basilcove.environment.models import Environment
+from tests.gateway.world import document
+
+
+def changed(**changes: Any) -> dict[str, Any]:
+    content = document()
+    content['routes']['lookup'].update(changes)
+    return content
+
+
+class TestRoutes:
+    def test_valid_routes(self) -> None:
+        """Guards against a check that refuses what gateways can follow."""
+        assert isinstance(load_content(document()), Environment)
+
+    @pytest.mark.parametrize(
+        ('changes', 'path'),
+        [
+            ({'targets': [{'service': 'unknown'}]}, 'routes.lookup.targets'),
+            ({'targets': [{'service': 'desk', 'weight': 0}]}, 'routes.lookup.targets'),
+            ({'targets': []}, 'routes.lookup.targets'),
+            ({'targets': [{'service': 'desk', 'weight': -1}]}, 'routes.lookup.targets.0.weight'),
+            ({'timeout_s': 0}, 'routes.lookup.timeout_s'),
+            ({'max_attempts': 0}, 'routes.lookup.max_attempts'),
+            ({'path_prefix': 'lookup/'}, 'routes.lookup.path_prefix'),
+            ({'path_prefix': '/lookup'}, 'routes.lookup.path_prefix'),
+            ({'priority': 'unknown'}, 'routes.lookup.priority'),
+        ],
+    )
+    def test_faults_are_listed(self, changes: dict[str, Any], path: str) -> None:
+        """Guards against a document that no gateway could follow."""
+        found = load_content(changed(**changes))
+        assert isinstance(found, DocumentFaults)
+        assert path in {fault.path for fault in found.faults}
+
+    def test_two_routes_in_one_place(self) -> None:
+        """Guards against a request that two routes claim, whatever the case of their hosts."""
+        content = changed(path_prefix='/book/', host='DESK.example')
+        found = load_content(content)
+        assert isinstance(found, DocumentFaults)
+        assert [fault.path for fault in found.faults] == ['routes.book.path_prefix']
