--- a/basilcove/cli/tool.py
+++ b/basilcove/cli/tool.py
@@ -11,6 +11,7 @@
 from basilcove.cli.client import Client, Security
 from basilcove.cli.const import NODES_VARIABLE
 from basilcove.cli.exceptions import RefusedError, UsageError
+from basilcove.cli.explaining import explain
 from basilcove.cli.messages import (
     ApplyReply,
     ApplyRequest,
@@ -51,6 +52,7 @@
         drain UPSTREAM                              give an upstream no new work
         admit HOST                                  let a host join the control group
         remove HOST                                 remove a host from the control group
+        explain REQUEST FILE...                     tell what became of a request, from logs
         version                                     print the tool's version
 
     `basilcove COMMAND --help` describes a command. Apply, promote, drain, admit
@@ -190,6 +192,16 @@
         """
         self._change_group(host, 'removed', request_id)
 
+    def explain(self, request: str, *files: str) -> None:
+        """Tell what became of a request, from the log files of several processes; ``-`` is standard input."""
+        try:
+            story = explain(request, files or ('-',))
+        except OSError as exc:
+            raise UsageError(f'{exc.filename}: {exc.strerror}') from exc
+        if not story:
+            raise UsageError(f'no line tells of request {request}')
+        self._print({'request': request, 'story': story.splitlines()}, story)
+
     def version(self) -> None:
         """Print the tool's version."""
         self._print({'version': VERSION}, f'basilcove {VERSION}')
--- a/basilcove/daemon.py
+++ b/basilcove/daemon.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from basilcove.const import VERSION
 from basilcove.core.events import StopRequested
 from basilcove.core.ids import Incarnation, Role
 from basilcove.core.reducer import Node
@@ -115,7 +116,8 @@
             loop.add_signal_handler(number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._setup()
-        logger.info('{} runs as {}', self._settings.node, [role.value for role in self._settings.roles])
+        roles = ' '.join(role.value for role in self._settings.roles)
+        logger.bind(roles=roles, zone=self._settings.zone, version=VERSION).info('started')
         await self._stopping.wait()
         await self._stop_gracefully()
         await self._unload()
@@ -129,6 +131,7 @@
         runtime.add_driver(self._logs)
         runtime.add_driver(self._tracker)
         _add_link_gauges(assembly.metrics, assembly.links)
+        assembly.metrics.gauge('log_lines_lost', 'Lines that a blocked output cost.', lambda: self._logs.lost)
         for role in self._settings.roles:
             _BUILDERS[role](assembly)
         adapter = self._settings.adapter
@@ -176,6 +179,7 @@
         await self._assembly.runtime.stop()
         self._assembly.tracing.unload()
         logger.info('stopped')
+        self._logs.unload()
 
 
 async def _take(steps: Iterable[Step]) -> None:
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -40,7 +40,7 @@
 
 
 class Deployment:
-    """Three control hosts and a gateway, each on a loopback address of its own, started as the platform does."""
+    """Three control hosts and a gateway, started as on the platform, each on its own loopback address."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
@@ -107,7 +107,7 @@
 
         return wait_for(sent, 'a clear answer to a configuration')
 
-    def announce(self, sequence: int, state: str = 'ready') -> int:
+    def announce(self, sequence: int, state: str = 'ready') -> None:
         """Announce the engine at the first host that answers."""
         content = {
             'service': 'desk',
@@ -118,16 +118,11 @@
             'sequence': sequence,
             'born': 1,
         }
-        return wait_for(
-            lambda: (
-                next(
-                    (host for host in CONTROL if self.call(host, 'PUT', '/instances/i-1', content)[0] == 200),
-                    0,
-                )
-                and 200
-            ),
-            'an acknowledged announcement',
-        )
+
+        def is_acknowledged() -> bool:
+            return any(self.call(host, 'PUT', '/instances/i-1', content)[0] == 200 for host in CONTROL)
+
+        wait_for(is_acknowledged, 'an acknowledged announcement')
 
     def ask(self, path: str = '/book/x', key: str = 'k-1') -> int:
         """Return the status of a caller's request; 0 without an answer."""
