--- a/basilcove/cli/explaining.py
+++ b/basilcove/cli/explaining.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from typing import Any, Final
 
+Line = dict[str, Any]
+
 # Lines that end a request, and what they say besides the fields that all lines have.
 _ENDS: Final = frozenset(('request refused', 'answer broken off', 'caller left'))
 _COMMON: Final = frozenset(('time', 'level', 'node', 'module', 'message', 'request'))
@@ -37,10 +39,12 @@
     except ValueError:
         # A line that was cut short by the end of its process.
         return {}
-    return dict(found) if isinstance(found, dict) else {}
+    if not isinstance(found, dict):
+        return {}
+    return {str(name): fact for name, fact in found.items()}
 
 
-def _end_of(lines: list[dict[str, Any]]) -> dict[str, Any]:
+def _end_of(lines: list[Line]) -> Line:
     for line in reversed(lines):
         if line['message'] in _ENDS or line.get('result') == 'answered':
             return line
--- a/basilcove/environment/models.py
+++ b/basilcove/environment/models.py
@@ -147,7 +147,7 @@
 class Route(_Section):
     """Passes requests of a host whose path begins with a prefix through to services.
 
-    The longest prefix wins. ``max_attempts`` bounds the upstreams that one request is sent to.
+    The longest prefix wins. ``max_upstreams`` bounds the upstreams that one request is sent to.
     """
 
     host: str
@@ -157,7 +157,7 @@
     priority: PriorityName
     targets: Annotated[tuple[RouteTarget, ...], Field(min_length=1)]
     target_first_byte_s: PositiveFloat = 1
-    max_attempts: PositiveInt = 1
+    max_upstreams: PositiveInt = 1
     is_public: bool = False
     is_resumable: bool = False
 
--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -6,7 +6,7 @@
 
 # A rank answers within milliseconds; an order without an answer is sent again.
 CALL_TIMEOUT_S: Final = 0.4
-RESEND_S: Final = 0.3
+RESEND_S: Final = 0.15
 # An order that got no answer may still be carried out for this long.
 LATE_ORDER_S: Final = 13.0
 # What a rank says of itself lags by some hundred milliseconds.
@@ -20,11 +20,11 @@
 # What earlier readings weigh beside the latest one.
 COUNTS_DECAY: Final = 0.3
 # Maps are changed while the group has this part of its slots taken; below it, passes are short enough.
-MIN_UTILISATION: Final = 0.4
+MIN_UTILISATION: Final = 0.6
 # Expected skew, slowest over mean load of the ranks, by which a new map must be better.
-MIN_GAIN: Final = 0.2
+MIN_GAIN: Final = 0.25
 # The search in one layer ends here, far below what a change of popularity costs.
-SKEW_WANTED: Final = 1.08
+SKEW_WANTED: Final = 1.12
 
 # How often ranks are looked at while orders of a former leader may still be carried out.
 WATCH_INTERVAL_S: Final = 1.0
@@ -32,7 +32,7 @@
 PREPARE_TIMEOUT_S: Final = 4.0
 HOLD_TIMEOUT_S: Final = 1.5
 # How far ahead the step lies at which the ranks change their map, so that no pass waits for an order.
-AHEAD_S: Final = 0.5
+AHEAD_S: Final = 0.7
 MIN_AHEAD_STEPS: Final = 4
 # How long ranks that refuse to be armed are asked again before the change is given up.
 ARM_TIMEOUT_S: Final = 3.0
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -9,6 +9,7 @@
 from basilcove.core.ids import GroupName
 from basilcove.core.reducer import Context, handles
 from basilcove.environment.events import EnvironmentChanged
+from basilcove.experts.remote.calls import is_agreed
 from basilcove.experts.remote.const import COUNTS_INTERVAL_S, MIN_GAIN, MIN_UTILISATION
 from basilcove.experts.remote.events import RankAnswered
 from basilcove.experts.remote.models import (
@@ -20,7 +21,7 @@
     RemoteGroups,
 )
 from basilcove.experts.remote.orders import ReadCounts
-from basilcove.experts.remote.phases import advance, is_agreed, read_counts, start_change, take_answer
+from basilcove.experts.remote.phases import advance, read_counts, start_change, take_answer
 from basilcove.experts.remote.planning import propose
 from basilcove.experts.remote.popularity import age, shares_of
 from basilcove.gateway.totals import AttemptTotals
--- a/basilcove/experts/remote/phases.py
+++ b/basilcove/experts/remote/phases.py
@@ -6,11 +6,12 @@
 others disarmed, and the hold then stays until no former arming can be carried out any more.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
 
-from basilcove.core.events import Count, Effect, Log
+from basilcove.core.events import Count, Log
 from basilcove.core.ids import Rank
 from basilcove.experts.models import Layer
+from basilcove.experts.remote.calls import Steps, ask, ask_all, enter, fields_of, is_agreed, send_due
 from basilcove.experts.remote.const import (
     AHEAD_S,
     ARM_TIMEOUT_S,
@@ -21,21 +22,18 @@
     PREPARE_TIMEOUT_S,
     REPORT_INTERVAL_S,
     REPORT_LAG_S,
-    RESEND_S,
     UNUSED_VERSION,
     VERSIONS_PER_TOKEN,
     WATCH_INTERVAL_S,
 )
-from basilcove.experts.remote.events import CallRank, RankAnswered
-from basilcove.experts.remote.models import GroupChange, Phase, Sent
+from basilcove.experts.remote.events import RankAnswered
+from basilcove.experts.remote.models import GroupChange, Phase
 from basilcove.experts.remote.orders import (
     ArmMap,
     DisarmMap,
     HoldStep,
-    Order,
     OrderResult,
     PrepareMap,
-    Question,
     RankCounts,
     RankLists,
     RankReport,
@@ -48,7 +46,6 @@
 from basilcove.experts.remote.planning import first_layers
 from basilcove.experts.remote.popularity import note_counts, sampled_ranks
 
-Steps = Iterator[Effect]
 PhaseStep = Callable[[GroupChange, float], Steps]
 
 _ON_TICK: dict[Phase, PhaseStep] = {}
@@ -68,7 +65,7 @@
 
 def advance(change: GroupChange, now: float) -> Steps:
     """Send what is due, and go on to the next phase where the present one has ended."""
-    yield from _send_due(change, now)
+    yield from send_due(change, now)
     on_tick = _ON_TICK.get(change.phase)
     if on_tick is not None:
         yield from on_tick(change, now)
@@ -80,18 +77,13 @@
     # Two leaders must not give one version to two maps, whatever either has heard of the other.
     first = change.token * VERSIONS_PER_TOKEN
     change.target_version = max(change.version, change.target_version, first) + 1
-    yield from _enter(change, Phase.PREPARING, now)
-    yield from _ask_all(change, PrepareMap(change.target_version, layers), now)
+    yield from enter(change, Phase.PREPARING, now)
+    yield from ask_all(change, PrepareMap(change.target_version, layers), now)
 
 
 def read_counts(change: GroupChange, now: float) -> Steps:
     """Read the counts of a sample of the ranks."""
-    yield from _ask(change, sampled_ranks(change), ReadCounts(), now)
-
-
-def is_agreed(change: GroupChange) -> bool:
-    """Tell whether all ranks that the phase asks have agreed."""
-    return bool(change.calls) and change.done >= change.calls.keys()
+    yield from ask(change, sampled_ranks(change), ReadCounts(), now)
 
 
 def take_answer(change: GroupChange, event: RankAnswered, now: float) -> Steps:
@@ -142,11 +134,11 @@
 def _fence(change: GroupChange, now: float) -> Steps:
     if not change.calls:
         change.since = now
-        yield from _ask_all(change, DisarmMap(UNUSED_VERSION), now)
+        yield from ask_all(change, DisarmMap(UNUSED_VERSION), now)
     # A report lags, so one that is read at once may tell of the time before the fence.
     elif is_agreed(change) and now - change.since > REPORT_LAG_S:
-        yield from _enter(change, Phase.LEARNING, now)
-        yield from _ask_all(change, ReadReport(), now)
+        yield from enter(change, Phase.LEARNING, now)
+        yield from ask_all(change, ReadReport(), now)
 
 
 @in_phase(Phase.LEARNING)
@@ -167,7 +159,7 @@
         yield from _list(change, now)
     elif now - change.asked_at >= REPORT_INTERVAL_S:
         # The hold has ended already, so the step begins soon.
-        yield from _ask_all(change, ReadReport(), now)
+        yield from ask_all(change, ReadReport(), now)
 
 
 def _end_hold(change: GroupChange, armed: set[tuple[int, int]], now: float) -> Steps:
@@ -191,11 +183,11 @@
     if change.version == 0:
         layout = change.layout
         change.current = first_layers(layout.layers, layout.experts, len(change.ranks))
-        yield from _enter(change, Phase.IDLE, now)
+        yield from enter(change, Phase.IDLE, now)
         return
     change.lists.clear()
-    yield from _enter(change, Phase.LISTING, now)
-    yield from _ask_all(change, ReadLists(), now)
+    yield from enter(change, Phase.LISTING, now)
+    yield from ask_all(change, ReadLists(), now)
 
 
 @in_phase(Phase.LISTING)
@@ -205,14 +197,14 @@
     lists = change.lists
     if {each.version for each in lists.values()} != {change.version}:
         # A map came into effect while the lists were read.
-        yield from _enter(change, Phase.LEARNING, now)
-        yield from _ask_all(change, ReadReport(), now)
+        yield from enter(change, Phase.LEARNING, now)
+        yield from ask_all(change, ReadReport(), now)
         return
     ranks = sorted(lists)
     change.current = tuple(
         tuple(lists[rank].experts[layer] for rank in ranks) for layer in range(change.layout.layers)
     )
-    yield from _enter(change, Phase.IDLE, now)
+    yield from enter(change, Phase.IDLE, now)
 
 
 @in_phase(Phase.IDLE)
@@ -229,14 +221,14 @@
             yield from _release(change, now)
     elif not change.calls and now < change.watched_until and now - change.since >= WATCH_INTERVAL_S:
         change.since = now
-        yield from _ask_all(change, ReadReport(), now)
+        yield from ask_all(change, ReadReport(), now)
 
 
 @in_phase(Phase.PREPARING)
 def _prepare(change: GroupChange, now: float) -> Steps:
     if is_agreed(change):
-        yield from _enter(change, Phase.COPYING, now)
-        yield from _ask_all(change, ReadReport(), now)
+        yield from enter(change, Phase.COPYING, now)
+        yield from ask_all(change, ReadReport(), now)
     elif change.refused or now - change.since > PREPARE_TIMEOUT_S:
         yield from _abandon(change, 'not prepared by all ranks', now)
 
@@ -252,14 +244,14 @@
     if is_prepared and change.pace:
         yield from _hold(change, now)
     elif now - change.asked_at >= REPORT_INTERVAL_S:
-        yield from _ask_all(change, ReadReport(), now)
+        yield from ask_all(change, ReadReport(), now)
 
 
 def _hold(change: GroupChange, now: float) -> Steps:
     newest = max(report.step for report in change.reports.values())
     change.step = newest + MIN_AHEAD_STEPS + int(change.pace * AHEAD_S)
-    yield from _enter(change, Phase.HOLDING, now)
-    yield from _ask(change, (change.holder,), HoldStep(change.step), now)
+    yield from enter(change, Phase.HOLDING, now)
+    yield from ask(change, (change.holder,), HoldStep(change.step), now)
 
 
 @in_phase(Phase.HOLDING)
@@ -274,9 +266,9 @@
 
 
 def _arm(change: GroupChange, now: float) -> Steps:
-    yield from _enter(change, Phase.ARMING, now)
+    yield from enter(change, Phase.ARMING, now)
     change.unsure_until = now + LATE_ORDER_S
-    yield from _ask_all(change, ArmMap(change.target_version, change.step), now)
+    yield from ask_all(change, ArmMap(change.target_version, change.step), now)
 
 
 @in_phase(Phase.ARMING)
@@ -289,9 +281,9 @@
     change.unsure_until = now + LATE_ORDER_S
     first_refusal = min(change.refused.values(), default=now)
     if now - first_refusal > ARM_TIMEOUT_S:
-        yield Log('error', 'ranks are disarmed, since one refuses the map', _fields(change))
-        yield from _enter(change, Phase.DISARMING, now)
-        yield from _ask_all(change, DisarmMap(change.target_version), now)
+        yield Log('error', 'ranks are disarmed, since one refuses the map', fields_of(change))
+        yield from enter(change, Phase.DISARMING, now)
+        yield from ask_all(change, DisarmMap(change.target_version), now)
 
 
 @in_phase(Phase.DISARMING)
@@ -300,22 +292,22 @@
         return
     if change.asked_at < change.unsure_until:
         # A late arming may have come after the first disarming.
-        yield from _ask_all(change, DisarmMap(change.target_version), now)
+        yield from ask_all(change, DisarmMap(change.target_version), now)
     elif is_agreed(change):
         change.target = ()
         yield from _release(change, now)
 
 
 def _release(change: GroupChange, now: float) -> Steps:
-    yield from _enter(change, Phase.RELEASING, now)
-    yield from _ask(change, (change.holder,), ReleaseStep(change.step), now)
+    yield from enter(change, Phase.RELEASING, now)
+    yield from ask(change, (change.holder,), ReleaseStep(change.step), now)
 
 
 @in_phase(Phase.RELEASING)
 def _await_release(change: GroupChange, now: float) -> Steps:
     if change.holder in change.done or change.holder in change.refused:
-        yield from _enter(change, Phase.WATCHING, now)
-        yield from _ask(change, (change.holder,), ReadReport(), now)
+        yield from enter(change, Phase.WATCHING, now)
+        yield from ask(change, (change.holder,), ReadReport(), now)
 
 
 @in_phase(Phase.WATCHING)
@@ -328,7 +320,7 @@
         yield from _settle(change, now)
     elif now - change.asked_at >= REPORT_INTERVAL_S:
         if report.held is None:
-            yield from _ask(change, (change.holder,), ReadReport(), now)
+            yield from ask(change, (change.holder,), ReadReport(), now)
         else:
             yield from _release(change, now)
 
@@ -338,16 +330,16 @@
     is_changed = change.version == change.target_version
     if is_changed and change.target:
         change.current = change.target
-        yield Log('info', 'map of a remote group is in effect', _fields(change))
+        yield Log('info', 'map of a remote group is in effect', fields_of(change))
         yield Count('remote_map_changes')
-        yield from _enter(change, Phase.IDLE, now)
+        yield from enter(change, Phase.IDLE, now)
         return
     if is_changed:
         yield from _list(change, now)
         return
     change.paused_until = now + PAUSE_S
     if change.current:
-        yield from _enter(change, Phase.IDLE, now)
+        yield from enter(change, Phase.IDLE, now)
         return
     yield from _list(change, now)
 
@@ -355,67 +347,6 @@
 def _abandon(change: GroupChange, reason: str, now: float) -> Steps:
     """Give a change up before any rank was held or armed."""
     change.paused_until = now + PAUSE_S
-    yield Log('warning', f'change of a map abandoned: {reason}', _fields(change))
+    yield Log('warning', f'change of a map abandoned: {reason}', fields_of(change))
     yield Count('remote_maps_abandoned')
-    yield from _enter(change, Phase.IDLE, now)
-
-
-# Calls.
-
-
-def _enter(change: GroupChange, phase: Phase, now: float) -> Steps:
-    change.phase = phase
-    change.since = now
-    change.calls.clear()
-    change.waiting.clear()
-    change.done.clear()
-    change.refused.clear()
-    yield Log('debug', 'phase of a remote group', _fields(change))
-
-
-def _ask_all(change: GroupChange, call: Order | Question, now: float) -> Steps:
-    yield from _ask(change, sorted(change.ranks), call, now)
-
-
-def _ask(change: GroupChange, ranks: Iterable[Rank], call: Order | Question, now: float) -> Steps:
-    change.asked_at = now
-    change.waiting.clear()
-    change.done.clear()
-    change.refused.clear()
-    change.calls = dict.fromkeys(ranks, call)
-    for rank in change.calls:
-        yield _call(change, rank, now)
-
-
-def _send_due(change: GroupChange, now: float) -> Steps:
-    for rank, sent in tuple(change.waiting.items()):
-        if now - sent.sent_at >= RESEND_S:
-            yield _call(change, rank, now)
-
-
-def _call(change: GroupChange, rank: Rank, now: float) -> Effect:
-    change.number += 1
-    change.waiting[rank] = Sent(change.number, now)
-    place, identity = change.ranks[rank], change.identity
-    return CallRank(
-        identity.name,
-        rank,
-        change.number,
-        place.instance,
-        place.address,
-        identity.epoch,
-        change.token,
-        change.calls[rank],
-    )
-
-
-def _fields(change: GroupChange) -> tuple[tuple[str, str], ...]:
-    numbers = {
-        'epoch': change.identity.epoch,
-        'token': change.token,
-        'version': change.version,
-        'target_version': change.target_version,
-        'step': change.step,
-    }
-    texts = [(name, str(number)) for name, number in numbers.items()]
-    return ('group', change.identity.name), ('phase', change.phase.value), *texts
+    yield from enter(change, Phase.IDLE, now)
--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -168,7 +168,7 @@
 
 
 def _may_repeat(state: GatewayState, req: OpenRequest, ctx: Context) -> bool:
-    if req.sent >= req.named.route.max_attempts or not _has_candidate(state, req, ctx):
+    if req.sent >= req.named.route.max_upstreams or not _has_candidate(state, req, ctx):
         return False
     return state.budget(req.service).take(ctx.now, state.gateways)
 
--- a/basilcove/gateway/outcomes.py
+++ b/basilcove/gateway/outcomes.py
@@ -76,7 +76,7 @@
     return (
         ('route', req.named.name),
         ('team', req.team),
-        ('level', str(req.level)),
+        ('urgency', str(req.level)),
         ('sent', str(req.sent)),
         ('waited_s', f'{now - req.arrived_at:.3f}'),
     )
--- a/basilcove/helpers/logs.py
+++ b/basilcove/helpers/logs.py
@@ -145,13 +145,14 @@
         if not self._budget.admits(record['level'].name):
             return
         self._summarise()
+        # A field may not take the place of what every line has.
         content = {
+            **record['extra'],
             'time': record['time'].isoformat(),
             'level': record['level'].name,
             'node': self._node,
             'module': record['name'],
             'message': record['message'],
-            **record['extra'],
         }
         if record['exception'] is not None:
             content['exception'] = str(record['exception'].value)
--- a/tests/environment/test_routes.py
+++ b/tests/environment/test_routes.py
@@ -27,7 +27,7 @@
             ({'targets': []}, 'routes.lookup.targets'),
             ({'targets': [{'service': 'desk', 'weight': -1}]}, 'routes.lookup.targets.0.weight'),
             ({'timeout_s': 0}, 'routes.lookup.timeout_s'),
-            ({'max_attempts': 0}, 'routes.lookup.max_attempts'),
+            ({'max_upstreams': 0}, 'routes.lookup.max_upstreams'),
             ({'path_prefix': 'lookup/'}, 'routes.lookup.path_prefix'),
             ({'path_prefix': '/lookup'}, 'routes.lookup.path_prefix'),
             ({'priority': 'unknown'}, 'routes.lookup.priority'),
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -27,7 +27,7 @@
 def document(**changes: Any) -> dict[str, Any]:
     """Return a document with a route of each kind to one service, and an urgent and a slow stream."""
     route = {'host': HOST, 'timeout_s': 8, 'priority': 'urgent', 'targets': [{'service': 'desk'}]}
-    stream = {**route, 'kind': 'stream', 'max_attempts': 2, 'is_resumable': True}
+    stream = {**route, 'kind': 'stream', 'max_upstreams': 2, 'is_resumable': True}
     content = {
         'name': 'desk',
         'priorities': {
@@ -37,8 +37,8 @@
         'teams': {'shire': {'key_digests': [digest_of_secret(KEY)], 'priorities': ['urgent', 'slow']}},
         'services': {'desk': {}},
         'routes': {
-            'lookup': {**route, 'path_prefix': '/lookup/', 'kind': 'safe', 'max_attempts': 2},
-            'book': {**route, 'path_prefix': '/book/', 'kind': 'unsafe', 'max_attempts': 2},
+            'lookup': {**route, 'path_prefix': '/lookup/', 'kind': 'safe', 'max_upstreams': 2},
+            'book': {**route, 'path_prefix': '/book/', 'kind': 'unsafe', 'max_upstreams': 2},
             'brief': {**stream, 'path_prefix': '/brief/'},
             'summary': {**stream, 'path_prefix': '/summary/', 'priority': 'slow'},
             'once': {**stream, 'path_prefix': '/once/', 'is_resumable': False},
