--- a/basilcove/gateway/config.py
+++ b/basilcove/gateway/config.py
@@ -15,7 +15,6 @@
     priority: str = 'Basilcove-Priority'
     not_run: str = 'Basilcove-Not-Run'
     load: str = 'Basilcove-Load'
-    size: str = 'Basilcove-Tokens'
 
 
 class RetryConfig(BaseModel):
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -16,10 +16,6 @@
 MAX_HELD_BYTES: Final = 1024 * 1024
 # Part of an event that has not ended; engines send events of some hundred bytes.
 MAX_EVENT_BYTES: Final = 1024 * 1024
-# Bytes to a caller beyond which its upstream is no longer read.
-CALLER_BUFFER_BYTES: Final = 256 * 1024
-# Requests that a caller sent ahead on one connection.
-MAX_PIPELINED: Final = 4
 # Bytes of requests held for all callers together.
 MAX_REQUEST_BYTES_HELD: Final = 64 * 1024 * 1024
 
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -187,7 +187,6 @@
         self._scheme = f'{cfg.key_scheme} '.lower()
         self._request_id = names.request_id.lower().encode()
         self._timeout_ms = names.timeout_ms.lower().encode()
-        self._size = names.size.lower().encode()
         self._names = names
         self._set = frozenset(
             name.lower().encode()
@@ -200,12 +199,10 @@
         has_scheme = credential.lower().startswith(self._scheme)
         return RequestHead(
             request.header(self._request_id),
-            request.method.decode('latin-1'),
             request.header(b'host').partition(':')[0],
             request.path,
             credential[len(self._scheme) :].strip() if has_scheme else '',
             _milliseconds(request.header(self._timeout_ms)),
-            _sum(request.header(self._size)),
         )
 
     def write(self, request: HttpRequest, start: StartAttempt) -> bytes:
@@ -235,11 +232,6 @@
     return duration_s if math.isfinite(duration_s) and duration_s >= 0 else None
 
 
-def _sum(text: str) -> int:
-    parts = [part.strip() for part in text.split(',')]
-    return sum(int(part) for part in parts if part.isdigit())
-
-
 @carries_out(StartAttempt, GatewayDriver)
 def _start(driver: GatewayDriver, effect: StartAttempt) -> None:
     driver.start(effect)
--- a/basilcove/gateway/events.py
+++ b/basilcove/gateway/events.py
@@ -28,18 +28,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
-    """What decides on a request; ``path`` has no query, ``timeout_s`` is how long the caller waits.
-
-    ``work`` is the size that the caller states, in tokens; 0 if it states none.
-    """
+    """What decides on a request; ``path`` has no query, ``timeout_s`` is how long the caller waits."""
 
     request_id: str
-    method: str
     host: str
     path: str
     credential: str
     timeout_s: float | None
-    work: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -33,7 +33,7 @@
     def test_without_document_nothing_is_denied(self) -> None:
         """Guards against 404 or 401 from a process that knows no document yet."""
         state = GatewayState.from_config(GatewayConfig(listen='127.0.0.1:0'), registration('x').zone)
-        head = RequestHead('r', 'GET', HOST, '/lookup/x', KEY, None)
+        head = RequestHead('r', HOST, '/lookup/x', KEY, None)
         effects = reduce(Node(state), RequestArrived(1, head), 0, 0)
         found = refusal(effects)
         assert (found.status, found.retry_after_s is not None) == (HTTPStatus.SERVICE_UNAVAILABLE, True)
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -98,7 +98,7 @@
     def ask(self, path: str = '/lookup/x', key: str = KEY, timeout_s: float | None = 5) -> list[Effect]:
         """Return the effects of a new request; ``key_of`` names it."""
         number = next(self._keys)
-        head = RequestHead(f'request-{number}', 'POST', HOST, path, key, timeout_s)
+        head = RequestHead(f'request-{number}', HOST, path, key, timeout_s)
         return self.apply(RequestArrived(number, head))
 
     def end(self, start: StartAttempt, result: AttemptResult, **details: Any) -> list[Effect]:
