Spare slow ranks of a group experts, requests and streams

Cause: all ranks of a group begin each step together, so one that works five times slower makes all streams late.

Ruled out: popularity (the skew by counts), the sample of ranks (six in place of three changed nothing), waiting at the engines (one slot fewer changed nothing).

Change: reports of ranks state their slowness. The control leader reads them before it plans, plans with the ranks' speeds, relieves slow ranks of experts at once, and tells gateways of them. Gateways send new requests elsewhere and let resumable streams go on at other ranks, within the budget of repeats. The word counts for 5 s; a group of which more than a third is slow is left alone.

--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -26,6 +26,13 @@
 # The search in one layer ends here, far below what a change of popularity costs.
 SKEW_WANTED: Final = 1.12
 
+# A rank is relieved of experts, beyond what swaps do, if its speed is below this part of the usual one. Every
+# pass waits for it, and swaps would move too few experts at a time.
+RELIEF_SPEED: Final = 0.67
+
+# With more slow ranks than this part of a group, the others have no room for what these would leave.
+MAX_SLOW_SHARE: Final = 1 / 3
+
 # How often ranks are looked at while orders of a former leader may still be carried out.
 WATCH_INTERVAL_S: Final = 1.0
 
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -3,13 +3,14 @@
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import replace
+from itertools import chain
 
 from basilcove.consensus.models import ConsensusState
-from basilcove.core.events import Effect, Log, Tick
+from basilcove.core.events import Effect, Log, Send, Tick
 from basilcove.core.ids import GroupName
 from basilcove.core.reducer import Context, handles
 from basilcove.environment.events import EnvironmentChanged
-from basilcove.experts.remote.calls import is_agreed
+from basilcove.experts.remote.calls import enter, is_agreed
 from basilcove.experts.remote.const import COUNTS_INTERVAL_S, MIN_GAIN, MIN_UTILISATION
 from basilcove.experts.remote.events import RankAnswered
 from basilcove.experts.remote.models import (
@@ -21,9 +22,10 @@
     RemoteGroups,
 )
 from basilcove.experts.remote.orders import ReadCounts
-from basilcove.experts.remote.phases import advance, read_counts, start_change, take_answer
-from basilcove.experts.remote.planning import propose
+from basilcove.experts.remote.phases import advance, read_counts, start_change, survey, take_answer
+from basilcove.experts.remote.planning import RankBounds, propose
 from basilcove.experts.remote.popularity import age, shares_of
+from basilcove.gateway.messages import SlowInstances
 from basilcove.gateway.totals import AttemptTotals
 from basilcove.registry.messages import Registration, Standing
 from basilcove.registry.models import RegistryState
@@ -45,18 +47,22 @@
 def _on_tick(state: RemoteGroups, event: Tick, ctx: Context) -> Iterator[Effect]:
     consensus = ctx.node.part(ConsensusState)
     if not consensus.is_leader or consensus.commit < consensus.leading.first_index:
-        state.changes.clear()
+        state.forget()
         return
     if consensus.term == state.fenced_term:
         return
     if consensus.term != state.term:
         state.term = consensus.term
-        state.changes.clear()
+        state.forget()
     _follow_registry(state, ctx.node.part(RegistryState))
     for change in tuple(state.changes.values()):
         yield from advance(change, ctx.now)
-        if change.phase is Phase.IDLE:
-            yield from _look_for_better(change, ctx)
+        if change.phase is Phase.SURVEYED:
+            yield from enter(change, Phase.IDLE, ctx.now)
+            yield from _tell_slow(state, change, ctx)
+            yield from _plan(change, ctx.now)
+        elif change.phase is Phase.IDLE:
+            yield from _look_for_better(state, change, ctx)
 
 
 @handles(RankAnswered, RemoteGroups)
@@ -67,7 +73,7 @@
     yield from take_answer(change, event, ctx.now)
     if change.is_fenced:
         state.fenced_term = state.term
-        state.changes.clear()
+        state.forget()
         yield Log('warning', 'a newer leader keeps the maps', (('term', str(state.term)),))
 
 
@@ -76,6 +82,7 @@
     whole = dict(_whole_groups(state, registry))
     for name in state.changes.keys() - whole.keys():
         state.changes.pop(name)
+        state.slow.pop(name, None)
     for name, change in whole.items():
         known = state.changes.get(name)
         if known is None or known.identity != change.identity:
@@ -99,12 +106,24 @@
             yield identity.name, GroupChange(identity, state.term, ranks, replace(layout))
 
 
-def _look_for_better(change: GroupChange, ctx: Context) -> Iterator[Effect]:
+def _tell_slow(state: RemoteGroups, change: GroupChange, ctx: Context) -> Iterator[Effect]:
+    """Tell all gateways of slow ranks after each survey, and once when there are none any more."""
+    name = change.identity.name
+    former = set(chain.from_iterable(state.slow.values()))
+    state.slow[name] = change.slow_instances()
+    slow = tuple(sorted(chain.from_iterable(state.slow.values())))
+    if not slow and not former:
+        return
+    for node in sorted(ctx.node.part(RegistryState).gateways):
+        yield Send(node, SlowInstances(slow))
+
+
+def _look_for_better(state: RemoteGroups, change: GroupChange, ctx: Context) -> Iterator[Effect]:
+    is_wanted = bool(state.slow.get(change.identity.name)) or _is_busy(change, ctx)
     if change.calls:
         if is_agreed(change) and any(isinstance(call, ReadCounts) for call in change.calls.values()):
-            change.calls.clear()
-            yield from _plan(change, ctx.now)
-    elif ctx.now >= max(change.paused_until, change.counted_at + COUNTS_INTERVAL_S) and _is_busy(change, ctx):
+            yield from survey(change, ctx.now)
+    elif ctx.now >= max(change.paused_until, change.counted_at + COUNTS_INTERVAL_S) and is_wanted:
         change.counted_at = ctx.now
         age(change)
         yield from read_counts(change, ctx.now)
@@ -115,12 +134,14 @@
     if shares is None:
         return
     layout = change.layout
-    proposal = propose(shares, change.current, layout.slots, layout.max_new)
+    speeds = change.speeds()
+    proposal = propose(shares, change.current, RankBounds(layout.slots, layout.max_new), speeds)
     fields = (
         ('group', change.identity.name),
         ('version', str(change.version)),
         ('skew_before', f'{proposal.skew_before:.2f}'),
         ('skew_after', f'{proposal.skew_after:.2f}'),
+        ('slowest', f'{min(speeds):.2f}'),
     )
     yield Log('info', 'map of a remote group planned', fields)
     if proposal.skew_before - proposal.skew_after >= MIN_GAIN:
--- a/basilcove/experts/remote/models.py
+++ b/basilcove/experts/remote/models.py
@@ -5,6 +5,7 @@
 
 from basilcove.core.ids import GroupName, InstanceId, Rank, ServiceName
 from basilcove.experts.models import Layer
+from basilcove.experts.remote.const import MAX_SLOW_SHARE, RELIEF_SPEED
 from basilcove.experts.remote.orders import Order, Question, RankLists, RankReport
 
 
@@ -17,6 +18,9 @@
     LEARNING = 'learning'
     LISTING = 'listing'
     IDLE = 'idle'
+    # Counts are in; the ranks' speeds are read before a map is planned.
+    SURVEYING = 'surveying'
+    SURVEYED = 'surveyed'
     PREPARING = 'preparing'
     COPYING = 'copying'
     HOLDING = 'holding'
@@ -102,6 +106,17 @@
     changes: int = 0
     is_fenced: bool = False
 
+    def speeds(self) -> tuple[float, ...]:
+        """Return the speed of each rank by its last report, 1 being usual."""
+        reports = [self.reports.get(rank) for rank in sorted(self.ranks)]
+        return tuple(1 / max(1, report.slowness) if report is not None else 1 for report in reports)
+
+    def slow_instances(self) -> tuple[InstanceId, ...]:
+        """Return the ranks for which the whole group waits; none if they are many."""
+        pairs = zip(sorted(self.ranks), self.speeds(), strict=True)
+        slow = tuple(self.ranks[rank].instance for rank, speed in pairs if speed < RELIEF_SPEED)
+        return slow if len(slow) <= MAX_SLOW_SHARE * len(self.ranks) else ()
+
 
 @dataclass(slots=True)
 class RemoteGroups:
@@ -110,5 +125,12 @@
     layouts: dict[ServiceName, ExpertLayout] = field(default_factory=dict)
     changes: dict[GroupName, GroupChange] = field(default_factory=dict)
     term: int = 0
+    # Slow ranks of each group of which gateways were told last.
+    slow: dict[GroupName, tuple[InstanceId, ...]] = field(default_factory=dict)
     # The term in which a newer leader's fence was met.
     fenced_term: int = 0
+
+    def forget(self) -> None:
+        """Leave what is under way to another leader."""
+        self.changes.clear()
+        self.slow.clear()
--- a/basilcove/experts/remote/orders.py
+++ b/basilcove/experts/remote/orders.py
@@ -76,7 +76,8 @@
 class RankReport:
     """State of a rank; ``prepared`` is the version whose copy is complete.
 
-    ``armed`` holds a version and its step, ``held`` the step that this rank holds.
+    ``armed`` holds a version and its step, ``held`` the step that this rank holds. ``slowness`` is how many
+    times as long as usual its work takes.
     """
 
     epoch: int
@@ -85,6 +86,7 @@
     prepared: int | None = None
     armed: tuple[int, int] | None = None
     held: int | None = None
+    slowness: float = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/experts/remote/phases.py
+++ b/basilcove/experts/remote/phases.py
@@ -86,6 +86,12 @@
     yield from ask(change, sampled_ranks(change), ReadCounts(), now)
 
 
+def survey(change: GroupChange, now: float) -> Steps:
+    """Read the state of all ranks, after which a map can be planned."""
+    yield from enter(change, Phase.SURVEYING, now)
+    yield from ask_all(change, ReadReport(), now)
+
+
 def take_answer(change: GroupChange, event: RankAnswered, now: float) -> Steps:
     """Take what a rank answered; an answer to an older call is left out."""
     sent = change.waiting.get(event.rank)
@@ -213,17 +219,28 @@
     if any(not isinstance(call, ReadReport) for call in change.calls.values()):
         return
     if is_agreed(change):
-        held = [rank for rank, report in change.reports.items() if report.held is not None]
         change.calls.clear()
-        if held:
-            change.holder = held[0]
-            change.step = change.reports[change.holder].held or 0
-            yield from _release(change, now)
+        yield from _end_late_hold(change, now)
     elif not change.calls and now < change.watched_until and now - change.since >= WATCH_INTERVAL_S:
         change.since = now
         yield from ask_all(change, ReadReport(), now)
 
 
+def _end_late_hold(change: GroupChange, now: float) -> Steps:
+    held = [rank for rank, report in change.reports.items() if report.held is not None]
+    if held:
+        change.holder = held[0]
+        change.step = change.reports[change.holder].held or 0
+        yield from _release(change, now)
+
+
+@in_phase(Phase.SURVEYING)
+def _survey(change: GroupChange, now: float) -> Steps:
+    if is_agreed(change):
+        yield from enter(change, Phase.SURVEYED, now)
+        yield from _end_late_hold(change, now)
+
+
 @in_phase(Phase.PREPARING)
 def _prepare(change: GroupChange, now: float) -> Steps:
     if is_agreed(change):
--- a/basilcove/experts/swaps.py
+++ b/basilcove/experts/swaps.py
@@ -53,10 +53,24 @@
         self.load[rank] += self.unit[expert]
         self._spread(expert)
 
+    def add(self, rank: int, expert: int) -> None:
+        """Put an expert into a slot that was free."""
+        self.slots[rank].append(expert)
+        self.holders[expert].append(rank)
+        self.load[rank] += self.unit[expert]
+        self._spread(expert)
+
+    def drop(self, rank: int, expert: int) -> None:
+        """Free the slot of an expert that another rank holds, too."""
+        self.slots[rank].remove(expert)
+        self.holders[expert].remove(rank)
+        self.load[rank] -= self.unit[expert]
+        self._spread(expert)
+
     def best(self) -> Trial | None:
         """Return the change with the largest gain for each fetch, or None if none gains."""
         hot = self.hottest()
-        ranked = sorted(range(len(self.load)), key=self._time)
+        ranked = sorted(range(len(self.load)), key=self.time)
         ranked.remove(hot)
         # All other ranks are tried only where the coolest ones offer no gain.
         return self._best_with(hot, ranked[:PARTNERS]) or self._best_with(hot, ranked[PARTNERS:])
@@ -78,11 +92,12 @@
             targets = [rank for rank in self.holders[given_up] if rank not in self.holders[expert]]
             if not targets:
                 continue
-            target = min(targets, key=self._time)
+            target = min(targets, key=self.time)
             return Trial(0, 1, ((target, self.slots[target].index(given_up), expert),))
         return None
 
-    def _time(self, rank: int) -> float:
+    def time(self, rank: int) -> float:
+        """Return the time of a rank over the mean."""
         return self.load[rank] / self.capacity[rank]
 
     def _merged(self, expert: int) -> float:
--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -142,14 +142,14 @@
 
 @follows(AttemptResult.NOT_RUN, AttemptResult.MISDIRECTED)
 def _after_not_run(state: GatewayState, req: OpenRequest, event: AttemptEnded, ctx: Context) -> list[Effect]:
-    return start_attempt(state, req, ctx) if _may_repeat(state, req, ctx) else _give_up(state, req, ctx)
+    return start_attempt(state, req, ctx) if take_repeat(state, req, ctx) else _give_up(state, req, ctx)
 
 
 @follows(AttemptResult.FAILED)
 def _after_failure(state: GatewayState, req: OpenRequest, event: AttemptEnded, ctx: Context) -> list[Effect]:
     req.may_have_run = True
     req.is_failure_held = True
-    if req.is_repeatable and _may_repeat(state, req, ctx):
+    if req.is_repeatable and take_repeat(state, req, ctx):
         return start_attempt(state, req, ctx)
     return _give_up(state, req, ctx)
 
@@ -162,12 +162,14 @@
         req.last_event = event.last_event
     # Without the id of an event there is nothing to go on from.
     can_go_on = req.is_repeatable and (not req.has_begun or bool(req.last_event))
-    if can_go_on and _may_repeat(state, req, ctx):
+    is_paid, req.is_moving = req.is_moving, False
+    if can_go_on and (is_paid or take_repeat(state, req, ctx)):
         return start_attempt(state, req, ctx)
     return _give_up(state, req, ctx)
 
 
-def _may_repeat(state: GatewayState, req: OpenRequest, ctx: Context) -> bool:
+def take_repeat(state: GatewayState, req: OpenRequest, ctx: Context) -> bool:
+    """Spend a repeat of the budget if a request may be sent to another upstream."""
     if req.sent >= req.named.route.max_upstreams or not _has_candidate(state, req, ctx):
         return False
     return state.budget(req.service).take(ctx.now, state.gateways)
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -26,6 +26,11 @@
 FAILURE_COST: Final = 3.0
 # An upstream in another availability zone is chosen as if this part of its slots were taken.
 REMOTE_ZONE_COST: Final = 0.25
+# An upstream for which its group waits is chosen as if this many times its slots were taken, so that it gets
+# work only where all others are excluded: each request there makes every step of the group longer.
+SLOW_COST: Final = 3.0
+# How long that holds without another word, some times the interval at which ranks are asked.
+SLOW_LIFETIME_S: Final = 5.0
 # Load that an upstream reported is given up linearly over this time.
 LOAD_LIFETIME_S: Final = 2.0
 
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -4,6 +4,7 @@
 from basilcove.core.ids import Role, TeamName
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.environment.events import EnvironmentChanged
+from basilcove.gateway import relief as _relief  # noqa: F401
 from basilcove.gateway import sharing as _sharing  # noqa: F401
 from basilcove.gateway.attempts import end_attempt, expire_if_due, release, start_attempt
 from basilcove.gateway.const import STOP_NOTICE_S
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -28,6 +28,7 @@
     CallerLeft,
     CancelAttempt,
     DeliverHeld,
+    MoveAttempt,
     Refuse,
     RequestArrived,
     RequestHead,
@@ -124,6 +125,12 @@
         if exchange is not None and exchange.attempt is not None:
             exchange.attempt.cancel()
 
+    def move(self, effect: MoveAttempt) -> None:
+        """End the attempt of a stream that goes on elsewhere."""
+        exchange = self._exchanges.get(effect.key)
+        if exchange is not None and exchange.attempt is not None:
+            exchange.attempt.abandon('moved from a slow upstream')
+
     def refuse(self, effect: Refuse) -> None:
         """Answer a request by the gateway itself."""
         exchange = self._exchanges.get(effect.key)
@@ -242,6 +249,11 @@
     driver.cancel(effect.key)
 
 
+@carries_out(MoveAttempt, GatewayDriver)
+def _move(driver: GatewayDriver, effect: MoveAttempt) -> None:
+    driver.move(effect)
+
+
 @carries_out(Refuse, GatewayDriver)
 def _refuse(driver: GatewayDriver, effect: Refuse) -> None:
     driver.refuse(effect)
--- a/basilcove/gateway/events.py
+++ b/basilcove/gateway/events.py
@@ -105,6 +105,14 @@
     key: int
 
 
+@dataclass(frozen=True, slots=True)
+class MoveAttempt(Effect):
+    """Ends the attempt of a stream and reports how far it got, so that it goes on at another upstream."""
+
+    key: int
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse(Effect):
     """Answers a request by the gateway itself."""
--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -80,6 +80,11 @@
         if self.conn is not None:
             self.conn.close()
 
+    def abandon(self, reason: str) -> None:
+        """Report that the answer will not be whole, and close the connection to the upstream."""
+        if not self._is_over:
+            self._break(reason)
+
     # Reader.
 
     def accepts(self, head: AnswerHead) -> bool:
--- a/basilcove/gateway/messages.py
+++ b/basilcove/gateway/messages.py
@@ -1,8 +1,9 @@
-"""Messages by which gateways learn how many attempts the others have open."""
+"""Messages by which gateways learn of the others' open attempts and of slow upstreams."""
 
 from dataclasses import dataclass
 
 from basilcove.core.events import Message
+from basilcove.core.ids import InstanceId
 from basilcove.gateway import gateway_pb2 as pb
 from basilcove.helpers.codec import message
 
@@ -25,3 +26,11 @@
     """Open attempts by instance of all gateways but the receiver."""
 
     counts: dict[str, int]
+
+
+@message('gateway.slow_instances', pb.SlowInstances)
+@dataclass(frozen=True, slots=True)
+class SlowInstances(Message):
+    """Upstreams for which all others of their group wait; it counts for some seconds."""
+
+    instances: tuple[InstanceId, ...]
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -37,6 +37,8 @@
     is_failure_held: bool = False
     has_begun: bool = False
     last_event: str = ''
+    # Its attempt is being ended, and the budget is charged for the next one.
+    is_moving: bool = False
 
     @property
     def is_repeatable(self) -> bool:
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -11,6 +11,8 @@
     FAILURE_WEIGHT,
     LOAD_LIFETIME_S,
     REMOTE_ZONE_COST,
+    SLOW_COST,
+    SLOW_LIFETIME_S,
 )
 from basilcove.gateway.events import ReportedLoad
 from basilcove.helpers.hashing import stable_fraction
@@ -35,6 +37,7 @@
     failure: float = 0
     failed_at: float = 0
     is_misdirected: bool = False
+    slow_until: float = 0
 
     @property
     def is_silent(self) -> bool:
@@ -46,6 +49,10 @@
         """Tell whether the upstream takes new requests, as far as it says."""
         return self.registration.standing is Standing.READY and not self.is_misdirected
 
+    def is_slow(self, now: float) -> bool:
+        """Tell whether the group of the upstream waits for it, by the last word of the control leader."""
+        return now < self.slow_until
+
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Take the load of an answer; this gateway's own attempts are counted exactly."""
         self.stated_others = max(0, load.running + load.waiting - self.open_attempts)
@@ -100,6 +107,16 @@
         for known in self.by_instance.values():
             known.heard.pop(source, None)
 
+    def note_slow(self, instances: Collection[InstanceId], now: float) -> list[InstanceId]:
+        """Take which upstreams are slow at present; return those of which that is news."""
+        news = []
+        for instance, known in self.by_instance.items():
+            is_slow = instance in instances
+            if is_slow != known.is_slow(now):
+                news.append(instance)
+            known.slow_until = now + SLOW_LIFETIME_S if is_slow else 0
+        return news
+
     def load(self, known: PooledUpstream, now: float) -> float:
         """Return the requests that an upstream is thought to have."""
         if self.others is None:
@@ -111,6 +128,8 @@
         registration = known.registration
         load = (self.load(known, now) + 1) / max(1, registration.slots)
         cost = load + FAILURE_COST * known.failure_share(now)
+        if known.is_slow(now):
+            cost += SLOW_COST
         return cost if registration.zone == self.zone else cost + REMOTE_ZONE_COST
 
     def choose(
--- /dev/null
+++ b/tests/experts/remote/test_coordinator.py
@@ -0,0 +1,115 @@
+import itertools
+from collections.abc import Iterable
+
+from basilcove.consensus.models import ConsensusState, Standing
+from basilcove.core.events import Effect, Event, Send, Tick
+from basilcove.core.ids import GroupName, Incarnation, InstanceId, NodeId, Rank, ServiceName
+from basilcove.core.reducer import Node, reduce
+from basilcove.experts.remote import coordinator as _remote  # noqa: F401
+from basilcove.experts.remote.events import CallRank, RankAnswered
+from basilcove.experts.remote.models import ExpertLayout, RemoteGroups
+from basilcove.experts.remote.orders import OrderResult, RankCounts, RankReport, ReadCounts, ReadReport, Reply
+from basilcove.gateway.messages import OpenAttempts, SlowInstances
+from basilcove.gateway.totals import AttemptTotals
+from basilcove.registry.models import RegistryState, Row
+from tests.gateway.world import registration
+
+GATEWAY = NodeId('gateway-1')
+RANKS = 6
+TICK_S = 0.1
+
+
+class Leader:
+    """A control leader with one remote group, whose ranks answer at once."""
+
+    def __init__(self) -> None:
+        consensus = ConsensusState(NodeId('c-1'), Incarnation(1), (), standing=Standing.LEADER, term=1)
+        self.groups = RemoteGroups({ServiceName('desk'): ExpertLayout(1, 2 * RANKS, 4, 2)})
+        registry = RegistryState(gateways={GATEWAY})
+        for rank in range(RANKS):
+            word = registration(f'i-{rank}', group=GroupName('g'), epoch=1, rank=Rank(rank), group_size=RANKS)
+            registry.rows[word.instance] = Row(word, 0)
+        self.node = Node(consensus, self.groups, registry, AttemptTotals())
+        self.slowness: dict[int, float] = {}
+        self.orders: list[str] = []
+        self.told: list[tuple[InstanceId, ...]] = []
+        self.now = 100.0
+        self._counted = itertools.count(1)
+
+    def run(self, seconds: float, *, is_busy: bool = True) -> None:
+        """Let time pass; a busy group has all of its slots taken."""
+        slots = {f'i-{rank}': 4 for rank in range(RANKS)}
+        totals = self.node.part(AttemptTotals)
+        totals.reported.clear()
+        if is_busy:
+            totals.reported[GATEWAY] = OpenAttempts(slots)
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            self._apply(Tick())
+
+    def _apply(self, event: Event) -> None:
+        self._carry_out(reduce(self.node, event, self.now, self.now))
+
+    def _carry_out(self, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send) and isinstance(effect.message, SlowInstances):
+                assert effect.node == GATEWAY
+                self.told.append(effect.message.instances)
+            if isinstance(effect, CallRank):
+                reply = self._reply(effect)
+                self._apply(
+                    RankAnswered(effect.group, effect.rank, effect.number, effect.epoch, effect.call, reply)
+                )
+
+    def _reply(self, effect: CallRank) -> Reply:
+        if isinstance(effect.call, ReadReport):
+            step = int(10 * self.now)
+            return RankReport(1, step, 0, slowness=self.slowness.get(effect.rank, 1))
+        if isinstance(effect.call, ReadCounts):
+            return RankCounts(1, (10 * next(self._counted),) * 2 * RANKS)
+        self.orders.append(type(effect.call).__name__)
+        return OrderResult.ACCEPTED
+
+
+class TestSlowRanks:
+    def test_gateways_are_told_while_a_rank_is_slow_and_once_after(self) -> None:
+        """Guards against gateways that send work to a rank for which its whole group waits."""
+        leader = Leader()
+        leader.run(3)
+        assert not leader.told
+        leader.slowness = {2: 5}
+        leader.run(3)
+        assert leader.told
+        assert set(leader.told) == {('i-2',)}
+        leader.slowness = {}
+        leader.run(8)
+        assert leader.told[-1] == ()
+        told = len(leader.told)
+        leader.run(3)
+        assert len(leader.told) == told
+
+    def test_slow_ranks_are_watched_while_the_group_is_idle(self) -> None:
+        """Guards against a rank that gets work again, although slow, once load is low without it."""
+        leader = Leader()
+        leader.slowness = {2: 5}
+        leader.run(3)
+        told = len(leader.told)
+        leader.run(8, is_busy=False)
+        assert len(leader.told) > told
+        assert leader.told[-1] == ('i-2',)
+
+    def test_a_group_that_is_slow_as_a_whole_is_left_alone(self) -> None:
+        """Guards against a few ranks that get the work of all others."""
+        leader = Leader()
+        leader.slowness = dict.fromkeys(range(RANKS), 5.0)
+        leader.run(3)
+        assert not leader.told
+
+    def test_slow_ranks_lead_to_another_map(self) -> None:
+        """Guards against a map that leaves a slow rank its experts because popularity is even."""
+        leader = Leader()
+        leader.run(3)
+        assert 'PrepareMap' not in leader.orders
+        leader.slowness = {2: 5}
+        leader.run(3)
+        assert 'PrepareMap' in leader.orders
--- a/tests/experts/remote/test_planning.py
+++ b/tests/experts/remote/test_planning.py
@@ -5,12 +5,14 @@
 import pytest
 
 from basilcove.experts.models import Layer, Shares
-from basilcove.experts.remote.planning import first_layers, propose, skew_of
+from basilcove.experts.remote.const import RELIEF_SPEED
+from basilcove.experts.remote.planning import RankBounds, first_layers, propose, skew_of
 
 RANKS = 12
 EXPERTS = 72
 SLOTS = 8
 MAX_NEW = 3
+EQUAL = (1.0,) * RANKS
 
 
 def skewed(seed: int) -> Shares:
@@ -34,19 +36,46 @@
         """Guards against passes that wait for one rank, and maps that a rank refuses."""
         shares = skewed(seed)
         layers = first_layers(1, EXPERTS, RANKS)
-        before = skew_of(shares, layers[0])
+        before = skew_of(shares, layers[0], EQUAL)
         for _ in range(3):
-            proposal = propose((shares,), layers, SLOTS, MAX_NEW)
+            proposal = propose((shares,), layers, RankBounds(SLOTS, MAX_NEW), EQUAL)
             check(layers[0], proposal.layers[0])
             assert proposal.skew_after <= proposal.skew_before
             layers = proposal.layers
-        assert skew_of(shares, layers[0]) < max(1.25, before / 2)
+        assert skew_of(shares, layers[0], EQUAL) < max(1.25, before / 2)
 
     @pytest.mark.parametrize('seed', range(20))
     def test_maps_follow_what_is_liked(self, seed: int) -> None:
         """Guards against a plan that breaks its bounds from a map that fits other requests."""
         layers = first_layers(1, EXPERTS, RANKS)
         for step in range(4):
-            proposal = propose((skewed(100 * seed + step),), layers, SLOTS, MAX_NEW)
+            proposal = propose((skewed(100 * seed + step),), layers, RankBounds(SLOTS, MAX_NEW), EQUAL)
             check(layers[0], proposal.layers[0])
             layers = proposal.layers
+
+
+class TestRelief:
+    @pytest.mark.parametrize('seed', range(20))
+    def test_one_map_takes_the_load_off_slow_ranks(self, seed: int) -> None:
+        """Guards against a group that waits for two slow ranks through several changes of its map."""
+        shares = skewed(seed)
+        layers = first_layers(1, EXPERTS, RANKS)
+        for _ in range(3):
+            layers = propose((shares,), layers, RankBounds(SLOTS, MAX_NEW), EQUAL).layers
+        slow = random.Random(seed).sample(range(RANKS), 2)
+        speeds = tuple(0.2 if rank in slow else 1.0 for rank in range(RANKS))
+        proposal = propose((shares,), layers, RankBounds(SLOTS, MAX_NEW), speeds)
+        check(layers[0], proposal.layers[0])
+        assert proposal.skew_after < proposal.skew_before / 2
+
+    @pytest.mark.parametrize('seed', range(20))
+    def test_any_speeds_leave_a_valid_map(self, seed: int) -> None:
+        """Guards against an expert that no rank holds, or a map beyond the bounds of a rank."""
+        rng = random.Random(seed)
+        layers = first_layers(1, EXPERTS, RANKS)
+        for step in range(4):
+            speeds = tuple(rng.choice((0.1, RELIEF_SPEED, 0.9, 1.0)) for _ in range(RANKS))
+            proposal = propose((skewed(100 * seed + step),), layers, RankBounds(SLOTS, MAX_NEW), speeds)
+            check(layers[0], proposal.layers[0])
+            assert all(proposal.layers[0])
+            layers = proposal.layers
--- a/tests/gateway/test_driver.py
+++ b/tests/gateway/test_driver.py
@@ -4,6 +4,8 @@
 import pytest
 
 from basilcove.core.events import Received
+from basilcove.core.ids import InstanceId
+from basilcove.gateway.messages import SlowInstances
 from basilcove.registry.messages import Registrations
 from tests.gateway.loopback import (
     PATIENCE_S,
@@ -243,6 +245,31 @@
         run(check, first, second)
         assert second.calls[0].header('Last-Event-Id') == '2'
 
+    def test_stream_leaves_a_slow_upstream(self) -> None:
+        """Guards against a stream that a slow rank keeps, and against events lost or doubled by its move."""
+        left = asyncio.Event()
+
+        async def stuck(call: UpstreamCall) -> None:
+            await call.begin_stream()
+            await call.chunk(event(1) + b'id: 2\nda')
+            if not await call.reader.read(1):
+                left.set()
+
+        second = Upstream([streams(event(2), event(3))])
+
+        async def check(gateway: Gateway) -> None:
+            reader, writer = await gateway.connect()
+            writer.write(request('/brief/x'))
+            await asyncio.wait_for(reader.readuntil(b'part 1\n\n'), PATIENCE_S)
+            gateway.runtime.apply(Received(CONTROL, SlowInstances((InstanceId('up-0'),))))
+            rest = await asyncio.wait_for(reader.readuntil(b'0\r\n\r\n'), PATIENCE_S)
+            assert rest.count(b'part 2') == rest.count(b'part 3') == 1
+            await asyncio.wait_for(left.wait(), PATIENCE_S)
+            writer.close()
+
+        run(check, Upstream([stuck]), second)
+        assert second.calls[0].header('Last-Event-Id') == '1'
+
     def test_stream_that_can_not_go_on_does_not_look_complete(self) -> None:
         """Guards against a cut stream that looks whole to its caller."""
 
