Change a group's first map sooner, and maps sooner after a change of leader

Cause: a group forms with experts in turn, which leaves the slowest rank three times the mean load, but its map was left until 60% of the slots were taken. A new leader took 2.4 s until its first plan, 1.2 s of it between the first reading of counts and the second, whose difference it needs.

Change: the first map is looked at from 30% of the slots on; while nothing is known of popularity the second reading follows after 0.4 s.

--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -15,12 +15,16 @@
 
 # Popularity changes within seconds, and each reading is charged and pauses the group for a moment.
 COUNTS_INTERVAL_S: Final = 1.2
+# Until anything is known, as after a change of leader: the difference of two readings is needed for a map.
+FIRST_COUNTS_INTERVAL_S: Final = 0.4
 # Every so many ranks one is read: requests are spread over ranks, so a part of them is a fair sample.
 SAMPLED_RANKS: Final = 3
 # What earlier readings weigh beside the latest one.
 COUNTS_DECAY: Final = 0.3
 # Maps are changed while the group has this part of its slots taken; below it, passes are short enough.
 MIN_UTILISATION: Final = 0.6
+# The same for the first map, in which experts stand in turn; its slowest rank has some times the mean load.
+FIRST_MAP_UTILISATION: Final = 0.3
 # Expected skew, slowest over mean load of the ranks, by which a new map must be better.
 MIN_GAIN: Final = 0.25
 # The search in one layer ends here, far below what a change of popularity costs.
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -11,7 +11,13 @@
 from basilcove.core.reducer import Context, handles
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.experts.remote.calls import enter, is_agreed
-from basilcove.experts.remote.const import COUNTS_INTERVAL_S, MIN_GAIN, MIN_UTILISATION
+from basilcove.experts.remote.const import (
+    COUNTS_INTERVAL_S,
+    FIRST_COUNTS_INTERVAL_S,
+    FIRST_MAP_UTILISATION,
+    MIN_GAIN,
+    MIN_UTILISATION,
+)
 from basilcove.experts.remote.events import RankAnswered
 from basilcove.experts.remote.models import (
     ExpertLayout,
@@ -123,12 +129,16 @@
     if change.calls:
         if is_agreed(change) and any(isinstance(call, ReadCounts) for call in change.calls.values()):
             yield from survey(change, ctx.now)
-    elif ctx.now >= max(change.paused_until, change.counted_at + COUNTS_INTERVAL_S) and is_wanted:
+    elif is_wanted and ctx.now >= max(change.paused_until, change.counted_at + _interval_s(change)):
         change.counted_at = ctx.now
         age(change)
         yield from read_counts(change, ctx.now)
 
 
+def _interval_s(change: GroupChange) -> float:
+    return COUNTS_INTERVAL_S if any(change.popularity) else FIRST_COUNTS_INTERVAL_S
+
+
 def _plan(change: GroupChange, now: float) -> Iterator[Effect]:
     shares = shares_of(change)
     if shares is None:
@@ -157,4 +167,5 @@
         row = registry.rows.get(place.instance)
         slots += row.registration.slots if row is not None else 0
         taken += open_attempts.get(place.instance, 0)
-    return taken >= MIN_UTILISATION * slots
+    wanted = FIRST_MAP_UTILISATION if change.version == 0 else MIN_UTILISATION
+    return taken >= wanted * slots
--- a/tests/experts/remote/test_coordinator.py
+++ b/tests/experts/remote/test_coordinator.py
@@ -6,16 +6,27 @@
 from basilcove.core.ids import GroupName, Incarnation, InstanceId, NodeId, Rank, ServiceName
 from basilcove.core.reducer import Node, reduce
 from basilcove.experts.remote import coordinator as _remote  # noqa: F401
+from basilcove.experts.remote.const import COUNTS_INTERVAL_S
 from basilcove.experts.remote.events import CallRank, RankAnswered
 from basilcove.experts.remote.models import ExpertLayout, RemoteGroups
-from basilcove.experts.remote.orders import OrderResult, RankCounts, RankReport, ReadCounts, ReadReport, Reply
+from basilcove.experts.remote.orders import (
+    OrderResult,
+    RankCounts,
+    RankLists,
+    RankReport,
+    ReadCounts,
+    ReadLists,
+    ReadReport,
+    Reply,
+)
 from basilcove.gateway.messages import OpenAttempts, SlowInstances
 from basilcove.gateway.totals import AttemptTotals
 from basilcove.registry.models import RegistryState, Row
-from tests.gateway.world import registration
+from tests.gateway.world import SLOTS, registration
 
 GATEWAY = NodeId('gateway-1')
 RANKS = 6
+EXPERTS = 2 * RANKS
 TICK_S = 0.1
 
 
@@ -24,25 +35,24 @@
 
     def __init__(self) -> None:
         consensus = ConsensusState(NodeId('c-1'), Incarnation(1), (), standing=Standing.LEADER, term=1)
-        self.groups = RemoteGroups({ServiceName('desk'): ExpertLayout(1, 2 * RANKS, 4, 2)})
+        self.groups = RemoteGroups({ServiceName('desk'): ExpertLayout(1, EXPERTS, 4, 2)})
         registry = RegistryState(gateways={GATEWAY})
         for rank in range(RANKS):
             word = registration(f'i-{rank}', group=GroupName('g'), epoch=1, rank=Rank(rank), group_size=RANKS)
             registry.rows[word.instance] = Row(word, 0)
         self.node = Node(consensus, self.groups, registry, AttemptTotals())
         self.slowness: dict[int, float] = {}
+        self.version = 0
+        self.read_at: list[float] = []
         self.orders: list[str] = []
         self.told: list[tuple[InstanceId, ...]] = []
         self.now = 100.0
         self._counted = itertools.count(1)
 
-    def run(self, seconds: float, *, is_busy: bool = True) -> None:
-        """Let time pass; a busy group has all of its slots taken."""
-        slots = {f'i-{rank}': 4 for rank in range(RANKS)}
+    def run(self, seconds: float, *, taken: int = SLOTS) -> None:
+        """Let time pass with so many slots of each rank taken."""
         totals = self.node.part(AttemptTotals)
-        totals.reported.clear()
-        if is_busy:
-            totals.reported[GATEWAY] = OpenAttempts(slots)
+        totals.reported[GATEWAY] = OpenAttempts({f'i-{rank}': taken for rank in range(RANKS)})
         for _ in range(round(seconds / TICK_S)):
             self.now += TICK_S
             self._apply(Tick())
@@ -64,9 +74,12 @@
     def _reply(self, effect: CallRank) -> Reply:
         if isinstance(effect.call, ReadReport):
             step = int(10 * self.now)
-            return RankReport(1, step, 0, slowness=self.slowness.get(effect.rank, 1))
+            return RankReport(1, step, self.version, slowness=self.slowness.get(effect.rank, 1))
+        if isinstance(effect.call, ReadLists):
+            return RankLists(1, self.version, ((effect.rank, effect.rank + RANKS),))
         if isinstance(effect.call, ReadCounts):
-            return RankCounts(1, (10 * next(self._counted),) * 2 * RANKS)
+            self.read_at.append(self.now)
+            return RankCounts(1, (10 * next(self._counted),) * EXPERTS)
         self.orders.append(type(effect.call).__name__)
         return OrderResult.ACCEPTED
 
@@ -94,7 +107,7 @@
         leader.slowness = {2: 5}
         leader.run(3)
         told = len(leader.told)
-        leader.run(8, is_busy=False)
+        leader.run(8, taken=0)
         assert len(leader.told) > told
         assert leader.told[-1] == ('i-2',)
 
@@ -113,3 +126,24 @@
         leader.slowness = {2: 5}
         leader.run(3)
         assert 'PrepareMap' in leader.orders
+
+
+class TestCounts:
+    def test_second_reading_follows_soon_after_a_change_of_leader(self) -> None:
+        """Guards against seconds with an old map, since a first reading tells only of the past."""
+        leader = Leader()
+        leader.version = 3
+        leader.run(4)
+        first, second, third = sorted(set(leader.read_at))[:3]
+        assert second - first < COUNTS_INTERVAL_S / 2
+        assert third - second >= COUNTS_INTERVAL_S - TICK_S
+
+    def test_first_map_is_left_at_a_lower_load(self) -> None:
+        """Guards against a skewed first map until most slots are taken."""
+        leader = Leader()
+        leader.run(3, taken=SLOTS // 2)
+        assert leader.read_at
+        later = Leader()
+        later.version = 3
+        later.run(3, taken=SLOTS // 2)
+        assert not later.read_at
