Sum the slots taken only when a map is due; name calls to ranks apart from exchanges

Two classes were called Exchange; the one of calls to ranks is HttpCall now. The open attempts of all gateways were added up for each group at each tick. The new test of the control leader ran without the handlers of the replicated log and failed beside the tests that import them: it leads a group of one now.

--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -125,18 +125,18 @@
 
 
 def _look_for_better(state: RemoteGroups, change: GroupChange, ctx: Context) -> Iterator[Effect]:
-    is_wanted = bool(state.slow.get(change.identity.name)) or _is_busy(change, ctx)
     if change.calls:
         if is_agreed(change) and any(isinstance(call, ReadCounts) for call in change.calls.values()):
             yield from survey(change, ctx.now)
-    elif is_wanted and ctx.now >= max(change.paused_until, change.counted_at + _interval_s(change)):
+    elif _is_due(change, ctx.now) and (state.slow.get(change.identity.name) or _is_busy(change, ctx)):
         change.counted_at = ctx.now
         age(change)
         yield from read_counts(change, ctx.now)
 
 
-def _interval_s(change: GroupChange) -> float:
-    return COUNTS_INTERVAL_S if any(change.popularity) else FIRST_COUNTS_INTERVAL_S
+def _is_due(change: GroupChange, now: float) -> bool:
+    interval_s = COUNTS_INTERVAL_S if any(change.popularity) else FIRST_COUNTS_INTERVAL_S
+    return now >= max(change.paused_until, change.counted_at + interval_s)
 
 
 def _plan(change: GroupChange, now: float) -> Iterator[Effect]:
--- a/basilcove/experts/remote/orders.py
+++ b/basilcove/experts/remote/orders.py
@@ -110,8 +110,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Exchange:
-    """A call as HTTP."""
+class HttpCall:
+    """A call to a rank as an HTTP request."""
 
     method: bytes
     path: bytes
@@ -121,7 +121,7 @@
 class RankDialect(Protocol):
     """How ranks are spoken to."""
 
-    def encode(self, call: Order | Question, epoch: int, token: int) -> Exchange:
+    def encode(self, call: Order | Question, epoch: int, token: int) -> HttpCall:
         """Return a call as HTTP; ``token`` is the fencing token."""
 
     def decode(self, call: Order | Question, status: int, body: bytes) -> Reply:
--- a/tests/experts/remote/test_coordinator.py
+++ b/tests/experts/remote/test_coordinator.py
@@ -1,7 +1,8 @@
 import itertools
+import math
 from collections.abc import Iterable
 
-from basilcove.consensus.models import ConsensusState, Standing
+from basilcove.consensus.models import ConsensusState, Member, Members, Standing
 from basilcove.core.events import Effect, Event, Send, Tick
 from basilcove.core.ids import GroupName, Incarnation, InstanceId, NodeId, Rank, ServiceName
 from basilcove.core.reducer import Node, reduce
@@ -34,12 +35,21 @@
     """A control leader with one remote group, whose ranks answer at once."""
 
     def __init__(self) -> None:
-        consensus = ConsensusState(NodeId('c-1'), Incarnation(1), (), standing=Standing.LEADER, term=1)
+        alone = Members((Member(NodeId('c-1'), 'c-1/1', voter=True),))
+        consensus = ConsensusState(
+            NodeId('c-1'),
+            Incarnation(1),
+            (),
+            standing=Standing.LEADER,
+            member='c-1/1',
+            term=1,
+            history=[(0, alone)],
+        )
         self.groups = RemoteGroups({ServiceName('desk'): ExpertLayout(1, EXPERTS, 4, 2)})
         registry = RegistryState(gateways={GATEWAY})
         for rank in range(RANKS):
             word = registration(f'i-{rank}', group=GroupName('g'), epoch=1, rank=Rank(rank), group_size=RANKS)
-            registry.rows[word.instance] = Row(word, 0)
+            registry.rows[word.instance] = Row(word, heard_at=math.inf)
         self.node = Node(consensus, self.groups, registry, AttemptTotals())
         self.slowness: dict[int, float] = {}
         self.version = 0
