--- a/benchmarks/bench_path.py
+++ b/benchmarks/bench_path.py
@@ -28,6 +28,8 @@
 _SPARE_S = 10
 _HELD_TOKENS = 100
 _HELD_STEP_S = 0.5
+_WORDS_OF_LINKS = ('silent', 'closing the link', 'link to', 'WARNING', 'ERROR')
+_LINES_PRINTED = 20
 
 
 class _Entry:
@@ -78,7 +80,20 @@
         cluster, document = _prepare(Path(folder), held)
         with cluster:
             cluster.start_all(document)
-            return _measure(cluster, held, short)
+            try:
+                return _measure(cluster, held, short)
+            except AssertionError:
+                _print_lines_of_links(cluster)
+                raise
+
+
+def _print_lines_of_links(cluster: Cluster) -> None:
+    """Print why links ended, before the folder with the logs is removed."""
+    for name, process in cluster.processes.items():
+        lines = process.log.read_text(errors='replace').splitlines()
+        found = [line for line in lines if any(word in line for word in _WORDS_OF_LINKS)]
+        for line in found[-_LINES_PRINTED:]:
+            print(f'{name}: {line}')
 
 
 def _measure(cluster: Cluster, held: int, short: bool) -> list[Figure]:
