--- a/basilcove/gateway/outcomes.py
+++ b/basilcove/gateway/outcomes.py
@@ -6,7 +6,7 @@
 
 from basilcove.core.events import Count, Effect, Log
 from basilcove.core.reducer import Context
-from basilcove.gateway.const import DEFAULT_RETRY_AFTER_S, RETRY_AFTER_SPREAD
+from basilcove.gateway.const import DEFAULT_RETRY_AFTER_S, RETRY_AFTER_SPREAD, STOPPING_RETRY_AFTER_S
 from basilcove.gateway.events import Refuse
 from basilcove.gateway.models import GatewayState, OpenRequest
 from basilcove.helpers.hashing import stable_fraction
@@ -21,6 +21,8 @@
 
     status: HTTPStatus
     reason: str
+    # About when another try has a prospect, if the caller may return.
+    retry_after_s: float = DEFAULT_RETRY_AFTER_S
 
     @property
     def may_return(self) -> bool:
@@ -29,7 +31,7 @@
 
 
 NO_DOCUMENT: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no document is in effect')
-STOPPING: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the gateway is stopping')
+STOPPING: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the gateway is stopping', STOPPING_RETRY_AFTER_S)
 NO_ROUTE: Final = Refusal(HTTPStatus.NOT_FOUND, 'no route matches')
 BAD_KEY: Final = Refusal(HTTPStatus.UNAUTHORIZED, 'the key is unknown')
 NO_UPSTREAM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no upstream takes the request')
@@ -46,7 +48,7 @@
     retry_after_s = None
     if refusal.may_return:
         spread = 1 + RETRY_AFTER_SPREAD * stable_fraction(request_id)
-        retry_after_s = round(DEFAULT_RETRY_AFTER_S * spread, 3)
+        retry_after_s = round(refusal.retry_after_s * spread, 3)
     fields = (
         ('request', request_id),
         ('status', str(refusal.status.value)),
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -6,6 +6,7 @@
 from basilcove.core.ids import Role
 from basilcove.core.reducer import Node, reduce
 from basilcove.gateway.config import GatewayConfig, RetryConfig
+from basilcove.gateway.const import DEFAULT_RETRY_AFTER_S
 from basilcove.gateway.events import (
     AnswerBegun,
     AttemptResult,
@@ -249,6 +250,15 @@
         world.now += 3
         assert refusal(world.ask('/brief/x')).status == HTTPStatus.SERVICE_UNAVAILABLE
 
+    def test_refused_by_a_stopping_gateway_comes_back_at_once(self) -> None:
+        """Guards against an answer that is late because the caller waits for a gateway that has ended."""
+        world = World('up-1')
+        world.apply(StopRequested())
+        world.now += 4
+        found = refusal(world.ask('/brief/x'))
+        assert found.retry_after_s is not None
+        assert found.retry_after_s < DEFAULT_RETRY_AFTER_S / 2
+
     def test_stop_waits_for_open_requests(self) -> None:
         """Guards against a planned stop that cuts the requests under way."""
         world = World('up-1')
