Let callers of a starting gateway come back when it knows its document

Callers refused meanwhile came back after 0.5 to 0.75 s, many of them to be refused again without a further try.

Change: without a document they are asked to return after 1 to 1.5 s.

--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -46,6 +46,8 @@
 BUDGET_BASE_SHARE: Final = 0.5
 
 DEFAULT_RETRY_AFTER_S: Final = 0.5
+# A gateway that has just started knows its document after about a second.
+STARTING_RETRY_AFTER_S: Final = 1.0
 # A gateway that stops sends callers to another one, which can still answer within their objective.
 STOPPING_RETRY_AFTER_S: Final = 0.05
 # Callers return spread over this part of the time that they are told.
--- a/basilcove/gateway/outcomes.py
+++ b/basilcove/gateway/outcomes.py
@@ -6,7 +6,12 @@
 
 from basilcove.core.events import Count, Effect, Log
 from basilcove.core.reducer import Context
-from basilcove.gateway.const import DEFAULT_RETRY_AFTER_S, RETRY_AFTER_SPREAD, STOPPING_RETRY_AFTER_S
+from basilcove.gateway.const import (
+    DEFAULT_RETRY_AFTER_S,
+    RETRY_AFTER_SPREAD,
+    STARTING_RETRY_AFTER_S,
+    STOPPING_RETRY_AFTER_S,
+)
 from basilcove.gateway.events import Refuse
 from basilcove.gateway.models import GatewayState, OpenRequest
 from basilcove.helpers.hashing import stable_fraction
@@ -30,7 +35,9 @@
         return self.status in {HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS}
 
 
-NO_DOCUMENT: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no document is in effect')
+NO_DOCUMENT: Final = Refusal(
+    HTTPStatus.SERVICE_UNAVAILABLE, 'no document is in effect', STARTING_RETRY_AFTER_S
+)
 STOPPING: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the gateway is stopping', STOPPING_RETRY_AFTER_S)
 NO_ROUTE: Final = Refusal(HTTPStatus.NOT_FOUND, 'no route matches')
 BAD_KEY: Final = Refusal(HTTPStatus.UNAUTHORIZED, 'the key is unknown')
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -39,6 +39,14 @@
         found = refusal(effects)
         assert (found.status, found.retry_after_s is not None) == (HTTPStatus.SERVICE_UNAVAILABLE, True)
 
+    def test_without_document_callers_come_back_when_there_is_one(self) -> None:
+        """Guards against callers that are refused twice by a gateway that has just started."""
+        state = GatewayState.from_config(GatewayConfig(listen='127.0.0.1:0'), registration('x').zone)
+        head = RequestHead('r', HOST, '/lookup/x', KEY, None)
+        found = refusal(reduce(Node(state), RequestArrived(1, head), 0, 0))
+        assert found.retry_after_s is not None
+        assert found.retry_after_s >= 1
+
     def test_unknown_route_and_key(self) -> None:
         """Guards against requests that no route or team allows."""
         world = World('up-1')
