--- a/examples/demo.py
+++ b/examples/demo.py
@@ -10,6 +10,8 @@
 
 import yaml
 
+from examples.checks import expect
+from examples.platform_demo import demonstrate
 from tests.harness.cluster import Cluster
 from tests.harness.processes import ROOT, wait_for
 
@@ -22,10 +24,14 @@
     options = argparse.ArgumentParser(description=__doc__)
     options.add_argument('--serve', action='store_true', help='keep running until Ctrl-C or SIGTERM')
     options.add_argument('--listen', default=SERVE_ADDRESS, help='address of the first entry with --serve')
+    options.add_argument('--platform', action='store_true', help="show a deployment on the users' platform")
     args = options.parse_args()
     # Without a handler a SIGTERM would leave the daemons running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     with tempfile.TemporaryDirectory() as folder:
+        if args.platform:
+            demonstrate(Path(folder))
+            return 0
         first_entry = args.listen if args.serve else None
         with Cluster(Path(folder), first_entry=first_entry) as cluster:
             print('starting 3 control, 2 entry and 2 agent processes and 2 stand-ins')
@@ -44,18 +50,18 @@
     answer = cluster.call('entry-1', 'POST', '/v1/chat/completions', body, headers=urgent)
     events = answer.data.decode().strip().split('\n\n')
     print(f'streamed model request: {answer.status}, {len(events)} events, last: {events[-1]}')
-    _expect(answer.status == HTTPStatus.OK and events[-1] == 'data: [DONE]')
+    expect(answer.status == HTTPStatus.OK and events[-1] == 'data: [DONE]')
     answer = cluster.call('entry-2', 'GET', '/services/hire/stock')
     print(f'stock lookup: {answer.status} {answer.data.decode()}')
-    _expect(answer.status == HTTPStatus.OK)
+    expect(answer.status == HTTPStatus.OK)
     keyed = {'Idempotency-Key': 'demo-booking-1'}
     for entry in ('entry-1', 'entry-2'):
         answer = cluster.call(entry, 'POST', '/services/hire/bookings', {'cart': 'A7'}, headers=keyed)
         print(f'booking charge through {entry}, same key: {answer.status} {answer.data.decode()}')
-        _expect(answer.status == HTTPStatus.CREATED)
+        expect(answer.status == HTTPStatus.CREATED)
     runs = len(cluster.state_of('hire-1')['bookings'])
     print(f'booking runs at the service: {runs}')
-    _expect(runs == 1)
+    expect(runs == 1)
     _change_document(cluster, folder)
 
 
@@ -75,7 +81,7 @@
     print(f'in effect at both entries after {time.monotonic() - started:.2f} s')
     refused = cluster.cli('promote', 'demo', '--expected-revision', '2', '--request-id', 'third', check=False)
     print(f'promotion without evidence: exit {refused["exit"]}, {refused["content"]}')
-    _expect(refused['exit'] == 1)
+    expect(refused['exit'] == 1)
 
 
 def _status(cluster: Cluster, entry: str, body: dict[str, object]) -> int:
@@ -109,10 +115,5 @@
     return {'role': 'user', 'content': 'Is the track past the mill open?'}
 
 
-def _expect(met: bool) -> None:
-    if not met:
-        sys.exit('the demonstration failed: the result above is not the expected one')
-
-
 if __name__ == '__main__':
     sys.exit(main())
--- /dev/null
+++ b/tests/harness/platform.py
@@ -0,0 +1,158 @@
+"""A deployment as on the users' platform: its settings, calls and names, with a stand-in engine."""
+
+import json
+import os
+import subprocess
+import sys
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from tests.harness.processes import ROOT, free_address, wait_for
+from tests.harness.templates import render
+
+CONTROL = ('127.77.0.1', '127.77.0.2', '127.77.0.3')
+GATEWAY = '127.77.0.4'
+HTTP = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(connect=1, read=6))
+
+
+class Engine(BaseHTTPRequestHandler):
+    """A stand-in engine that names itself and the request in its answers."""
+
+    protocol_version = 'HTTP/1.1'
+
+    def do_POST(self) -> None:
+        """Answer with the engine's port."""
+        self.rfile.read(int(self.headers.get('Content-Length', 0)))
+        body = self.server.server_address[1].to_bytes(2).hex().encode()
+        self.send_response(200)
+        self.send_header('X-Basilcove-Attempt-Id', self.headers['X-Basilcove-Attempt-Id'])
+        self.send_header('X-Basilcove-Server-Signature', 'signed')
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_: object) -> None:
+        """Write nothing."""
+
+
+class Deployment:
+    """Three control hosts and a gateway, started as on the platform, each on its own loopback address."""
+
+    def __init__(self, folder: Path) -> None:
+        """Start the engine."""
+        self.folder = folder
+        self.ports = {
+            name: int(free_address().rpartition(':')[2]) for name in ('api', 'rpc', 'http', 'ready')
+        }
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.engine = ThreadingHTTPServer(('127.0.0.1', 0), Engine)
+        threading.Thread(target=self.engine.serve_forever, daemon=True).start()
+
+    def start(self, address: str, *, first: bool = True) -> None:
+        """Start a process with settings filled in from the fields of the platform."""
+        template = 'gateway.yaml' if address == GATEWAY else 'control.yaml'
+        fields = {
+            'ip': address,
+            'zone': 'a',
+            'seed_nodes': [f'{host}:{self.ports["api"]}' for host in CONTROL],
+            'internal_ports': [self.ports['rpc'], self.ports['rpc'] + 1],
+            'bootstrap': first,
+            'data_dir': str(self.folder / address),
+            'listen': {
+                'control_plane': f'{address}:{self.ports["api"]}',
+                'frontend': f'{address}:{self.ports["http"]}',
+                'readiness': f'{address}:{self.ports["ready"]}',
+            },
+            'bounds': {'retry_budget_ratio': 0.2, 'retry_min_extra': 90, 'retry_window_s': 10},
+        }
+        settings = self.folder / f'{address}.yaml'
+        settings.write_text(render(ROOT / 'platform' / template, fields))
+        with (self.folder / f'{address}.log').open('ab') as log:
+            self.processes[address] = subprocess.Popen(
+                [sys.executable, 'platform/basilcoved.py'],
+                cwd=ROOT,
+                env={**os.environ, 'BASILCOVE_CONFIG': str(settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        self.engine.shutdown()
+
+    def call(self, host: str, method: str, path: str, content: Any = None) -> tuple[int, bytes]:
+        """Call a control host; status 0 if it gives no answer."""
+        body = None if content is None else json.dumps(content).encode()
+        try:
+            answer = HTTP.request(method, f'http://{host}:{self.ports["api"]}{path}', body=body)
+        except urllib3.exceptions.HTTPError:
+            return 0, b''
+        return answer.status, answer.data
+
+    def put(self, content: dict[str, Any]) -> int:
+        """Send a configuration to one host after another until one gives a clear answer."""
+
+        def sent() -> int:
+            for host in CONTROL:
+                status, _ = self.call(host, 'PUT', '/config', content)
+                if status in {200, 400}:
+                    return status
+            return 0
+
+        return wait_for(sent, 'a clear answer to a configuration')
+
+    def announce(self, sequence: int, state: str = 'ready') -> None:
+        """Announce the engine at the first host that answers."""
+        content = {
+            'service': 'desk',
+            'address': f'127.0.0.1:{self.engine.server_address[1]}',
+            'zone': 'a',
+            'slots': 4,
+            'state': state,
+            'sequence': sequence,
+            'born': 1,
+        }
+
+        def is_acknowledged() -> bool:
+            return any(self.call(host, 'PUT', '/instances/i-1', content)[0] == 200 for host in CONTROL)
+
+        wait_for(is_acknowledged, 'an acknowledged announcement')
+
+    def ask(self, path: str = '/book/x', key: str = 'k-1') -> int:
+        """Return the status of a caller's request; 0 without an answer."""
+        headers = {
+            'Host': 'desk.example',
+            'Authorization': f'Token {key}',
+            'X-Basilcove-Attempt-Id': 'r-1',
+            'X-Basilcove-Deadline-Ms': '3000',
+        }
+        url = f'http://{GATEWAY}:{self.ports["http"]}{path}'
+        try:
+            return HTTP.request('POST', url, headers=headers, body=b'x').status
+        except urllib3.exceptions.HTTPError:
+            return 0
+
+
+def configuration(version: int, key: str = 'k-1') -> dict[str, Any]:
+    """Return an operator's configuration with one route, service and tenant."""
+    route = {
+        'name': 'r-1',
+        'hostname': 'desk.example',
+        'path_prefix': '/book/',
+        'type': 'unsafe',
+        'timeout_ms': 3000,
+        'service': 'desk',
+    }
+    return {
+        'version': version,
+        'routes': [route],
+        'services': [{'name': 'desk'}],
+        'tenants': [{'name': 't-1', 'api_keys': [key]}],
+    }
