Fuzz the survey of ranks before each change of a map

The simulated leaders read the state of all ranks before they plan, as the control leader does, so lost and late orders meet these phases, too.

--- a/tests/experts/remote/ranks.py
+++ b/tests/experts/remote/ranks.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from basilcove.core.ids import GroupName, InstanceId, Rank, ServiceName
+from basilcove.experts.remote.calls import enter
 from basilcove.experts.remote.events import CallRank, RankAnswered
 from basilcove.experts.remote.models import ExpertLayout, GroupChange, GroupIdentity, Phase, RankAddress
 from basilcove.experts.remote.orders import (
@@ -23,7 +24,7 @@
     ReleaseStep,
     Reply,
 )
-from basilcove.experts.remote.phases import advance, start_change, take_answer
+from basilcove.experts.remote.phases import advance, start_change, survey, take_answer
 from basilcove.experts.remote.planning import first_layers
 
 LAYOUT = ExpertLayout(2, 6, 3, 1)
@@ -87,6 +88,9 @@
             return
         self._carry_out(change, list(advance(change, self.now)))
         if change.phase is Phase.IDLE and not change.calls and self.now >= change.paused_until:
+            self._carry_out(change, list(survey(change, self.now)))
+        elif change.phase is Phase.SURVEYED:
+            self._carry_out(change, list(enter(change, Phase.IDLE, self.now)))
             # Each leader has another opinion of the best map, and a new one each time.
             rotation = (change.token + change.changes) % RANKS
             layers = tuple(
