--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -33,6 +33,8 @@
 # Results that say nothing good of the upstream.
 _FAILURES = frozenset((AttemptResult.UNSENT, AttemptResult.FAILED, AttemptResult.LOST, AttemptResult.BROKEN))
 
+_PLANNED_ENDS = frozenset((AttemptResult.ANSWERED, AttemptResult.MOVED))
+
 
 def follows(*results: AttemptResult) -> Callable[[Follow], Follow]:
     """Register the function that decides what follows from an attempt's end."""
@@ -113,7 +115,7 @@
         ('reason', event.reason),
         *progress_of(req, ctx.now),
     )
-    level = 'info' if event.result is AttemptResult.ANSWERED else 'warning'
+    level = 'info' if event.result in _PLANNED_ENDS else 'warning'
     counted = Count('gateway_attempts', (('result', event.result.value),))
     return [Log(level, 'attempt ended', fields), counted, *effects]
 
@@ -123,7 +125,8 @@
         known.note_load(event.load, now)
     if event.result is AttemptResult.MISDIRECTED:
         known.is_misdirected = True
-    known.note_result(now, failed=event.result in _FAILURES)
+    if event.result is not AttemptResult.MOVED:
+        known.note_result(now, failed=event.result in _FAILURES)
 
 
 @follows(AttemptResult.ANSWERED)
@@ -162,12 +165,20 @@
         req.last_event = event.last_event
     # Without the id of an event there is nothing to go on from.
     can_go_on = req.is_repeatable and (not req.has_begun or bool(req.last_event))
-    is_paid, req.is_moving = req.is_moving, False
-    if can_go_on and (is_paid or take_repeat(state, req, ctx)):
+    if can_go_on and take_repeat(state, req, ctx):
         return start_attempt(state, req, ctx)
     return _give_up(state, req, ctx)
 
 
+@follows(AttemptResult.MOVED)
+def _after_move(state: GatewayState, req: OpenRequest, event: AttemptEnded, ctx: Context) -> list[Effect]:
+    req.may_have_run = True
+    req.last_event = event.last_event
+    req.is_moving = False
+    # The budget was charged when the move was decided.
+    return start_attempt(state, req, ctx)
+
+
 def take_repeat(state: GatewayState, req: OpenRequest, ctx: Context) -> bool:
     """Spend a repeat of the budget if a request may be sent to another upstream."""
     if req.sent >= req.named.route.max_upstreams or not _has_candidate(state, req, ctx):
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -125,11 +125,11 @@
         if exchange is not None and exchange.attempt is not None:
             exchange.attempt.cancel()
 
-    def move(self, effect: MoveAttempt) -> None:
+    def move(self, key: int) -> None:
         """End the attempt of a stream that goes on elsewhere."""
-        exchange = self._exchanges.get(effect.key)
+        exchange = self._exchanges.get(key)
         if exchange is not None and exchange.attempt is not None:
-            exchange.attempt.abandon('moved from a slow upstream')
+            exchange.attempt.move('moved from a slow upstream')
 
     def refuse(self, effect: Refuse) -> None:
         """Answer a request by the gateway itself."""
@@ -251,7 +251,7 @@
 
 @carries_out(MoveAttempt, GatewayDriver)
 def _move(driver: GatewayDriver, effect: MoveAttempt) -> None:
-    driver.move(effect)
+    driver.move(effect.key)
 
 
 @carries_out(Refuse, GatewayDriver)
--- a/basilcove/gateway/events.py
+++ b/basilcove/gateway/events.py
@@ -24,6 +24,8 @@
     LOST = 'lost'
     # The caller has been sent a part of the answer.
     BROKEN = 'broken'
+    # The gateway ended it itself, to go on at another upstream.
+    MOVED = 'moved'
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,10 +109,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveAttempt(Effect):
-    """Ends the attempt of a stream and reports how far it got, so that it goes on at another upstream."""
+    """Ends the attempt of a stream and reports how far it got, so that it goes on at another upstream.
+
+    A stream that has begun without ids of its events stays.
+    """
 
     key: int
-    number: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -77,13 +77,16 @@
     def cancel(self) -> None:
         """Close the connection to the upstream, which ends its work."""
         self._is_over = True
-        if self.conn is not None:
-            self.conn.close()
+        self._close()
 
-    def abandon(self, reason: str) -> None:
-        """Report that the answer will not be whole, and close the connection to the upstream."""
-        if not self._is_over:
-            self._break(reason)
+    def move(self, reason: str) -> None:
+        """End the attempt at its upstream, unless nothing tells where another upstream would go on."""
+        can_go_on = not self._exchange.has_begun or bool(self._exchange.splitter.last_event)
+        if self._is_over or not can_go_on:
+            return
+        self._drop_cut_event()
+        self._finish(AttemptResult.MOVED, reason)
+        self._close()
 
     # Reader.
 
@@ -201,13 +204,18 @@
 
     def _break(self, reason: str) -> None:
         self._lose(reason)
+        self._close()
+
+    def _close(self) -> None:
         if self.conn is not None:
             self.conn.close()
 
-    def _lose(self, reason: str) -> None:
+    def _drop_cut_event(self) -> None:
         # The rest of a cut event is sent anew by the upstream that goes on.
-        last_event = self._exchange.splitter.last_event
-        self._exchange.splitter = EventSplitter(last_event)
+        self._exchange.splitter = EventSplitter(self._exchange.splitter.last_event)
+
+    def _lose(self, reason: str) -> None:
+        self._drop_cut_event()
         self._finish(AttemptResult.BROKEN if self._exchange.has_begun else AttemptResult.LOST, reason)
 
     def _finish(self, result: AttemptResult, reason: str = '') -> None:
--- a/tests/gateway/test_driver.py
+++ b/tests/gateway/test_driver.py
@@ -270,6 +270,32 @@
         run(check, Upstream([stuck]), second)
         assert second.calls[0].header('Last-Event-Id') == '1'
 
+    def test_stream_without_ids_stays_at_a_slow_upstream(self) -> None:
+        """Guards against a sound stream that a move breaks off, as nothing tells where it would go on."""
+        told = asyncio.Event()
+
+        async def unnamed(call: UpstreamCall) -> None:
+            await call.begin_stream()
+            await call.chunk(b'data: part 1\n\n')
+            await told.wait()
+            await call.chunk(b'data: part 2\n\n')
+            await call.chunk(b'')
+
+        second = Upstream([streams(event(1))])
+
+        async def check(gateway: Gateway) -> None:
+            reader, writer = await gateway.connect()
+            writer.write(request('/brief/x'))
+            await asyncio.wait_for(reader.readuntil(b'part 1\n\n'), PATIENCE_S)
+            gateway.runtime.apply(Received(CONTROL, SlowInstances((InstanceId('up-0'),))))
+            told.set()
+            rest = await asyncio.wait_for(reader.readuntil(b'0\r\n\r\n'), PATIENCE_S)
+            assert b'part 2' in rest
+            writer.close()
+
+        run(check, Upstream([unnamed]), second)
+        assert not second.calls
+
     def test_stream_that_can_not_go_on_does_not_look_complete(self) -> None:
         """Guards against a cut stream that looks whole to its caller."""
 
