Soak the platform's deployment under faults from outside its processes

What was lacking: script/soak broke the processes of a deployment with agents, without a proxy, a full or lost disk, or the platform's interface. Change: script/soak plays three control hosts and three gateways with the platform's settings behind loopback proxies. Faults come in series and overlap; docs/proofs.md lists them, what is checked and what is not covered. The former soak is script/soak agents. tests/soak plants violations that the checks must see, and plays a short seeded run. Found while it was built: resetting a connection that is closed raised OSError; the test failed first.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,4 +1,4 @@
-"""Runs a deployment of real processes under load and random failures; see ``script/soak --help``.
+"""Runs a deployment of real processes under load and random failures; see ``script/soak agents --help``.
 
 Checked are: a stream that ends in ``[DONE]`` holds exactly its tokens, one that breaks ends in an error
 event, no booking runs twice, one that was refused as ``not_run`` did not run, one that was confirmed ran, and
@@ -204,7 +204,7 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run one deployment; returns 1 if anything that must hold did not."""
-    parser = argparse.ArgumentParser(prog='script/soak', description=__doc__)
+    parser = argparse.ArgumentParser(prog='script/soak agents', description=__doc__)
     parser.add_argument('--seconds', type=float, default=60, help='begin no new failure after this time')
     parser.add_argument('--seed', type=int, default=1, help='seed of the failures and of the callers')
     parser.add_argument('--logs', type=Path, help='keep settings and logs here if anything fails')
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real processes under faults that come from outside them."""
--- /dev/null
+++ b/soak/calls.py
@@ -0,0 +1,26 @@
+"""Calls of operators and engines to control hosts."""
+
+import asyncio
+
+from soak.const import CALL_TIMEOUT_S
+from soak.http import BrokenError, Message, read_message, write_message
+
+
+async def call(address: str, method: str, path: str, body: bytes = b'') -> Message | None:
+    """Return the whole answer of a host, or None without one in time."""
+    try:
+        return await asyncio.wait_for(_call(address, method, path, body), CALL_TIMEOUT_S)
+    except (BrokenError, OSError, TimeoutError):
+        return None
+
+
+async def _call(address: str, method: str, path: str, body: bytes) -> Message | None:
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        headers = {'Host': host, 'Content-Type': 'application/json', 'Connection': 'close'}
+        writer.write(write_message(f'{method} {path} HTTP/1.1', headers, body))
+        found = await read_message(reader)
+    finally:
+        writer.close()
+    return found if found.is_whole else None
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,125 @@
+"""The deployment of the soak: real processes, engines and callers with proxies between them."""
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import ClassVar
+
+import yaml
+
+from soak.callers import Callers
+from soak.const import BUDGET_BASE, BUDGET_RATIO, BUDGET_WINDOW_S, CONTROL, ENGINES, GATEWAYS
+from soak.engines import Engine
+from soak.ledger import Ledger
+from soak.proxy import Proxy
+from tests.harness.platform import PlatformProcesses
+
+# Teams' keys by name.
+KEYS = {'shire': 'k-shire', 'pizarra': 'k-pizarra', 'minor': 'k-minor'}
+
+
+def behind(address: str) -> str:
+    """Return the address that a proxy forwards to."""
+    return address.replace('127.77.', '127.78.')
+
+
+class SoakProcesses(PlatformProcesses):
+    """Three control hosts and three gateways, reached through proxies but for the API of control hosts."""
+
+    gateways = GATEWAYS
+    bounds: ClassVar[dict[str, float]] = {
+        'retry_budget_ratio': BUDGET_RATIO,
+        'retry_min_extra': BUDGET_BASE,
+        'retry_window_s': BUDGET_WINDOW_S,
+    }
+
+    def settings(self, address: str, *, first: bool) -> str:
+        """Return settings whose links and gateways listen behind the proxies."""
+        content = yaml.safe_load(super().settings(address, first=first))
+        for name, section in content.items():
+            if name in {'rpc', 'gateway'}:
+                section['listen'] = behind(section['listen'])
+        return yaml.safe_dump(content)
+
+
+@dataclass(slots=True)
+class World:
+    """Everything that runs; ``busy`` names the processes, engines and proxies that a fault has now."""
+
+    processes: SoakProcesses
+    ledger: Ledger
+    callers: Callers
+    engines: dict[str, Engine]
+    proxies: dict[str, Proxy]
+    rng: random.Random
+    busy: set[str] = field(default_factory=set)
+    # Times from the begin to the end of each fault, the end None while it lasts.
+    spans: 'list[FaultSpan]' = field(default_factory=list)
+    # Changes whenever a process starts.
+    starts: Counter[str] = field(default_factory=Counter)
+    tasks: list['asyncio.Task[None]'] = field(default_factory=list)
+
+    @classmethod
+    def from_seed(cls, folder: Path, seed: int) -> 'World':
+        """Prepare a deployment."""
+        processes = SoakProcesses(folder)
+        ledger = Ledger()
+        ports = processes.ports
+        owners: dict[str, str] = {}
+        callers = Callers(ledger, KEYS, owners, ports['http'], itertools.count(1))
+        engines = {
+            address: Engine(
+                f'{behind(address)}:{ports["ready"]}',
+                f'{address}:{ports["ready"]}',
+                ports['api'],
+                ledger,
+                owners,
+                random.Random(f'{seed} {address}'),
+            )
+            for address in ENGINES
+        }
+        listens = {
+            **{address: f'{address}:{ports["rpc"]}' for address in CONTROL},
+            **{address: f'{address}:{ports["http"]}' for address in GATEWAYS},
+            **{address: f'{address}:{ports["ready"]}' for address in ENGINES},
+        }
+        proxies = {address: Proxy(listen, behind(listen)) for address, listen in listens.items()}
+        return cls(processes, ledger, callers, engines, proxies, random.Random(seed))
+
+    async def setup(self) -> None:
+        """Start all but the callers."""
+        for proxy in self.proxies.values():
+            await proxy.setup()
+        for address in (*CONTROL, *GATEWAYS):
+            self.start(address, first=True)
+        for engine in self.engines.values():
+            await engine.setup()
+
+    def start(self, address: str, *, first: bool = False) -> None:
+        """Start a process."""
+        self.starts[address] += 1
+        self.processes.start(address, first=first)
+
+    async def unload(self) -> None:
+        """End everything that was started."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.processes.stop()
+        for engine in self.engines.values():
+            await engine.unload()
+        for proxy in self.proxies.values():
+            await proxy.unload()
+
+
+@dataclass(slots=True)
+class FaultSpan:
+    """A fault and when it lasted, in monotonic seconds."""
+
+    name: str
+    targets: tuple[str, ...]
+    begun_at: float
+    ended_at: float | None = None
--- /dev/null
+++ b/soak/ledger.py
@@ -0,0 +1,58 @@
+"""What engines and callers saw of each request."""
+
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Arrival:
+    """A request at an engine; times are monotonic seconds, ``ended_at`` is None while it runs."""
+
+    instance: str
+    at: float
+    has_run: bool
+    ended_at: float | None = None
+
+
+@dataclass(slots=True)
+class Signed:
+    """What an engine answered under one signature."""
+
+    request_id: str
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class Asked:
+    """A request as its caller knows it; ``status`` is 0 without an answer."""
+
+    request_id: str
+    kind: str
+    sent_at: float
+    status: int = 0
+    is_whole: bool = False
+    left_at: float | None = None
+    ended_at: float = 0
+    # Nothing was sent: no connection could be opened.
+    is_unsent: bool = False
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Requests by id, and faults that were seen at once."""
+
+    arrivals: defaultdict[str, list[Arrival]] = field(default_factory=lambda: defaultdict(list))
+    signed: dict[str, Signed] = field(default_factory=dict)
+    asked: dict[str, Asked] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)
+    started_at: float = field(default_factory=time.monotonic)
+
+    def note_fault(self, text: str) -> None:
+        """Record that something that must hold did not."""
+        self.faults.append(f'{time.monotonic() - self.started_at:.2f} s: {text}')
+
+    def runs(self, request_id: str) -> int:
+        """Return how many times a request ran."""
+        return sum(arrival.has_run for arrival in self.arrivals.get(request_id, ()))
--- a/tests/harness/platform.py
+++ b/tests/harness/platform.py
@@ -7,7 +7,7 @@
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import urllib3
 
@@ -39,22 +39,27 @@
         """Write nothing."""
 
 
-class Deployment:
-    """Three control hosts and a gateway, started as on the platform, each on its own loopback address."""
+class PlatformProcesses:
+    """Control hosts and gateways, started as on the platform, each on its own loopback address."""
+
+    gateways: tuple[str, ...] = (GATEWAY,)
+    bounds: ClassVar[dict[str, float]] = {
+        'retry_budget_ratio': 0.2,
+        'retry_min_extra': 90,
+        'retry_window_s': 10,
+    }
 
     def __init__(self, folder: Path) -> None:
-        """Start the engine."""
+        """Keep settings, logs and data in a folder."""
         self.folder = folder
         self.ports = {
             name: int(free_address().rpartition(':')[2]) for name in ('api', 'rpc', 'http', 'ready')
         }
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.engine = ThreadingHTTPServer(('127.0.0.1', 0), Engine)
-        threading.Thread(target=self.engine.serve_forever, daemon=True).start()
 
-    def start(self, address: str, *, first: bool = True) -> None:
-        """Start a process with settings filled in from the fields of the platform."""
-        template = 'gateway.yaml' if address == GATEWAY else 'control.yaml'
+    def settings(self, address: str, *, first: bool) -> str:
+        """Return the settings of a process, filled in from the fields of the platform."""
+        template = 'gateway.yaml' if address in self.gateways else 'control.yaml'
         fields = {
             'ip': address,
             'zone': 'a',
@@ -67,15 +72,19 @@
                 'frontend': f'{address}:{self.ports["http"]}',
                 'readiness': f'{address}:{self.ports["ready"]}',
             },
-            'bounds': {'retry_budget_ratio': 0.2, 'retry_min_extra': 90, 'retry_window_s': 10},
+            'bounds': self.bounds,
         }
-        settings = self.folder / f'{address}.yaml'
-        settings.write_text(render(ROOT / 'platform' / template, fields))
+        return render(ROOT / 'platform' / template, fields)
+
+    def start(self, address: str, *, first: bool = True) -> None:
+        """Start a process."""
+        path = self.folder / f'{address}.yaml'
+        path.write_text(self.settings(address, first=first))
         with (self.folder / f'{address}.log').open('ab') as log:
             self.processes[address] = subprocess.Popen(
                 [sys.executable, 'platform/basilcoved.py'],
                 cwd=ROOT,
-                env={**os.environ, 'BASILCOVE_CONFIG': str(settings)},
+                env={**os.environ, 'BASILCOVE_CONFIG': str(path)},
                 stdout=log,
                 stderr=log,
             )
@@ -85,6 +94,20 @@
         for process in self.processes.values():
             process.kill()
             process.wait()
+
+
+class Deployment(PlatformProcesses):
+    """Three control hosts and a gateway, with a stand-in engine."""
+
+    def __init__(self, folder: Path) -> None:
+        """Start the engine."""
+        super().__init__(folder)
+        self.engine = ThreadingHTTPServer(('127.0.0.1', 0), Engine)
+        threading.Thread(target=self.engine.serve_forever, daemon=True).start()
+
+    def stop(self) -> None:
+        """End all processes and the engine."""
+        super().stop()
         self.engine.shutdown()
 
     def call(self, host: str, method: str, path: str, content: Any = None) -> tuple[int, bytes]:
