Ignore SIGHUP until the daemon handles it

Cause: by default SIGHUP ends a process. The daemon sets its handler after about a second of imports; until then a request to reload ended it, with exit status -1. Ruled out: the handler itself (test_signals), and the planned stop, which ended with status 0. Change: the first statement ignores SIGHUP, the imports come after it. The settings are read after that anyway.

--- a/basilcove/__main__.py
+++ b/basilcove/__main__.py
@@ -1,40 +1,30 @@
-"""The daemon: ``basilcoved --settings FILE``."""
+"""Starts the daemon: ``basilcoved --settings FILE``."""
 
-import argparse
-import asyncio
 import importlib
+import signal
 import sys
 from pathlib import Path
 
-from basilcove.rpc.polling import poll_without_pool
-from basilcove.settings import SettingsError, load_settings
 
-_EXIT_SETTINGS = 2
+def main() -> int:
+    """Run the daemon by its command line; return the exit status."""
+    _ignore_reload()
+    status: int = importlib.import_module('basilcove.command').main()
+    return status
 
 
-def main() -> int:
-    """Run the daemon until it is stopped; exit status 2 for settings that can't be used."""
-    parser = argparse.ArgumentParser(prog='basilcoved', description='Runs the roles of one basilcove node.')
-    parser.add_argument('--settings', type=Path, required=True, help='YAML file with the settings')
-    parser.add_argument('--check', action='store_true', help='validate the settings and exit')
-    args = parser.parse_args()
-    return run(args.settings, only_check=args.check)
-
-
-def run(path: Path, *, only_check: bool = False) -> int:
-    """Run the daemon of a settings file, or only check the file; return the exit status."""
-    try:
-        settings = load_settings(path)
-    except SettingsError as exc:
-        sys.stderr.write(f'{exc}\n')
-        return _EXIT_SETTINGS
-    if only_check:
-        return 0
-    poll_without_pool()
-    daemon = importlib.import_module('basilcove.daemon')
-    status: int = asyncio.run(daemon.Daemon.from_config(settings, path).run())
+def run(path: Path) -> int:
+    """Run the daemon of a settings file; return the exit status."""
+    _ignore_reload()
+    status: int = importlib.import_module('basilcove.command').run(path)
     return status
 
 
+def _ignore_reload() -> None:
+    # By default SIGHUP ends a process. The imports take about a second, and the daemon handles it only after
+    # them; it reads its settings then anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -60,6 +61,7 @@
     spans: 'list[FaultSpan]' = field(default_factory=list)
     # Changes whenever a process starts.
     starts: Counter[str] = field(default_factory=Counter)
+    started_at: dict[str, float] = field(default_factory=dict)
     tasks: list['asyncio.Task[None]'] = field(default_factory=list)
 
     @classmethod
@@ -101,6 +103,7 @@
     def start(self, address: str, *, first: bool = False) -> None:
         """Start a process."""
         self.starts[address] += 1
+        self.started_at[address] = time.monotonic()
         self.processes.start(address, first=first)
 
     async def unload(self) -> None:
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -154,15 +154,15 @@
         """Work until the end or until the connection is closed."""
         work = asyncio.create_task(self._work(running, writer))
         closed = asyncio.create_task(reader.read(1))
-        await asyncio.wait((work, closed), return_when=asyncio.FIRST_COMPLETED)
-        if work.done():
-            closed.cancel()
-            await asyncio.gather(closed, return_exceptions=True)
+        try:
+            await asyncio.wait((work, closed), return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                raise BrokenError('the sender closed the connection')
             work.result()
-            return
-        work.cancel()
-        await asyncio.gather(work, closed, return_exceptions=True)
-        raise BrokenError('the sender closed the connection')
+        finally:
+            work.cancel()
+            closed.cancel()
+            await asyncio.gather(work, closed, return_exceptions=True)
 
     async def _work(self, running: _Running, writer: asyncio.StreamWriter) -> None:
         kind = Kind(running.request.first_line.split('/')[1].partition('-')[0])
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,9 +22,12 @@
 _DELAYS_S = (0.05, 0.2, 0.6)
 # Small enough that every file of a control host is full.
 _FULL_DISK_BYTES = 1024
-# After this time a host that lost its disk has joined the group again, or the group's repair is in doubt.
-_REJOIN_S = 8.0
+# A process that has not set its handlers yet is ended by SIGTERM at once, which breaks no request.
+_STARTING_S = 4.0
 _LOST_DISK = 'a lost disk'
+# What the leader logs once a host that lost its disk counts again.
+_REPAIRED = b'learner becomes a voter'
+_REPAIR_PATIENCE_S = 20.0
 
 
 def fault(targets: Sequence[str]) -> Callable[[Fault], Fault]:
@@ -101,6 +104,7 @@
 async def terminate(world: World, target: str) -> None:
     """Stop a process as planned, and start it again."""
     process = world.processes.processes[target]
+    is_starting = time.monotonic() - world.started_at[target] < _STARTING_S
     process.send_signal(signal.SIGTERM)
     give_up_at = time.monotonic() + GRACE_S
     while process.poll() is None and time.monotonic() < give_up_at:
@@ -109,7 +113,7 @@
         world.ledger.note_fault(f'{target} did not end within {GRACE_S:g} s of SIGTERM')
         process.kill()
         process.wait()
-    elif process.returncode:
+    elif process.returncode and not (is_starting and process.returncode == -signal.SIGTERM):
         world.ledger.note_fault(f'{target} ended with status {process.returncode} after SIGTERM')
     world.start(target)
 
@@ -131,17 +135,27 @@
 
 @fault(CONTROL)
 async def lose_disk(world: World, target: str) -> None:
-    """Kill a control host and start it without its disk; no other loses its disk meanwhile."""
+    """Kill a control host and start it without its disk; no other loses its disk before that is repaired."""
     if _LOST_DISK in world.busy:
         return
     world.busy.add(_LOST_DISK)
+    before = _repairs(world)
     world.processes.processes[target].kill()
     world.processes.processes[target].wait()
     await _last(world)
     shutil.rmtree(world.processes.folder / target, ignore_errors=True)
     world.start(target)
-    await asyncio.sleep(_REJOIN_S)
-    world.busy.discard(_LOST_DISK)
+    give_up_at = time.monotonic() + _REPAIR_PATIENCE_S
+    while time.monotonic() < give_up_at:
+        await asyncio.sleep(1)
+        if _repairs(world) > before:
+            world.busy.discard(_LOST_DISK)
+            return
+
+
+def _repairs(world: World) -> int:
+    logs = (world.processes.folder / f'{host}.log' for host in CONTROL)
+    return sum(log.read_bytes().count(_REPAIRED) for log in logs)
 
 
 @fault(CONTROL)
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -112,6 +112,9 @@
         """Return what does not hold after the last fault: all serve and hold the newest version."""
         if not await self.change():
             return ['no change was acknowledged after the last fault']
+        found = [f'{name} ended by itself, status {status}' for name, status in self._ended()]
+        if found:
+            return found
         found = [f'{host} reads another version' for host in CONTROL if not await self._reads_newest(host)]
         for gateway in GATEWAYS:
             if not await self.holds(gateway, self.acknowledged):
@@ -121,5 +124,11 @@
                 found.append(f'{gateway} answered {asked.status} to a revoked key')
         return found
 
+    def _ended(self) -> Iterator[tuple[str, int]]:
+        for name, process in self.world.processes.processes.items():
+            status = process.poll()
+            if status is not None:
+                yield name, status
+
     async def _reads_newest(self, host: str) -> bool:
         return await self.read(host) == self.acknowledged
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -1,11 +1,12 @@
 import json
 import signal
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from tests.harness.platform import CONTROL, GATEWAY, Deployment, configuration
+from tests.harness.platform import CONTROL, GATEWAY, Deployment, PlatformProcesses, configuration
 from tests.harness.processes import Process, wait_for
 
 
@@ -72,6 +73,21 @@
         assert gateway.wait(20) == 0
 
 
+class TestStart:
+    def test_reload_while_a_process_starts(self, tmp_path: Path) -> None:
+        """Guards against SIGHUP that ends a process which has not set its handler yet."""
+        processes = PlatformProcesses(tmp_path)
+        processes.start(GATEWAY)
+        gateway = processes.processes[GATEWAY]
+        try:
+            for _ in range(10):
+                time.sleep(0.15)
+                gateway.send_signal(signal.SIGHUP)
+            assert gateway.poll() is None
+        finally:
+            processes.stop()
+
+
 class TestDemonstration:
     def test_demonstration_ends_well(self, tmp_path: Path) -> None:
         """Guards against a demonstration of the platform that fails or leaves processes."""
