Take part again once a full disk has space, and go on writing log lines

Cause: a control host whose disk was full for a moment stayed out until its process was started again, as the storage thread ended with the first failed write; a second host that then lost its disk left the group without a majority. And the thread that writes log lines ended with the first write that found no space. Ruled out: links (all hosts were linked 1 s after the last fault), terms and logs (the host had the newest log), the vote rules, and a lost majority (two of three hosts had their disks). A failed sync still ends all writing, since the content of the page cache is unknown then. Log lines that find no space are counted as lost, and later ones written. Tests failed first: a replica after each disk was full in turn; lines after a full output.

--- a/basilcove/consensus/coordinator.py
+++ b/basilcove/consensus/coordinator.py
@@ -27,7 +27,7 @@
 from basilcove.consensus.terms import follow, has_majority
 from basilcove.core.events import Count, Effect, Emit, Log, Send, Tick
 from basilcove.core.reducer import Context, handles
-from basilcove.storage.events import Persisted, StorageFailed
+from basilcove.storage.events import Persisted, StorageFailed, StorageRecovered
 from basilcove.storage.models import EntryKind
 
 
@@ -84,6 +84,17 @@
     return [*effects, log, Count('storage_failures')]
 
 
+@handles(StorageRecovered, ConsensusState)
+def _on_storage_recovered(state: ConsensusState, event: StorageRecovered, ctx: Context) -> list[Effect]:
+    """Take part again; what the disk did not take is written now, in order."""
+    effects = follow(state, '', ctx.now)
+    if not state.cluster:
+        state.standing = Standing.UNFORMED
+    fields = (('reason', state.failure),)
+    state.failure = ''
+    return [*effects, Log('info', 'storage takes writes again; this replica takes part', fields)]
+
+
 @handles(EntriesCommitted, ConsensusState)
 def _on_committed(state: ConsensusState, event: EntriesCommitted, ctx: Context) -> list[Effect]:
     return leave_if_removed(state, ctx.now)
--- a/basilcove/helpers/logs.py
+++ b/basilcove/helpers/logs.py
@@ -1,5 +1,6 @@
 """Structured logs: one JSON object a line on standard output, bounded and never waited for."""
 
+import contextlib
 import json
 import os
 import sys
@@ -67,6 +68,7 @@
         self._wanted = threading.Event()
         self._thread = threading.Thread(target=self._run, name='logs', daemon=True)
         self._is_ended = False
+        self._is_broken = False
         self.lost = 0
 
     def setup(self) -> None:
@@ -93,21 +95,27 @@
             self._wanted.wait()
             self._wanted.clear()
             waiting = len(self._lines)
-            if waiting and not self._write_all(waiting):
-                return
+            if waiting:
+                self._write_all(waiting)
             if self._is_ended and not self._lines:
                 return
             time.sleep(WRITE_INTERVAL_S)
 
-    def _write_all(self, count: int) -> bool:
+    def _write_all(self, count: int) -> None:
         content = b''.join(self._lines.popleft() for _ in range(count))
+        if self._is_broken:
+            # The write before it may have ended within a line.
+            content = b'\n' + content
         try:
             self._write(content)
         except OSError as exc:
-            # There is no output left to log to, so the reason goes to standard error.
-            sys.stderr.write(f'logs end: {exc}\n')
-            return False
-        return True
+            self.lost += count
+            if not self._is_broken:
+                # The output takes nothing at present, so the reason goes to standard error.
+                _complain(f'log lines are lost: {exc}')
+            self._is_broken = True
+        else:
+            self._is_broken = False
 
 
 class LogDriver:
@@ -165,6 +173,12 @@
             self._writer.put(json.dumps(content))
 
 
+def _complain(text: str) -> None:
+    # Standard error may be as full as standard output; the lines that are lost are counted.
+    with contextlib.suppress(OSError):
+        sys.stderr.write(f'{text}\n')
+
+
 def _write_to_stdout(content: bytes) -> None:
     while content:
         content = content[os.write(sys.stdout.fileno(), content) :]
--- a/basilcove/storage/driver.py
+++ b/basilcove/storage/driver.py
@@ -6,9 +6,9 @@
 
 from basilcove.core.events import Event
 from basilcove.core.runtime import carries_out
-from basilcove.storage.const import MAX_GROUP_ENTRIES
-from basilcove.storage.events import Persist, Persisted, PersistSnapshot, StorageFailed
-from basilcove.storage.exceptions import StorageFailedError
+from basilcove.storage.const import FULL_RETRY_INTERVAL_S, MAX_GROUP_ENTRIES
+from basilcove.storage.events import Persist, Persisted, PersistSnapshot, StorageFailed, StorageRecovered
+from basilcove.storage.exceptions import StorageFailedError, StorageFullError
 from basilcove.storage.journal import Journal
 from basilcove.storage.models import Batch, LogEntry
 
@@ -16,13 +16,14 @@
 
 
 class StorageDriver:
-    """Carries out durable writes in order; a failure ends all writing."""
+    """Carries out durable writes in order; a failure ends all writing, but for want of space."""
 
     def __init__(self, journal: Journal, post: Callable[[Event], None]) -> None:
         """Write to an open journal; ``post`` must be safe from any thread."""
         self._journal = journal
         self._post = post
         self._writes: queue.SimpleQueue[Write | None] = queue.SimpleQueue()
+        self._is_stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name='storage', daemon=True)
 
     def setup(self) -> None:
@@ -31,6 +32,7 @@
 
     def unload(self) -> None:
         """Carry out what is queued, stop the thread and close the journal."""
+        self._is_stopping.set()
         self._writes.put(None)
         self._thread.join()
         self._journal.close()
@@ -42,12 +44,8 @@
     def _run(self) -> None:
         while True:
             pending = self._take_pending()
-            try:
-                self._carry_out([write for write in pending if write is not None])
-            except StorageFailedError as exc:
-                self._post(StorageFailed(str(exc)))
-                return
-            if pending[-1] is None:
+            writes = [write for write in pending if write is not None]
+            if not self._carry_out(writes) or pending[-1] is None:
                 return
 
     def _take_pending(self) -> list[Write | None]:
@@ -59,14 +57,42 @@
                 break
         return pending
 
-    def _carry_out(self, writes: list[Write]) -> None:
+    def _carry_out(self, writes: list[Write]) -> bool:
+        """Return whether later writes may follow."""
         for group in group_writes(writes):
-            if isinstance(group, PersistSnapshot):
-                self._journal.save(group.snapshot, group.hard_state, group.tail)
-                self._post(Persisted(group.ticket))
+            try:
+                ticket = self._write_when_possible(group)
+            except StorageFailedError as exc:
+                self._post(StorageFailed(str(exc)))
+                return False
+            if ticket is None:
+                return False
+            self._post(Persisted(ticket))
+        return True
+
+    def _write_when_possible(self, group: list[Persist] | PersistSnapshot) -> int | None:
+        """Return the ticket of what was written; None if the driver stops while the disk is full."""
+        is_full = False
+        while True:
+            try:
+                ticket = self._write(group)
+            except StorageFullError as exc:
+                if not is_full:
+                    self._post(StorageFailed(str(exc)))
+                is_full = True
+                if self._is_stopping.wait(FULL_RETRY_INTERVAL_S):
+                    return None
                 continue
-            self._journal.append(merge(group))
-            self._post(Persisted(group[-1].ticket))
+            if is_full:
+                self._post(StorageRecovered())
+            return ticket
+
+    def _write(self, group: list[Persist] | PersistSnapshot) -> int:
+        if isinstance(group, PersistSnapshot):
+            self._journal.save(group.snapshot, group.hard_state, group.tail)
+            return group.ticket
+        self._journal.append(merge(group))
+        return group[-1].ticket
 
 
 def group_writes(writes: list[Write]) -> Iterator[list[Persist] | PersistSnapshot]:
--- a/basilcove/storage/events.py
+++ b/basilcove/storage/events.py
@@ -37,6 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StorageFailed(Event):
-    """A write or sync failed; no later write is carried out."""
+    """A write or sync failed; no later write is carried out before ``StorageRecovered``, if that comes."""
 
     reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class StorageRecovered(Event):
+    """There is space again; all writes since the failed one are carried out in order."""
--- a/basilcove/storage/exceptions.py
+++ b/basilcove/storage/exceptions.py
@@ -13,3 +13,7 @@
 
 class StorageFailedError(StorageError):
     """A write or sync failed; nothing more is written by this process."""
+
+
+class StorageFullError(StorageFailedError):
+    """There was no space for a write; what was durable still is, and the write can be tried again."""
--- a/basilcove/storage/journal.py
+++ b/basilcove/storage/journal.py
@@ -1,5 +1,6 @@
 """Journal segments and snapshots under one data folder."""
 
+import errno
 import fcntl
 import os
 from pathlib import Path
@@ -17,21 +18,28 @@
     SNAPSHOT_SUFFIX,
     TEMPORARY_SUFFIX,
 )
-from basilcove.storage.exceptions import StorageDamagedError, StorageError, StorageFailedError
+from basilcove.storage.exceptions import (
+    StorageDamagedError,
+    StorageError,
+    StorageFailedError,
+    StorageFullError,
+)
 from basilcove.storage.frames import pack_frame, scan_frames
 from basilcove.storage.models import Batch, HardState, LogEntry, LogStart, Recovered, Snapshot
 from basilcove.storage.replay import Replay
 
 RecordT = TypeVar('RecordT')
 
+# The disk, a quota or a limit on the size of files is exhausted.
+_NO_SPACE = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
 _APPEND_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_APPEND
 
 
 class Journal:
     """Files of one control host; used by one thread at a time.
 
-    After a failed write or sync the content of the page cache is unknown, so
-    the journal refuses every later write until the process restarts.
+    After a failed sync the content of the page cache is unknown, so the journal refuses every later write
+    until the process restarts. A write for which there was no space is undone and can be tried again.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -41,6 +49,8 @@
         self._sequence = 0
         self._file = -1
         self._lock = -1
+        # Where the durable frames of the segment end.
+        self._end = 0
         self._failed = False
 
     def open(self) -> Recovered:
@@ -75,13 +85,18 @@
 
     def append(self, batch: Batch) -> None:
         """Write a batch as one frame and sync it; StorageFailedError."""
-        self._sequence += 1
-        frame = pack_frame(self._sequence, _to_bytes(batch, pb.Batch))
+        frame = pack_frame(self._sequence + 1, _to_bytes(batch, pb.Batch))
         self._guard()
         try:
-            _write_and_sync(self._file, frame)
+            _write(self._file, frame)
+        except OSError as exc:
+            raise self._undo(exc) from exc
+        try:
+            os.fsync(self._file)
         except OSError as exc:
-            raise self._fail('append to the journal', exc) from exc
+            raise self._fail('sync the journal', exc) from exc
+        self._sequence += 1
+        self._end += len(frame)
 
     def save(self, snapshot: Snapshot, hard_state: HardState, tail: tuple[LogEntry, ...]) -> None:
         """Replace everything by a snapshot and the tail of the log; StorageFailedError.
@@ -93,12 +108,12 @@
         try:
             self._write_snapshot(snapshot)
         except OSError as exc:
-            raise self._fail('write a snapshot', exc) from exc
+            raise self._refuse('write a snapshot', exc) from exc
         try:
             self._rotate(Batch(hard_state, LogStart(snapshot.index, snapshot.term), tail))
             self._drop_older()
         except OSError as exc:
-            raise self._fail('start a segment', exc) from exc
+            raise self._refuse('start a segment', exc) from exc
 
     def _drop_older(self) -> None:
         for segment in self._numbered(SEGMENT_SUFFIX)[:-1]:
@@ -114,6 +129,20 @@
         self._failed = True
         return StorageFailedError(f'could not {action}: {exc}')
 
+    def _refuse(self, action: str, exc: OSError) -> StorageFailedError:
+        if exc.errno in _NO_SPACE:
+            return StorageFullError(f'could not {action}: {exc}')
+        return self._fail(action, exc)
+
+    def _undo(self, exc: OSError) -> StorageFailedError:
+        """Cut off the part of a frame that was written."""
+        refusal = self._refuse('append to the journal', exc)
+        try:
+            os.ftruncate(self._file, self._end)
+        except OSError as failure:
+            return self._fail('cut off a part of a frame', failure)
+        return refusal
+
     def _numbered(self, suffix: str) -> list[Path]:
         return sorted(self._folder.glob(f'*{suffix}'))
 
@@ -144,14 +173,26 @@
     def _open_segment(self) -> None:
         path = self._path(self._segment, SEGMENT_SUFFIX)
         self._file = os.open(path, _APPEND_FLAGS, FILE_MODE)
+        self._end = os.fstat(self._file).st_size
         self._sync_folder()
 
     def _rotate(self, batch: Batch) -> None:
+        path = self._path(self._segment + 1, SEGMENT_SUFFIX)
+        frame = pack_frame(self._sequence + 1, _to_bytes(batch, pb.Batch))
+        handle = os.open(path, _APPEND_FLAGS | os.O_TRUNC, FILE_MODE)
+        try:
+            _write_and_sync(handle, frame)
+        except OSError:
+            # The segment before it stays in use, and a segment that is not the last must be whole.
+            os.close(handle)
+            path.unlink()
+            raise
         os.close(self._file)
+        self._file = handle
         self._segment += 1
         self._sequence += 1
-        self._open_segment()
-        _write_and_sync(self._file, pack_frame(self._sequence, _to_bytes(batch, pb.Batch)))
+        self._end = len(frame)
+        self._sync_folder()
 
     def _write_snapshot(self, snapshot: Snapshot) -> None:
         path = self._path(snapshot.index, SNAPSHOT_SUFFIX)
@@ -181,10 +222,14 @@
             os.close(handle)
 
 
-def _write_and_sync(handle: int, content: bytes) -> None:
+def _write(handle: int, content: bytes) -> None:
     view = memoryview(content)
     while view:
         view = view[os.write(handle, view) :]
+
+
+def _write_and_sync(handle: int, content: bytes) -> None:
+    _write(handle, content)
     os.fsync(handle)
 
 
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -33,7 +33,7 @@
 from basilcove.core.reducer import Node, reduce
 from basilcove.helpers.codec import decode, encode
 from basilcove.requests.events import StopCompleted
-from basilcove.storage.events import Persist, Persisted, PersistSnapshot, StorageFailed
+from basilcove.storage.events import Persist, Persisted, PersistSnapshot, StorageFailed, StorageRecovered
 from basilcove.storage.models import LogEntry, Recovered
 from tests.consensus.hosts import Host, Probe
 from tests.consensus.promises import Promises
@@ -126,6 +126,19 @@
         self.stopped.discard(name)
         self.apply(self.hosts[name], StopRequested())
 
+    def free_disk(self, name: NodeId) -> None:
+        """Let a disk that was full take writes again: those that wait, then new ones."""
+        host, disk = self.hosts[name], self.disks[name]
+        disk.is_full = False
+        waiting, disk.waiting = disk.waiting, []
+        if waiting:
+            self.apply(host, StorageRecovered())
+        for effect in waiting:
+            self._carry_out(host, effect)
+        last = disk.last_ticket
+        if last is not None:
+            self._schedule(self.sync_time, lambda: self._sync(host, disk, last))
+
     def lose_disk(self, name: NodeId) -> None:
         """End a process and lose its disk."""
         self.hosts.pop(name, None)
@@ -213,7 +226,9 @@
         elif isinstance(effect, Persist | PersistSnapshot):
             disk = host.disk
             if disk.is_full:
-                self.apply(host, StorageFailed('no space left'))
+                disk.waiting.append(effect)
+                if len(disk.waiting) == 1:
+                    self.apply(host, StorageFailed('no space left'))
                 return
             disk.write(effect)
             # Syncs end in order, also if the time of a sync has changed since.
--- a/tests/consensus/machine.py
+++ b/tests/consensus/machine.py
@@ -222,6 +222,18 @@
         self.cluster.kill(name)
         self.cluster.disks[name].is_full = False
 
+    @rule(data=st.data(), seconds=st.sampled_from((0.3, 2.0, 5.0)))
+    def fill_disk_for_a_time(self, data: st.DataObject, seconds: float) -> None:
+        """The process lives on, and takes part again."""
+        running = [name for name in self.cluster.bootstrap if name in self.cluster.hosts]
+        if not running:
+            return
+        name = data.draw(st.sampled_from(running))
+        self.cluster.disks[name].is_full = True
+        self.cluster.run(seconds)
+        if name in self.cluster.hosts:
+            self.cluster.free_disk(name)
+
     # Checks
 
     def teardown(self) -> None:
--- a/tests/consensus/test_cluster.py
+++ b/tests/consensus/test_cluster.py
@@ -138,6 +138,27 @@
         assert isinstance(failed, ProposalFailed)
         assert failed.sent
 
+    def test_replica_takes_part_again_once_there_is_space(self) -> None:
+        """Guards against a group that loses a member for good each time that a disk is full for a moment."""
+        cluster = Cluster()
+        leader = cluster.elect()
+        for number, host in enumerate(cluster.bootstrap):
+            cluster.disks[host].is_full = True
+            cluster.propose(f'full-{number}', claim(number), patience=2)
+            cluster.run(3)
+            cluster.free_disk(host)
+            cluster.run(2)
+        first, second = [name for name in cluster.bootstrap if name != leader.name]
+        cluster.kill(leader.name)
+        assert cluster.ask('two of three', claim(9)) == ClaimGranted()
+        for left in (first, second):
+            cluster.disks[left].is_full = True
+        cluster.propose('none', claim(10), patience=2)
+        cluster.run(4)
+        for left in (first, second):
+            cluster.free_disk(left)
+        assert cluster.ask('again', claim(11)) == ClaimGranted()
+
 
 class TestTerms:
     def test_entry_of_an_earlier_term_is_not_committed_by_counting(self) -> None:
--- a/tests/helpers/test_logs.py
+++ b/tests/helpers/test_logs.py
@@ -2,6 +2,7 @@
 import time
 
 from basilcove.helpers.logs import MAX_LINES_PER_S, MAX_WAITING_LINES, LogBudget, LogWriter
+from tests.harness.processes import wait_for
 
 
 class TestLogBudget:
@@ -53,3 +54,23 @@
         writer.put('line')
         writer.unload(10)
         assert writer.put('another')
+
+    def test_lines_go_on_after_an_output_that_was_full(self) -> None:
+        """Guards against a process that writes no line any more since its output was full for a moment."""
+        written: list[bytes] = []
+
+        def write(content: bytes) -> None:
+            if not written:
+                written.append(b'')
+                raise OSError(28, 'no space left on device')
+            written.append(content)
+
+        writer = LogWriter(write)
+        writer.setup()
+        writer.put('lost')
+        wait_for(lambda: writer.lost, 'a lost line')
+        writer.put('kept')
+        writer.unload(10)
+        # The write that failed may have ended within a line.
+        assert written == [b'', b'\nkept\n']
+        assert writer.lost == 1
--- a/tests/storage/fake_disk.py
+++ b/tests/storage/fake_disk.py
@@ -14,6 +14,8 @@
 
     def __init__(self) -> None:
         self.is_full = False
+        # What was not written while the disk was full.
+        self.waiting: list[Persist | PersistSnapshot] = []
         self.synced_at = 0.0
         self.sync_time: float | None = None
         self.hard_state = HardState('', '', 0, '')
@@ -25,6 +27,11 @@
     def write(self, effect: Persist | PersistSnapshot) -> None:
         self._unsynced.append(effect)
 
+    @property
+    def last_ticket(self) -> int | None:
+        """Return the ticket of the last write that is not durable."""
+        return self._unsynced[-1].ticket if self._unsynced else None
+
     def sync(self, ticket: int) -> bool:
         """Make the writes up to a ticket durable; False if a crash lost them."""
         if not self._unsynced or self.is_full:
@@ -41,6 +48,7 @@
         elif torn and len(self._unsynced) > 1:
             self._make_durable(self._unsynced[0])
         self._unsynced.clear()
+        self.waiting.clear()
 
     def recover(self) -> Recovered:
         replay = Replay()
--- a/tests/storage/test_journal.py
+++ b/tests/storage/test_journal.py
@@ -1,4 +1,6 @@
+import contextlib
 import errno
+import itertools
 import os
 import threading
 from pathlib import Path
@@ -9,11 +11,17 @@
 
 from basilcove.core.events import Event
 from basilcove.storage.driver import StorageDriver
-from basilcove.storage.events import Persist, Persisted, PersistSnapshot, StorageFailed
-from basilcove.storage.exceptions import StorageDamagedError, StorageError, StorageFailedError
+from basilcove.storage.events import Persist, Persisted, PersistSnapshot, StorageFailed, StorageRecovered
+from basilcove.storage.exceptions import (
+    StorageDamagedError,
+    StorageError,
+    StorageFailedError,
+    StorageFullError,
+)
 from basilcove.storage.journal import Journal
 from basilcove.storage.models import Batch, EntryKind, HardState, LogEntry, LogStart, Recovered, Snapshot
 from basilcove.storage.replay import Replay
+from tests.harness.processes import wait_for
 
 HARD = HardState('cluster', 'host-1:0', 3, 'host-2:0')
 
@@ -177,6 +185,75 @@
         with pytest.raises(StorageFailedError):
             journal.append(batch(entry(1)))
 
+    def test_writes_go_on_once_there_is_space(self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a replica that is lost for good, or confirms writes, while its disk is full."""
+        journal = Journal(tmp_path)
+        journal.open()
+        posted: list[Event] = []
+        driver = StorageDriver(journal, posted.append)
+        snapshot = PersistSnapshot(3, Snapshot(2, 1, b'', b'state'), HARD, ())
+        driver.submit(Persist(1, HARD, (entry(1),)))
+        with monkeypatch.context() as patch:
+            patch.setattr(os, 'write', _write_half)
+            driver.setup()
+            wait_for(lambda: posted, 'a failure')
+            driver.submit(Persist(2, None, (entry(2),)))
+            driver.submit(snapshot)
+            assert [type(event) for event in posted] == [StorageFailed]
+        wait_for(lambda: Persisted(3) in posted, 'the last write')
+        driver.submit(Persist(4, None, (entry(3),)))
+        driver.unload()
+        # The writes that waited may share a sync.
+        assert posted[1:2] == [StorageRecovered()]
+        assert posted[-1] == Persisted(4)
+        assert reopen(tmp_path) == Recovered(HARD, snapshot.snapshot, (entry(3),))
+
+    def test_driver_stops_while_the_disk_is_full(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a process that can't be stopped, and a part of a frame that stays."""
+        write_three(tmp_path)
+        journal = Journal(tmp_path)
+        journal.open()
+        with monkeypatch.context() as patch:
+            patch.setattr(os, 'write', _write_half)
+            driver = StorageDriver(journal, lambda event: None)
+            driver.submit(Persist(1, HARD, (entry(4),)))
+            driver.setup()
+            driver.unload()
+        assert reopen(tmp_path) == Recovered(HARD, None, (entry(1), entry(2), entry(3)))
+
+    @pytest.mark.parametrize('full_at', range(1, 6))
+    def test_snapshot_without_space_changes_nothing(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, full_at: int
+    ) -> None:
+        """Guards against a journal that can't be read after a snapshot or segment found no space."""
+        write_three(tmp_path)
+        journal = Journal(tmp_path)
+        journal.open()
+        snapshot = Snapshot(2, 1, b'', b'state')
+        calls = itertools.count(1)
+
+        def write(handle: int, content: bytes) -> int:
+            return _write_half(handle, content) if next(calls) >= full_at else os_write(handle, content)
+
+        os_write = os.write
+        with monkeypatch.context() as patch:
+            patch.setattr(os, 'write', write)
+            for _ in range(3):
+                with contextlib.suppress(StorageFullError):
+                    journal.save(snapshot, HARD, (entry(3),))
+        journal.append(batch(entry(4)))
+        journal.close()
+        assert reopen(tmp_path).entries[-2:] == (entry(3), entry(4))
+
+
+def _write_half(handle: int, content: bytes) -> int:
+    if len(content) < 2:
+        _raise_full()
+    os.pwrite(handle, content[: len(content) // 2], os.fstat(handle).st_size)
+    raise OSError(errno.EFBIG, 'file too large')
+
 
 def _raise_full(*args: object) -> None:
     raise OSError(errno.ENOSPC, 'no space left on device')
