--- a/tests/system/test_control_failures.py
+++ b/tests/system/test_control_failures.py
@@ -62,18 +62,22 @@
         assert len(bookings(cluster)) == 1
 
 
+def _fill_disk(cluster: Cluster, folder: Path, victim: str) -> None:
+    """Let the files of a control host grow no further than a little beyond its log, and see it notice."""
+    limit = (folder / f'{victim}.log').stat().st_size + LOG_HEADROOM_BYTES
+    pid = cluster.processes[victim].pid
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY))
+    assert _apply(cluster, folder, 1, 'entry-1', LARGE_DOCUMENT_TEAMS)['exit'] == 0
+    wait_for(lambda: not cluster.is_ready(victim), 'the replica to report that it is not ready')
+
+
 class TestFullDisk:
     def test_full_disk_is_reported_and_stops_only_that_replica(
         self, cluster: Cluster, tmp_path: Path
     ) -> None:
         """Guards against a replica that goes on acknowledging what its disk refused."""
         victim = _leader(cluster)
-        log_bytes = (tmp_path / f'{victim}.log').stat().st_size
-        limit = log_bytes + LOG_HEADROOM_BYTES
-        pid = cluster.processes[victim].pid
-        resource.prlimit(pid, resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY))
-        assert _apply(cluster, tmp_path, 1, 'entry-1', LARGE_DOCUMENT_TEAMS)['exit'] == 0
-        wait_for(lambda: not cluster.is_ready(victim), 'the replica to report that it is not ready')
+        _fill_disk(cluster, tmp_path, victim)
         assert cluster.processes[victim].is_running
         assert any('storage failed' in reason for reason in cluster.get(victim, '/readyz').json()['reasons'])
         metrics = cluster.get(victim, '/metrics').data.decode()
@@ -86,6 +90,19 @@
         wait_for(lambda: cluster.is_ready(victim), 'the replica to be ready once its disk takes writes')
         wait_for(lambda: _revision(cluster, victim) == 3, 'the replica to catch up')
 
+    def test_replica_takes_part_again_without_a_restart(self, cluster: Cluster, tmp_path: Path) -> None:
+        """Guards against a replica, or its log, that ends with the first write without space."""
+        victim = _leader(cluster)
+        _fill_disk(cluster, tmp_path, victim)
+        pid = cluster.processes[victim].pid
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+        wait_for(lambda: cluster.is_ready(victim), 'the replica to be ready again')
+        wait_for(lambda: _revision(cluster, victim) == 2, 'the replica to catch up')
+        wait_for(
+            lambda: 'storage takes writes again' in cluster.processes[victim].log.read_text(),
+            'the line that tells of it',
+        )
+
 
 class TestLostDisk:
     def test_leader_that_loses_its_disk_comes_back_as_a_learner(
