Say of no stream that it has not run once it was moved

Cause: a stream that leaves a slow upstream with under 30 ms left was refused as not run, although the upstream that it left may have run it. Found by reading the change. Ruled out for other repeats: their time is checked at the same moment. Change: a request that may have run gets 502. The test failed first (503).

--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -50,7 +50,7 @@
 def start_attempt(state: GatewayState, req: OpenRequest, ctx: Context) -> list[Effect]:
     """Send a request to the best upstream that it was not sent to yet, or refuse it."""
     if req.deadline - ctx.now < MIN_ATTEMPT_S:
-        return conclude(state, req, NOT_STARTED, ctx)
+        return _give_up(state, req, ctx) if req.may_have_run else conclude(state, req, NOT_STARTED, ctx)
     chosen = state.pools.choose(req.service, ctx.now, req.tried, req.request_id)
     if chosen is None:
         return _give_up(state, req, ctx)
--- a/tests/gateway/test_relief.py
+++ b/tests/gateway/test_relief.py
@@ -1,10 +1,11 @@
 from collections.abc import Iterable
+from http import HTTPStatus
 
 from basilcove.core.events import Effect, Received
 from basilcove.core.ids import InstanceId
 from basilcove.gateway.config import RetryConfig
-from basilcove.gateway.const import SLOW_LIFETIME_S
-from basilcove.gateway.events import AttemptResult, MoveAttempt, StartAttempt
+from basilcove.gateway.const import MIN_ATTEMPT_S, SLOW_LIFETIME_S
+from basilcove.gateway.events import AttemptResult, MoveAttempt, Refuse, StartAttempt
 from basilcove.gateway.messages import SlowInstances
 from basilcove.registry.messages import Standing
 from tests.gateway.world import CONTROL, SLOTS, World, only_start, registration, starts
@@ -79,6 +80,15 @@
         # Another gateway has as many streams there and decides alike.
         assert 4 <= found <= 16
 
+    def test_that_have_no_time_left_after_a_move_are_not_said_to_have_not_run(self) -> None:
+        """Guards against a refusal as not run of a stream that has run at the upstream it left."""
+        world = World('up-1', 'up-2')
+        first = only_start(world.ask('/brief/x', timeout_s=1))
+        assert moves(slow(world, first.instance))
+        world.now += 1 - MIN_ATTEMPT_S / 2
+        refusals = [each for each in world.end(first, AttemptResult.MOVED) if isinstance(each, Refuse)]
+        assert [refusal.status for refusal in refusals] == [HTTPStatus.BAD_GATEWAY]
+
     def test_are_moved_once(self) -> None:
         """Guards against a budget of repeats that each word of the leader charges again."""
         world = World('up-1', 'up-2')
