Lose no cancellation of the soak's tasks

Found on the way: in this version of Python `wait_for` returns what its call returned if that ended at the moment of a cancellation, which is then lost; the project's own code uses `asyncio.timeout` for that reason, the soak did not. A task that announces an engine could so outlive it. Change: `asyncio.timeout` in its three places, and an engine that ends waits for its announcer.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from soak.const import GATEWAYS, HOST
+from soak.const import CALL_TIMEOUT_S, GATEWAYS, HOST
 from soak.http import BrokenError, Message, read_message, write_message
 from soak.kinds import Kind, events
 from soak.ledger import Asked, Ledger
@@ -58,9 +58,9 @@
         if conn is None:
             asked.is_unsent = True
             return asked
-        exchange = self._exchange(asked, conn, path or f'/{kind.value}/x', key)
         try:
-            await asyncio.wait_for(exchange, _PATIENCE_S)
+            async with asyncio.timeout(_PATIENCE_S):
+                await self._exchange(asked, conn, path or f'/{kind.value}/x', key)
         except TimeoutError:
             asked.left_at = time.monotonic()
         conn[1].close()
@@ -96,7 +96,8 @@
 
     async def _connect(self, gateway: str) -> _Connection | None:
         try:
-            return await asyncio.wait_for(asyncio.open_connection(gateway, self.port), 1)
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return await asyncio.open_connection(gateway, self.port)
         except (OSError, TimeoutError):
             return None
 
--- a/soak/calls.py
+++ b/soak/calls.py
@@ -9,7 +9,9 @@
 async def call(address: str, method: str, path: str, body: bytes = b'') -> Message | None:
     """Return the whole answer of a host, or None without one in time."""
     try:
-        return await asyncio.wait_for(_call(address, method, path, body), CALL_TIMEOUT_S)
+        # ``wait_for`` may take a cancellation for the end of the call.
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            return await _call(address, method, path, body)
     except (BrokenError, OSError, TimeoutError):
         return None
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -29,7 +29,7 @@
 FIRST_SERVED_S: Final = 30.0
 ANNOUNCE_INTERVAL_S: Final = 0.5
 CHANGE_INTERVAL_S: Final = 0.7
-# Operators and engines turn to another control host after this time.
+# Operators, engines and callers turn to another host after this time.
 CALL_TIMEOUT_S: Final = 1.0
 EVENT_INTERVAL_S: Final = 0.02
 READ_BYTES: Final = 65536
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -73,6 +73,7 @@
         """End at once, as a crash does."""
         if self._announcer is not None:
             self._announcer.cancel()
+            await asyncio.gather(self._announcer, return_exceptions=True)
         for writer in tuple(self._writers):
             reset(writer.transport)
         if self._acceptor is not None:
--- /dev/null
+++ b/tests/soak/test_calls.py
@@ -0,0 +1,22 @@
+import asyncio
+
+from soak.calls import call
+from tests.harness.processes import free_address
+
+
+class TestCall:
+    def test_cancellation_is_not_lost(self) -> None:
+        """Guards against a soak that doesn't end, as a task takes its cancellation for a failed call."""
+
+        async def check() -> None:
+            lost = []
+            for steps in range(30):
+                task = asyncio.create_task(call(free_address(), 'GET', '/'))
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                if task.cancel():
+                    await asyncio.wait((task,))
+                    lost.extend([] if task.cancelled() else [steps])
+            assert not lost
+
+        asyncio.run(check())
