End the soak's processes when the soak is ended

Change: SIGTERM cancels the run, whose clean-up ends all it has started. The test failed first: six daemons were left.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import json
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -34,6 +35,10 @@
 
 async def run(folder: Path, seed: int, seconds: float) -> Outcome:
     """Run one deployment with the faults of a seed for some seconds, and check it."""
+    task = asyncio.current_task()
+    assert task is not None
+    # So that the processes are ended, too.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     world = World.from_seed(folder, seed)
     operator = Operator(world)
     try:
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -4,6 +4,7 @@
 import pytest
 
 from soak.__main__ import run
+from tests.harness.processes import Process, wait_for
 
 REGRESSIONS = Path(__file__).with_name('regressions.txt')
 
@@ -20,3 +21,22 @@
         outcome = asyncio.run(run(tmp_path, seed, seconds))
         assert not outcome.faults, (outcome, tmp_path)
         assert outcome.answers['brief 200'] > 10
+
+
+class TestEnd:
+    def test_stopped_soak_leaves_no_process(self, tmp_path: Path) -> None:
+        """Guards against daemons that run on, and load the machine, after their soak was ended."""
+        log = tmp_path / 'soak.log'
+        process = Process('soak', ['soak', '--seconds', '60'], log)
+        try:
+            children = wait_for(lambda: children_of(process.pid), 'daemons')
+            process.stop()
+            process.wait()
+            wait_for(lambda: not any(Path(f'/proc/{pid}').exists() for pid in children), 'the daemons to end')
+        finally:
+            process.kill()
+
+
+def children_of(pid: int) -> list[int]:
+    found = Path(f'/proc/{pid}/task/{pid}/children').read_text().split()
+    return [int(child) for child in found] if len(found) > 5 else []
