Mend what a reading of the whole change found

Behaviour is unchanged. The queue's bound of waiting attempts had got the name of a bound of upstreams by a replacement of names; it has its own again. A copy of a frozen layout, and a copy of a parsed log line, are left out. The two places that take a former leader's hold from the ranks' reports share one function.

--- a/basilcove/admission/queue.py
+++ b/basilcove/admission/queue.py
@@ -27,7 +27,7 @@
         """Allow this many attempts at once."""
         self._slots = slots
         self._max_work = DEFAULT_MAX_QUEUED_WORK
-        self._max_upstreams = DEFAULT_MAX_QUEUED_ATTEMPTS
+        self._max_attempts = DEFAULT_MAX_QUEUED_ATTEMPTS
         self._teams = TeamLimits()
         self._levels = Levels()
         self._waiting: dict[AttemptId, QueueItem] = {}
@@ -40,7 +40,7 @@
         """Take over priorities, teams and limits of a newer document."""
         self._slots = slots
         self._max_work = environment.limits.max_queued_work
-        self._max_upstreams = environment.limits.max_queued_attempts
+        self._max_attempts = environment.limits.max_queued_attempts
         self._teams.configure(environment.teams)
         self._levels.configure(environment.priorities)
 
@@ -217,7 +217,7 @@
 
     @property
     def _is_full(self) -> bool:
-        return len(self._waiting) > self._max_upstreams or self._levels.waiting_work > self._max_work
+        return len(self._waiting) > self._max_attempts or self._levels.waiting_work > self._max_work
 
     def _is_over_bounds(self, entry: QueueItem, now: float) -> bool:
         if self._is_full:
@@ -238,7 +238,7 @@
         if self._is_full:
             fullest = max(
                 self._levels.classes.values(),
-                key=lambda cls: max(cls.queue.work / self._max_work, cls.queue.count / self._max_upstreams),
+                key=lambda cls: max(cls.queue.work / self._max_work, cls.queue.count / self._max_attempts),
             )
             return fullest.queue.last()
         victim = self._levels.classes[entry.priority].queue.last()
--- a/basilcove/cli/explaining.py
+++ b/basilcove/cli/explaining.py
@@ -20,7 +20,7 @@
     return '\n'.join(_show(line, is_end=line is ended) for line in lines)
 
 
-def _lines_of(request_id: str, files: Iterable[str]) -> Iterator[dict[str, Any]]:
+def _lines_of(request_id: str, files: Iterable[str]) -> Iterator[Line]:
     for name in files:
         for raw in _read(name).splitlines():
             line = _parse(raw) if request_id in raw else {}
@@ -32,16 +32,14 @@
     return sys.stdin.read() if name == '-' else Path(name).read_text(encoding='utf-8', errors='replace')
 
 
-def _parse(raw: str) -> dict[str, Any]:
+def _parse(raw: str) -> Line:
     """Return the object of a line; whoever collected the lines may have put something before it."""
     try:
         found = json.loads(raw[raw.index('{') :])
     except ValueError:
         # A line that was cut short by the end of its process.
         return {}
-    if not isinstance(found, dict):
-        return {}
-    return {str(name): fact for name, fact in found.items()}
+    return found if isinstance(found, dict) else {}
 
 
 def _end_of(lines: list[Line]) -> Line:
@@ -51,11 +49,11 @@
     return lines[-1] if lines else {}
 
 
-def _time_of(line: dict[str, Any]) -> str:
+def _time_of(line: Line) -> str:
     return str(line.get('time', ''))
 
 
-def _show(line: dict[str, Any], *, is_end: bool) -> str:
+def _show(line: Line, *, is_end: bool) -> str:
     facts = ' '.join(f'{name}={fact}' for name, fact in line.items() if name not in _COMMON and fact != '')
     mark = '=>' if is_end else '  '
     return f'{mark} {line.get("time", "")} {line.get("node", "")} {line["message"]}: {facts}'
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -2,7 +2,6 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
-from dataclasses import replace
 from itertools import chain
 
 from basilcove.consensus.models import ConsensusState
@@ -109,7 +108,7 @@
         ranks = {word.rank: RankAddress(word.instance, word.address) for word in words}
         if len(ranks) == len(words) == words[0].group_size:
             layout = state.layouts[identity.service]
-            yield identity.name, GroupChange(identity, state.term, ranks, replace(layout))
+            yield identity.name, GroupChange(identity, state.term, ranks, layout)
 
 
 def _tell_slow(state: RemoteGroups, change: GroupChange, ctx: Context) -> Iterator[Effect]:
--- a/basilcove/experts/remote/phases.py
+++ b/basilcove/experts/remote/phases.py
@@ -157,11 +157,8 @@
     reports = change.reports.values()
     change.version = max(report.version for report in reports)
     change.target_version = max(change.version, *(report.prepared or 0 for report in reports))
-    holders = [rank for rank, report in change.reports.items() if report.held is not None]
     armed = {report.armed for report in reports if report.armed is not None}
-    if holders:
-        change.holder = holders[0]
-        change.step = change.reports[change.holder].held or 0
+    if _note_hold(change):
         yield from _end_hold(change, armed, now)
     elif not armed:
         yield from _list(change, now)
@@ -229,13 +226,19 @@
 
 
 def _end_late_hold(change: GroupChange, now: float) -> Steps:
-    held = [rank for rank, report in change.reports.items() if report.held is not None]
-    if held:
-        change.holder = held[0]
-        change.step = change.reports[change.holder].held or 0
+    if _note_hold(change):
         yield from _release(change, now)
 
 
+def _note_hold(change: GroupChange) -> bool:
+    """Take which rank holds which step by the reports; False if none does."""
+    for rank, report in change.reports.items():
+        if report.held is not None:
+            change.holder, change.step = rank, report.held
+            return True
+    return False
+
+
 @in_phase(Phase.SURVEYING)
 def _survey(change: GroupChange, now: float) -> Steps:
     if is_agreed(change):
