Bound what an upstream or a caller may send, check registrations, and contain unexpected errors

A caller's head or body with a byte now and then never ended, nor did trailers and chunk extensions. A registration with port 99999 or with a surrogate was stored and raised later, in a tick, which ended all ticks of that process.

Ticks go on after an error.

Ruled out: a limit on bodies that are forwarded (backpressure and the deadline bound them).

--- a/basilcove/catalog/coordinator.py
+++ b/basilcove/catalog/coordinator.py
@@ -25,12 +25,13 @@
     ReadIndex,
     ReadReady,
     ReadRefused,
+    ReplicaDamaged,
     SnapshotInstalled,
     SnapshotNeeded,
     SnapshotTaken,
 )
 from basilcove.consensus.models import ConsensusState, Members
-from basilcove.core.events import Effect, Emit, Message, Received, Tick
+from basilcove.core.events import Effect, Emit, HandlerFailed, Message, Received, Tick
 from basilcove.core.ids import NodeId, Role
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.helpers.codec import CodecError, decode, encode
@@ -236,6 +237,11 @@
     return [_announce(row) for row in state.catalog.documents.values()]
 
 
+@handles(HandlerFailed, ControlState)
+def _on_handler_failed(state: ControlState, event: HandlerFailed, ctx: Context) -> list[Effect]:
+    return [Emit(ReplicaDamaged(event.reason))] if event.state_type is ControlState else []
+
+
 @handles(ReadReady, ControlState)
 def _on_read_ready(state: ControlState, event: ReadReady, ctx: Context) -> list[Effect]:
     pending = state.pending_reads.pop(event.token, None)
--- a/basilcove/consensus/coordinator.py
+++ b/basilcove/consensus/coordinator.py
@@ -12,6 +12,7 @@
     ProposeEntry,
     ReadIndex,
     ReadRefused,
+    ReplicaDamaged,
 )
 from basilcove.consensus.forming import ask_first_members, ask_to_join, form_if_ready
 from basilcove.consensus.membership import promote_learner, remove_lost, step_down_if_removed
@@ -25,7 +26,7 @@
     send_heartbeats,
 )
 from basilcove.consensus.terms import become_follower, has_majority
-from basilcove.core.events import Count, Effect, Emit, Log, Send, Tick
+from basilcove.core.events import Count, Effect, Emit, HandlerFailed, Log, Send, Tick
 from basilcove.core.reducer import Context, handles
 from basilcove.storage.events import Persisted, StorageFailed, StorageRecovered
 from basilcove.storage.models import EntryKind
@@ -76,17 +77,38 @@
 
 @handles(StorageFailed, ConsensusState)
 def _on_storage_failed(state: ConsensusState, event: StorageFailed, ctx: Context) -> list[Effect]:
-    effects = become_follower(state, '', ctx.now)
-    state.member_state = MemberState.FAILED
-    state.failure = event.reason
-    state.durability.deferred.clear()
+    effects = _stop_acknowledging(state, event.reason, ctx.now)
     log = Log('error', 'storage failed; this replica acknowledges nothing', (('reason', event.reason),))
     return [*effects, log, Count('storage_failures')]
 
 
+@handles(HandlerFailed, ConsensusState)
+def _on_handler_failed(state: ConsensusState, event: HandlerFailed, ctx: Context) -> list[Effect]:
+    """Acknowledge nothing until a restart: what is in memory may differ from what is durable."""
+    return [Emit(ReplicaDamaged(event.reason))] if event.state_type is ConsensusState else []
+
+
+@handles(ReplicaDamaged, ConsensusState)
+def _on_replica_damaged(state: ConsensusState, event: ReplicaDamaged, ctx: Context) -> list[Effect]:
+    state.is_damaged = True
+    effects = _stop_acknowledging(state, event.reason, ctx.now)
+    fields = (('reason', event.reason),)
+    return [*effects, Log('error', 'a handler failed; this replica acknowledges nothing', fields)]
+
+
+def _stop_acknowledging(state: ConsensusState, reason: str, now: float) -> list[Effect]:
+    effects = become_follower(state, '', now)
+    state.member_state = MemberState.FAILED
+    state.failure = reason
+    state.durability.deferred.clear()
+    return effects
+
+
 @handles(StorageRecovered, ConsensusState)
 def _on_storage_recovered(state: ConsensusState, event: StorageRecovered, ctx: Context) -> list[Effect]:
     """Rejoin the group; the storage driver now writes in order what it could not write before."""
+    if state.is_damaged:
+        return []
     effects = become_follower(state, '', ctx.now)
     if not state.cluster:
         state.member_state = MemberState.UNFORMED
--- a/basilcove/consensus/events.py
+++ b/basilcove/consensus/events.py
@@ -108,3 +108,10 @@
 
     token: str
     leader: NodeId | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaDamaged(Event):
+    """A handler failed, so the state in memory may differ from that of other replicas until a restart."""
+
+    reason: str
--- a/basilcove/consensus/models.py
+++ b/basilcove/consensus/models.py
@@ -213,6 +213,8 @@
     peers: dict[NodeId, None] = field(default_factory=dict)
     is_stopping: bool = False
     failure: str = ''
+    # A handler failed; unlike a full disk this lasts until a restart.
+    is_damaged: bool = False
 
     @classmethod
     def from_recovered(
--- a/basilcove/core/events.py
+++ b/basilcove/core/events.py
@@ -60,6 +60,14 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class HandlerFailed(Event):
+    """A handler raised an unexpected exception; its state may be changed in part."""
+
+    state_type: type
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested(Event):
     """The process was asked to stop gracefully."""
--- a/basilcove/core/reducer.py
+++ b/basilcove/core/reducer.py
@@ -73,16 +73,23 @@
     return register
 
 
-def reduce(node: Node, event: Event, now: float, wall_time: float) -> list[Effect]:
+ErrorHandler = Callable[[type, Event, Exception], Iterable[Effect]]
+
+
+def reduce(
+    node: Node, event: Event, now: float, wall_time: float, on_error: ErrorHandler | None = None
+) -> list[Effect]:
     """Apply an event and all events that it emits; return the other effects in order.
 
-    Times are in seconds: ``now`` on the monotonic clock, ``wall_time`` since the epoch.
+    Times are in seconds: ``now`` on the monotonic clock, ``wall_time`` since the epoch. If a handler fails,
+    ``on_error`` gets the type of its state, the event and the exception, and returns the effects that follow
+    those which the handler has already yielded; without ``on_error`` the exception is raised.
     """
     ctx = Context(now, wall_time, node)
     effects: list[Effect] = []
     pending: deque[Event] = deque((event,))
     while pending:
-        for effect in _apply(node, pending.popleft(), ctx):
+        for effect in _apply(node, pending.popleft(), ctx, on_error):
             if isinstance(effect, Emit):
                 pending.append(effect.event)
                 continue
@@ -90,9 +97,14 @@
     return effects
 
 
-def _apply(node: Node, event: Event, ctx: Context) -> Iterable[Effect]:
+def _apply(node: Node, event: Event, ctx: Context, on_error: ErrorHandler | None) -> Iterable[Effect]:
     key = type(event.message) if isinstance(event, Received) else type(event)
     for state_type, handler in _EVENT_HANDLERS.get(key, ()):
         if not node.has(state_type):
             continue
-        yield from handler(node.part(state_type), event, ctx)
+        try:
+            yield from handler(node.part(state_type), event, ctx)
+        except Exception as exc:
+            if on_error is None:
+                raise
+            yield from on_error(state_type, event, exc)
--- a/basilcove/core/runtime.py
+++ b/basilcove/core/runtime.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
 from loguru import logger
 
 from basilcove.const import TICK_INTERVAL_S
-from basilcove.core.events import Effect, Event, Tick
+from basilcove.core.events import Count, Effect, Emit, Event, HandlerFailed, Received, Tick
 from basilcove.core.reducer import Node, reduce
 
 DriverT = TypeVar('DriverT')
@@ -43,6 +43,7 @@
         self._drivers: dict[type, object] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
         self._ticker: asyncio.Task[None] | None = None
+        self._failures = 0
 
     def add_driver(self, driver: object) -> None:
         """Add a driver, replacing one of the same type."""
@@ -64,10 +65,15 @@
         if self._loop is not None:
             self._loop.call_soon_threadsafe(self.apply, event)
 
-    def apply(self, event: Event) -> None:
-        """Apply an event now; only on the loop's thread."""
-        for effect in reduce(self.node, event, time.monotonic(), time.time()):
+    def apply(self, event: Event) -> bool:
+        """Apply an event now; only on the loop's thread. Return whether no handler and no driver failed.
+
+        A failure ends neither the process nor the work on other states and effects; it is logged and counted.
+        """
+        failures = self._failures
+        for effect in reduce(self.node, event, time.monotonic(), time.time(), self._on_handler_error):
             self._carry_out(effect)
+        return failures == self._failures
 
     def _carry_out(self, effect: Effect) -> None:
         entry = _EFFECT_HANDLERS.get(type(effect))
@@ -75,9 +81,25 @@
         if entry is None or driver is None:
             logger.error('no driver carries out {}', type(effect).__name__)
             return
-        entry[1](driver, effect)
+        try:
+            entry[1](driver, effect)
+        except Exception:
+            self._failures += 1
+            logger.exception('effect {} could not be carried out', type(effect).__name__)
+
+    def _on_handler_error(self, state_type: type, event: Event, exc: Exception) -> Iterable[Effect]:
+        self._failures += 1
+        name = type(event.message if isinstance(event, Received) else event).__name__
+        logger.opt(exception=exc).error('handler of {} for {} failed', name, state_type.__name__)
+        yield Count('handler_failures', (('state', state_type.__name__), ('event', name)))
+        if not isinstance(event, HandlerFailed):
+            yield Emit(HandlerFailed(state_type, f'{name}: {type(exc).__name__}: {exc}'))
 
     async def _tick(self) -> None:
         while True:
-            self.apply(Tick())
+            try:
+                self.apply(Tick())
+            except Exception:
+                # Nothing else would end the silence of a process without ticks.
+                logger.exception('a tick failed')
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/basilcove/experts/planning/driver.py
+++ b/basilcove/experts/planning/driver.py
@@ -13,7 +13,7 @@
 class PlanRunner:
     """The driver of ``ComputePlan``; computes one plan at a time."""
 
-    def __init__(self, post: Callable[[Event], None]) -> None:
+    def __init__(self, post: Callable[[Event], object]) -> None:
         """Results go to ``post``; the thread starts with the first plan."""
         self._post = post
         self._pool = ThreadPoolExecutor(1, thread_name_prefix='plans')
--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -7,6 +7,8 @@
 # Ranks answer within milliseconds; a call without an answer is retried.
 CALL_TIMEOUT_S: Final = 0.4
 RESEND_S: Final = 0.15
+# Lists of a map with thousands of experts take some tens of kilobytes.
+MAX_ANSWER_BYTES: Final = 1024 * 1024
 # An order without an answer may still take effect within this time.
 MAX_ORDER_DELAY_S: Final = 13.0
 # The report of a rank lags behind its state by a few hundred milliseconds.
--- a/basilcove/experts/remote/driver.py
+++ b/basilcove/experts/remote/driver.py
@@ -8,7 +8,7 @@
 
 from basilcove.core.events import Event
 from basilcove.core.runtime import carries_out
-from basilcove.experts.remote.const import CALL_TIMEOUT_S
+from basilcove.experts.remote.const import CALL_TIMEOUT_S, MAX_ANSWER_BYTES
 from basilcove.experts.remote.events import CallRank, RankAnswered
 from basilcove.experts.remote.orders import OrderResult, RankDialect
 from basilcove.http1.client import AnswerHead, UpstreamConnection, UpstreamConnections
@@ -22,6 +22,7 @@
     answer: 'asyncio.Future[tuple[int, bytes]]'
     status: int = 0
     parts: list[bytes] = field(default_factory=list)
+    size_bytes: int = 0
 
     def accepts(self, head: AnswerHead) -> bool:
         """Accept the first answer: a call has no id that an answer could refer to."""
@@ -32,8 +33,12 @@
         self.status = head.status
 
     def on_part(self, part: bytes) -> None:
-        """Collect a part of the body."""
-        self.parts.append(part)
+        """Collect a part of the body; fail if it exceeds ``MAX_ANSWER_BYTES``."""
+        self.size_bytes += len(part)
+        if self.size_bytes <= MAX_ANSWER_BYTES:
+            self.parts.append(part)
+        else:
+            self.on_broken('the answer is too large')
 
     def on_end(self) -> None:
         """Set the answer as the result."""
@@ -54,7 +59,7 @@
         dialect: RankDialect,
         instance_header: str,
         connections: UpstreamConnections,
-        apply: Callable[[Event], None],
+        apply: Callable[[Event], object],
     ) -> None:
         """Use a dialect; ``instance_header`` is the header that names the called instance."""
         self._dialect = dialect
@@ -84,10 +89,13 @@
         reply = OrderResult.UNKNOWN
         try:
             status, body = await self._exchange(effect.address, http_call.method, content)
+            reply = self._dialect.decode(effect.call, status, body)  # type: ignore[assignment]
         except (OSError, TimeoutError) as exc:
             logger.bind(address=effect.address).debug('rank did not answer: {}', exc)
-        else:
-            reply = self._dialect.decode(effect.call, status, body)  # type: ignore[assignment]
+        except Exception as exc:
+            logger.bind(address=effect.address).error(
+                'call of a rank failed: {}: {}', type(exc).__name__, exc
+            )
         answered = RankAnswered(effect.group, effect.rank, effect.number, effect.epoch, effect.call, reply)
         self._apply(answered)
 
@@ -99,7 +107,7 @@
                 fut = asyncio.get_running_loop().create_future()
                 conn.send(content, method, _AnswerReader(fut))
                 return await fut  # type: ignore[no-any-return]
-        except (OSError, TimeoutError):
+        except Exception:
             # A late answer would be mistaken for that of the next call.
             if conn is not None:
                 conn.close()
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -23,6 +23,7 @@
 )
 from basilcove.gateway.events import (
     AbortAnswer,
+    AnswerBegun,
     AttemptEnded,
     AttemptResult,
     CallerLeft,
@@ -51,8 +52,8 @@
 class GatewayDriver:
     """Forwards between connections of callers and connections to upstreams; handler of its HTTP server."""
 
-    def __init__(self, cfg: GatewayConfig, apply: Callable[[Event], None]) -> None:
-        """Deliver events to ``apply``, on the thread of the event loop."""
+    def __init__(self, cfg: GatewayConfig, apply: Callable[[Event], bool]) -> None:
+        """Deliver events to ``apply``, on the thread of the event loop; it returns False after a failure."""
         self._cfg = cfg
         self._apply = apply
         self._keys = itertools.count(1)
@@ -65,7 +66,7 @@
         self._headers = _GatewayHeaders(cfg)
 
     @classmethod
-    def from_config(cls, cfg: GatewayConfig, apply: Callable[[Event], None]) -> 'GatewayDriver':
+    def from_config(cls, cfg: GatewayConfig, apply: Callable[[Event], bool]) -> 'GatewayDriver':
         """Build the driver of a gateway."""
         return cls(cfg, apply)
 
@@ -95,7 +96,7 @@
             status = HTTPStatus.SERVICE_UNAVAILABLE.value
             self.refuse(Refuse(key, status, 'too many bytes of requests are held', DEFAULT_RETRY_AFTER_S))
             return
-        self._apply(RequestArrived(key, self._headers.read(request)))
+        self._apply_for(key, RequestArrived(key, self._headers.read(request)))
 
     def on_closed(self, conn: CallerConnection) -> None:
         """Notify the reducer that a caller closed its connection."""
@@ -161,10 +162,25 @@
         if exchange is not None:
             exchange.caller.abort()
 
-    def _report(self, event: Event) -> None:
+    def _report(self, event: AttemptEnded | AnswerBegun) -> None:
         if isinstance(event, AttemptEnded) and event.result is AttemptResult.ANSWERED:
             self._close(event.key)
-        self._apply(event)
+        self._apply_for(event.key, event)
+
+    def _apply_for(self, key: int, event: Event) -> None:
+        """Apply an event of a request; end the request if that fails, since nothing else would end it."""
+        if not self._apply(event):
+            self._end_failed(key)
+
+    def _end_failed(self, key: int) -> None:
+        """End a request whose handling failed; it may have run."""
+        exchange = self._exchanges.get(key)
+        if exchange is not None:
+            request_id = self._headers.read(exchange.request).request_id
+            logger.bind(request=request_id).error('request ended by an error')
+            self.cancel(key)
+            self.refuse(Refuse(key, HTTPStatus.BAD_GATEWAY.value, 'the gateway failed to handle the request'))
+        self._apply(CallerLeft(key))
 
     def _close(self, key: int) -> Exchange | None:
         exchange = self._exchanges.pop(key, None)
@@ -178,7 +194,10 @@
     ) -> None:
         try:
             conn = await self.upstreams.open(effect.address)
-        except (OSError, TimeoutError) as exc:
+        except Exception as exc:
+            # Besides errors of the network, an address that another writer registered may be malformed.
+            if not isinstance(exc, OSError):
+                logger.bind(address=effect.address).error('no connection: {}: {}', type(exc).__name__, exc)
             reason = f'{effect.address}: {exc or "no connection in time"}'
             if not attempt.is_over:
                 self._report(AttemptEnded(effect.key, effect.number, AttemptResult.UNSENT, reason))
--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -3,15 +3,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import Final
 
 from basilcove.gateway.config import HeaderNames
 from basilcove.gateway.const import MAX_BUFFERED_BYTES
 from basilcove.gateway.events import AnswerBegun, AttemptEnded, AttemptResult, ReportedLoad, StartAttempt
 from basilcove.gateway.eventstream import EventSplitter, EventTooLargeError
 from basilcove.http1.client import AnswerHead, UpstreamConnection
-from basilcove.http1.headers import HttpRequest, find_header, remove_hop_by_hop
+from basilcove.http1.headers import HttpRequest, find_header, parse_count, remove_hop_by_hop
 from basilcove.http1.server import CallerConnection
 
+# Running requests, waiting requests and slots.
+_LOAD_COUNTS: Final = 3
+
 Report = Callable[[AttemptEnded | AnswerBegun], None]
 
 
@@ -112,6 +116,7 @@
             return
         if not self._is_stream:
             self._exchange.caller.write(part)
+            self._apply_backpressure()
             return
         try:
             events = self._exchange.splitter.feed(part)
@@ -145,8 +150,20 @@
     def _buffer(self, part: bytes) -> None:
         buffered = self._buffered
         assert buffered is not None
-        buffered.add(part)
-        if buffered.size_bytes > MAX_BUFFERED_BYTES and not self._find_refusal(buffered.head):
+        refusal = self._find_refusal(buffered.head)
+        if refusal is None:
+            buffered.add(part)
+        else:
+            # The body of a refusal is not used.
+            buffered.size_bytes += len(part)
+        if buffered.size_bytes <= MAX_BUFFERED_BYTES:
+            return
+        if refusal is not None:
+            self._finish(refusal, 'the body of a refusal is too large')
+            self._close()
+        elif self._exchange.has_begun:
+            self._abort(f'status {buffered.head.status} instead of the rest of the stream')
+        else:
             self._exchange.begin(buffered.head, buffered.head.size)
             for buffered_part in buffered.parts:
                 self._exchange.caller.write(buffered_part)
@@ -219,19 +236,19 @@
         self._finish(AttemptResult.BROKEN if self._exchange.has_begun else AttemptResult.LOST, reason)
 
     def _finish(self, result: AttemptResult, reason: str = '') -> None:
-        self._is_over = True
         status = self._head.status if self._head is not None else 0
         last_event = self._exchange.splitter.last_event
         load = self._read_load()
-        self._report(
-            AttemptEnded(self._start.key, self._start.number, result, reason, status, load, last_event)
-        )
+        ended = AttemptEnded(self._start.key, self._start.number, result, reason, status, load, last_event)
+        self._is_over = True
+        self._report(ended)
 
     def _read_load(self) -> ReportedLoad | None:
         if self._head is None:
             return None
         text = find_header(self._head.headers, self._names.load.lower().encode())
-        parts = text.split(',')
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        counts = [parse_count(part) for part in text.split(',')]
+        if len(counts) != _LOAD_COUNTS or None in counts:
             return None
-        return ReportedLoad(*(int(part) for part in parts))
+        running, waiting, slots = (count or 0 for count in counts)
+        return ReportedLoad(running, waiting, slots)
--- a/basilcove/helpers/logs.py
+++ b/basilcove/helpers/logs.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+import traceback
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
@@ -16,7 +17,7 @@
 from basilcove.core.runtime import carries_out
 
 if TYPE_CHECKING:
-    from loguru import Message
+    from loguru import Message, RecordException
 
 # Limit for a process and second; a gateway at its design load writes about 60 lines. Lines over the limit are
 # dropped. Warnings and errors have a limit of their own, just as large, so that routine lines never displace
@@ -132,7 +133,7 @@
     def setup(self) -> None:
         """Replace all log outputs by this one."""
         logger.remove()
-        logger.add(self._write, level=self._level, format='{message}')
+        logger.add(self._write, level=self._level, format='{message}', backtrace=False, diagnose=False)
         self._writer.setup()
 
     def unload(self) -> None:
@@ -164,7 +165,7 @@
             'message': record['message'],
         }
         if record['exception'] is not None:
-            content['exception'] = str(record['exception'].value)
+            content['exception'] = _describe(record['exception'])
         self._writer.put(json.dumps(content, default=str))
 
     def _summarise(self) -> None:
@@ -174,6 +175,15 @@
             self._writer.put(json.dumps(content))
 
 
+def _describe(exc: 'RecordException') -> str:
+    """Return an exception with the place that raised it."""
+    text = f'{type(exc.value).__name__}: {exc.value}'
+    if exc.traceback is None:
+        return text
+    frame = traceback.extract_tb(exc.traceback)[-1]
+    return f'{text} ({frame.filename}:{frame.lineno}, {frame.name})'
+
+
 def _write_to_stderr(text: str) -> None:
     # Standard error may fail like standard output; lost lines are counted anyway.
     with contextlib.suppress(OSError):
--- a/basilcove/http/announcements.py
+++ b/basilcove/http/announcements.py
@@ -51,7 +51,7 @@
         """Store the settings; ``setup`` binds the address."""
         self._cfg = cfg
         self._pages = StatusPages(metrics)
-        self._post: Callable[[Event], None] | None = None
+        self._post: Callable[[Event], object] | None = None
         self._server: Server | None = None
 
     @classmethod
@@ -59,7 +59,7 @@
         """Build the server of an agent."""
         return cls(cfg, metrics)
 
-    def setup(self, post: Callable[[Event], None], not_ready: NotReady) -> None:
+    def setup(self, post: Callable[[Event], object], not_ready: NotReady) -> None:
         """Bind and serve; ``post`` passes events to the reducer."""
         self._post = post
         self._pages.setup(not_ready)
--- a/basilcove/http/callers.py
+++ b/basilcove/http/callers.py
@@ -47,7 +47,7 @@
         self._tracing = tracing
         self._environment: Environment | None = None
         self._slots = threading.BoundedSemaphore(cfg.max_streams)
-        self._post: Callable[[Event], None] | None = None
+        self._post: Callable[[Event], object] | None = None
         self._pages = StatusPages(metrics)
         self._server: Server | None = None
 
@@ -56,7 +56,7 @@
         """Build the server of an entry."""
         return cls(cfg, answers, metrics, tracing)
 
-    def setup(self, post: Callable[[Event], None], not_ready: NotReady) -> None:
+    def setup(self, post: Callable[[Event], object], not_ready: NotReady) -> None:
         """Bind and serve; ``not_ready`` returns the reasons why the node is not ready."""
         self._post = post
         self._pages.setup(not_ready)
@@ -163,7 +163,7 @@
 class _Exchange:
     """A request that was posted to the reducer and the parts of its answer."""
 
-    def __init__(self, req: Request, answers: AnswerTable, post: Callable[[Event], None]) -> None:
+    def __init__(self, req: Request, answers: AnswerTable, post: Callable[[Event], object]) -> None:
         self.req = req
         self._answers = answers
         self._post = post
--- a/basilcove/http/counts.py
+++ b/basilcove/http/counts.py
@@ -21,7 +21,7 @@
 class CountsClient:
     """Driver of ``ReadCounts``; the engine answers ``GET /experts/counts`` with JSON."""
 
-    def __init__(self, post: Callable[[Event], None]) -> None:
+    def __init__(self, post: Callable[[Event], object]) -> None:
         """Create the pool, whose thread starts with the first read; ``post`` passes events to the reducer."""
         self._post = post
         self._pool = ThreadPoolExecutor(1, thread_name_prefix='counts')
--- a/basilcove/http/orders.py
+++ b/basilcove/http/orders.py
@@ -19,7 +19,7 @@
 _FAULTS: Final = (HTTPError, OSError, ValueError, TypeError)
 _OK: Final = 200
 
-Post = Callable[[Event], None]
+Post = Callable[[Event], object]
 
 
 class EngineClient:
--- a/basilcove/http/upstreams.py
+++ b/basilcove/http/upstreams.py
@@ -44,7 +44,7 @@
 _NEVER_SENT: Final = (NewConnectionError, ConnectTimeoutError)
 
 SendChunk = Callable[[NodeId, AnswerChunk], None]
-Apply = Callable[[Event], None]
+Apply = Callable[[Event], object]
 ScheduleOnLoop = Callable[[Callable[[], None]], object]
 
 
--- a/basilcove/http1/client.py
+++ b/basilcove/http1/client.py
@@ -9,9 +9,10 @@
 from typing import Final, Protocol
 
 import httptools
+from loguru import logger
 
-from basilcove.http1.const import WRITE_BUFFER_BYTES
-from basilcove.http1.headers import Headers, find_header, has_body
+from basilcove.http1.const import MAX_ANSWER_OVERHEAD_BYTES, MAX_SKIPPED_BYTES, WRITE_BUFFER_BYTES
+from basilcove.http1.headers import Headers, find_header, has_body, parse_count
 
 _OK: Final = 200
 
@@ -62,7 +63,10 @@
 
 @dataclass(slots=True)
 class _PendingAnswer:
-    """The answer that is being parsed."""
+    """The answer that is being parsed.
+
+    ``unread_bytes`` counts what arrived since the reader was last passed a part of a body.
+    """
 
     reader: AnswerReader
     method: bytes
@@ -70,7 +74,15 @@
     headers: Headers = field(default_factory=list)
     head: AnswerHead | None = None
     is_skipped: bool = False
+    has_skipped: bool = False
     ends_with_connection: bool = False
+    unread_bytes: int = 0
+
+    @property
+    def is_oversized(self) -> bool:
+        """Return whether more bytes without content for the reader arrived than any regular answer has."""
+        limit = MAX_SKIPPED_BYTES if self.has_skipped else MAX_ANSWER_OVERHEAD_BYTES
+        return self.unread_bytes > limit
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -115,12 +127,21 @@
             # No request is in flight, so these bytes belong to none.
             self.close()
             return
+        pending = self._pending
+        pending.unread_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
+        except httptools.HttpParserCallbackError as exc:
+            # The reader may have failed after the answer was complete, when it is no longer pending.
+            self._pending = pending
+            logger.opt(exception=exc).error('an answer could not be handled')
+            self._fail('the answer could not be handled')
         except httptools.HttpParserError as exc:
             self._fail(f'not an answer: {exc}')
         except httptools.HttpParserUpgrade:
             self._fail('the upstream changes the protocol')
+        if pending is self._pending and pending.is_oversized:
+            self._fail('the head, the trailers or skipped answers are too large')
 
     def send(self, request: bytes, method: bytes, reader: AnswerReader) -> None:
         """Send a request; its answer is passed to the reader."""
@@ -170,8 +191,8 @@
             self._pending.reason += part
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Add a header."""
-        if self._pending is not None:
+        """Add a header; trailers are dropped, since what they state comes too late to be acted on."""
+        if self._pending is not None and self._pending.head is None:
             self._pending.headers.append((name, content))
 
     def on_headers_complete(self) -> None:
@@ -183,8 +204,7 @@
         if head.status < _OK:
             return
         pending.head = head
-        size = find_header(head.headers, b'content-length')
-        head.size = int(size) if size.isdigit() else None
+        head.size = parse_count(find_header(head.headers, b'content-length'))
         is_chunked = bool(find_header(head.headers, b'transfer-encoding'))
         answer_has_body = has_body(pending.method, head.status)
         pending.ends_with_connection = answer_has_body and head.size is None and not is_chunked
@@ -193,6 +213,7 @@
         if pending.is_skipped:
             # The connection also carries answers to other requests, so it isn't reused.
             self._is_unusable = True
+            pending.has_skipped = True
             return
         pending.reader.on_head(head)
         if not answer_has_body:
@@ -202,6 +223,7 @@
         """Pass on a part of the body."""
         pending = self._pending
         if pending is not None and pending.head is not None and not pending.is_skipped:
+            pending.unread_bytes = 0
             pending.reader.on_part(part)
 
     def on_message_complete(self) -> None:
@@ -220,8 +242,9 @@
             self._allows_reuse = False
         for option in find_header(head.headers, b'keep-alive').split(','):
             name, _, seconds = option.strip().partition('=')
-            if name.lower() == 'timeout' and seconds.isdigit():
-                self._keep_alive_s = int(seconds) - self._cfg.keep_alive_margin_s
+            stated_s = parse_count(seconds) if name.lower() == 'timeout' else None
+            if stated_s is not None:
+                self._keep_alive_s = stated_s - self._cfg.keep_alive_margin_s
 
     def _finish(self) -> None:
         pending, self._pending = self._pending, None
--- a/basilcove/http1/headers.py
+++ b/basilcove/http1/headers.py
@@ -23,6 +23,8 @@
         b'upgrade',
     )
 )
+# All numbers of so many digits are below 2^53.
+_MAX_DIGITS: Final = 15
 _REASONS: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
 _BODILESS: Final = frozenset((HTTPStatus.NO_CONTENT.value, HTTPStatus.NOT_MODIFIED.value))
 
@@ -63,6 +65,14 @@
     return ''
 
 
+def parse_count(text: str) -> int | None:
+    """Return the number that ASCII digits state; None for any other text, and for a number beyond 2^53."""
+    digits = text.strip()
+    if not digits.isascii() or not digits.isdecimal() or len(digits) > _MAX_DIGITS:
+        return None
+    return int(digits)
+
+
 def remove_hop_by_hop(headers: Headers, excluded: Collection[bytes] = ()) -> Headers:
     """Return the headers without hop-by-hop ones and those of the given lower-case names."""
     connection_options: set[bytes] = set()
--- a/basilcove/http1/server.py
+++ b/basilcove/http1/server.py
@@ -15,6 +15,7 @@
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
     MAX_PIPELINED,
+    MIN_BODY_BYTES_PER_S,
     REFUSED_LINGER_S,
     SWEEP_INTERVAL_S,
     WRITE_BUFFER_BYTES,
@@ -55,13 +56,16 @@
         self._target = b''
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._head_bytes = 0
+        # Bytes of the head or, after it, those that arrived since the last part of the body.
+        self._overhead_bytes = 0
         self._is_in_head = False
         self._is_reading = False
+        self._reading_since = 0.0
         self._pipelined: deque[HttpRequest] = deque()
         self._current: HttpRequest | None = None
         self._is_chunked = False
         self._closes_after = False
+        self._has_begun = False
         self._is_refused = False
         self._refused_at = 0.0
         self._last_activity_at = time.monotonic()
@@ -92,14 +96,14 @@
         if self._is_refused:
             return
         # A head that begins in this segment may follow a long body, so counting starts with the next segment.
-        self._head_bytes = self._head_bytes + len(chunk) if self._is_in_head else 0
+        self._overhead_bytes = self._overhead_bytes + len(chunk) if self._is_reading else 0
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
             self._refuse(HTTPStatus.BAD_REQUEST, 'no other protocol is spoken')
         except httptools.HttpParserError as exc:
             self._refuse(HTTPStatus.BAD_REQUEST, str(exc))
-        if self._is_in_head and self._head_bytes > self._server.limits.max_header_bytes:
+        if self._is_reading and self._overhead_bytes > self._server.limits.max_header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, 'the headers are too large')
 
     def pause_writing(self) -> None:
@@ -117,6 +121,7 @@
         """Start a request."""
         self._is_reading = True
         self._is_in_head = True
+        self._reading_since = time.monotonic()
         self._headers = []
         self._target = b''
         self._body = []
@@ -127,12 +132,14 @@
         self._target += part
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name, content))
+        """Add a header; trailers are dropped, since a header that follows the body was not checked."""
+        if self._is_in_head:
+            self._headers.append((name, content))
 
     def on_headers_complete(self) -> None:
         """Check the size of the head; send 100 Continue to a caller that expects it before its body."""
         self._is_in_head = False
+        self._overhead_bytes = 0
         size = len(self._target) + sum(len(name) + len(content) for name, content in self._headers)
         if size > self._server.limits.max_header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, 'the headers are too large')
@@ -143,6 +150,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Add a part of the body."""
+        self._overhead_bytes = 0
         self._body_bytes += len(part)
         if self._body_bytes > self._server.limits.max_body_bytes:
             self._body = []
@@ -183,6 +191,7 @@
         if request is None or self._transport is None:
             return
         framing: Headers = []
+        self._has_begun = True
         self._closes_after = not request.keeps_alive or self._server.is_stopping
         self._is_chunked = False
         if has_body(request.method, status):
@@ -213,6 +222,8 @@
             self._transport.write(b'0\r\n\r\n')
         self._current = None
         self._last_activity_at = time.monotonic()
+        # Reading was paused while too many requests were queued.
+        self._reading_since = self._last_activity_at
         if self._closes_after:
             self._transport.close()
             return
@@ -244,16 +255,31 @@
             if now - self._refused_at > REFUSED_LINGER_S:
                 self._transport.close()
             return
-        waited_s = now - self._last_activity_at
-        if self._is_reading and waited_s > limits.header_timeout_s:
+        if not self._is_reading:
+            if now - self._last_activity_at > limits.idle_timeout_s:
+                self._transport.close()
+            return
+        allowed_s = limits.header_timeout_s + self._body_bytes / MIN_BODY_BYTES_PER_S
+        if now - self._reading_since > allowed_s or now - self._last_activity_at > limits.header_timeout_s:
             self._refuse(HTTPStatus.REQUEST_TIMEOUT, 'the request did not arrive in time')
-        elif not self._is_reading and waited_s > limits.idle_timeout_s:
-            self._transport.close()
 
     def _dispatch_next(self) -> None:
-        if self._current is None and self._pipelined:
-            self._current = self._pipelined.popleft()
+        if self._current is not None or not self._pipelined:
+            return
+        self._current = self._pipelined.popleft()
+        self._has_begun = False
+        try:
             self._server.handler.on_request(self, self._current)
+        except Exception:
+            logger.exception('a request could not be handled')
+            self._end_unhandled()
+
+    def _end_unhandled(self) -> None:
+        """End the request whose handler failed; nothing is known about what it did."""
+        if self._has_begun:
+            self.abort()
+        else:
+            self.answer(HTTPStatus.INTERNAL_SERVER_ERROR.value, [], b'')
 
     def _refuse(self, status: HTTPStatus, reason: str) -> None:
         if self._is_refused or self._transport is None:
--- a/basilcove/registry/const.py
+++ b/basilcove/registry/const.py
@@ -12,5 +12,12 @@
 MIN_PAUSE_S: Final = 0.5
 # Bounds the table if a client invents instances.
 MAX_INSTANCES: Final = 8192
+# Numbers up to this one are exact in every JSON reader.
+MAX_NUMBER: Final = 2**53 - 1
+# Messages between nodes carry slots and ranks as 32-bit integers.
+MAX_SLOTS: Final = 2**31 - 1
+MAX_PORT: Final = 65_535
+# Characters of a name.
+MAX_TEXT_LENGTH: Final = 256
 # Sequence of the departure of an instance; it orders the departure after all its calls, including late ones.
 MAX_SEQUENCE: Final = 2**62
--- a/basilcove/registry/coordinator.py
+++ b/basilcove/registry/coordinator.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterable
 
-from basilcove.core.events import Effect, Log, PeerFound, PeerLost, Received, Send, Tick
+from basilcove.core.events import Count, Effect, Log, PeerFound, PeerLost, Received, Send, Tick
 from basilcove.core.ids import InstanceId, Role
 from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.registry.checks import find_fault
 from basilcove.registry.const import FORGOTTEN_AFTER_S, MIN_PAUSE_S, SILENT_AFTER_S
 from basilcove.registry.events import UpstreamRegistered
 from basilcove.registry.messages import Registration, Registrations, RegistrationState
@@ -47,6 +48,9 @@
 
 
 def _merge(state: RegistryState, registration: Registration, source: str, now: float) -> list[Effect]:
+    fault = find_fault(registration)
+    if fault is not None:
+        return _drop(registration, fault, source)
     former = state.rows.get(registration.instance)
     if not state.merge(registration, now):
         return []
@@ -67,6 +71,11 @@
     return [Log('info', 'upstream registered', fields)]
 
 
+def _drop(registration: Registration, fault: str, source: str) -> list[Effect]:
+    fields = (('instance', repr(registration.instance)), ('reason', fault), ('source', source))
+    return [Log('warning', 'registration dropped', fields), Count('registrations_dropped')]
+
+
 @handles(Tick, RegistryState)
 def _on_tick(state: RegistryState, event: Tick, ctx: Context) -> list[Effect]:
     _discount_pause(state, ctx.now)
--- a/basilcove/rpc/links.py
+++ b/basilcove/rpc/links.py
@@ -183,7 +183,7 @@
 class LinkTable:
     """Links of this process by peer; the driver of ``Send``."""
 
-    def __init__(self, identity: Identity, apply: Callable[[Event], None]) -> None:
+    def __init__(self, identity: Identity, apply: Callable[[Event], object]) -> None:
         """Deliver events to ``apply``, on the loop's thread."""
         self.identity = identity
         self.is_wanted: Callable[[Peer], bool] = lambda _: True
--- a/basilcove/rpc/server.py
+++ b/basilcove/rpc/server.py
@@ -52,7 +52,7 @@
 class OperatorServicer(rpc_pb2_grpc.OperatorServicer):  # type: ignore[misc]
     """Passes operator calls to the reducer and waits for its replies; the driver of ``Reply``."""
 
-    def __init__(self, table: LinkTable, apply: Callable[[Event], None]) -> None:
+    def __init__(self, table: LinkTable, apply: Callable[[Event], object]) -> None:
         """Pass calls to ``apply``, on the loop's thread."""
         self._table = table
         self._apply = apply
--- a/basilcove/storage/driver.py
+++ b/basilcove/storage/driver.py
@@ -18,7 +18,7 @@
 class StorageDriver:
     """Carries out durable writes in order; any failure but a full disk ends all writing."""
 
-    def __init__(self, journal: Journal, post: Callable[[Event], None]) -> None:
+    def __init__(self, journal: Journal, post: Callable[[Event], object]) -> None:
         """Write to an open journal; ``post`` must be safe from any thread."""
         self._journal = journal
         self._post = post
--- a/basilcove/wiring/claims.py
+++ b/basilcove/wiring/claims.py
@@ -64,7 +64,7 @@
 class ClaimBridge:
     """Turns the four effects of claims into events; the driver of these effects."""
 
-    def __init__(self, apply: Callable[[Event], None]) -> None:
+    def __init__(self, apply: Callable[[Event], object]) -> None:
         """Deliver events to ``apply``, on the loop's thread."""
         self.apply = apply
 
--- a/basilcove/wiring/evidence.py
+++ b/basilcove/wiring/evidence.py
@@ -36,7 +36,7 @@
     due_at: float = 0
 
 
-def build_observer(apply: Callable[[Event], None]) -> Callable[[Part], None]:
+def build_observer(apply: Callable[[Event], object]) -> Callable[[Part], None]:
     """Return an observer of answer parts that notifies the reducer when an answer ends."""
 
     def observe(part: Part) -> None:
--- a/basilcove/wiring/orders.py
+++ b/basilcove/wiring/orders.py
@@ -55,7 +55,7 @@
         self,
         own: Peer,
         send: Callable[[NodeId, Message], object],
-        post: Callable[[Event], None],
+        post: Callable[[Event], object],
         clock: Callable[[], float],
     ) -> None:
         """Send to other nodes with ``send`` and to this process with ``post``; ``clock`` is monotonic."""
--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -110,6 +110,11 @@
         self.driver = driver
         self.runtime = runtime
 
+    @property
+    def state(self) -> GatewayState:
+        """Return the state of the gateway."""
+        return self.runtime.node.part(GatewayState)
+
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a caller's connection."""
         return await asyncio.open_connection('127.0.0.1', self.driver.server.port)
