Heed what upstreams say in their answers: that they leave, and when to return

Cause: an answer with the leaving header changed nothing, so an upstream whose announcements were lost went on getting requests; a Retry-After of an upstream was dropped and the upstream was chosen again at once.

Change: any head, interim ones included, may say that the upstream leaves: no new request until a newer start registers (300 s at most). A 503 with Retry-After holds that upstream off for this gateway, with a spread of a tenth; over 60 s one request at a time finds out whether it is well. If all upstreams of a service are held, callers are refused at once with the time of the first return. A control host holds its calls to a rank alike. The word isn't passed on to other gateways: each sees it in its first answer, and the registry brings departures.

A body of an order that goes to all ranks of a group is encoded once.

--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -7,6 +7,8 @@
 # Ranks answer within milliseconds; a call without an answer is retried.
 CALL_TIMEOUT_S: Final = 0.4
 RESEND_S: Final = 0.15
+# Longest Retry-After of a rank that is believed.
+MAX_HOLD_S: Final = 60.0
 # Lists of a map with thousands of experts take some tens of kilobytes.
 MAX_ANSWER_BYTES: Final = 1024 * 1024
 # An order without an answer may still take effect within this time.
--- a/basilcove/experts/remote/driver.py
+++ b/basilcove/experts/remote/driver.py
@@ -1,36 +1,44 @@
 """Calls ranks over HTTP."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from loguru import logger
 
 from basilcove.core.events import Event
+from basilcove.core.ids import InstanceId
 from basilcove.core.runtime import carries_out
-from basilcove.experts.remote.const import CALL_TIMEOUT_S, MAX_ANSWER_BYTES
+from basilcove.experts.remote.const import CALL_TIMEOUT_S, MAX_ANSWER_BYTES, MAX_HOLD_S
 from basilcove.experts.remote.events import CallRank, RankAnswered
-from basilcove.experts.remote.orders import OrderResult, RankDialect
+from basilcove.experts.remote.orders import HttpCall, Order, OrderResult, RankDialect, RankQuery, Reply
 from basilcove.http1.client import AnswerHead, UpstreamConnection, UpstreamConnections
 from basilcove.http1.headers import Headers, encode_request
+from basilcove.http1.retry_after import read_retry_after_s
 
 
 @dataclass(slots=True)
 class _AnswerReader:
     """Collects the complete answer to one call."""
 
-    answer: 'asyncio.Future[tuple[int, bytes]]'
+    is_complete: 'asyncio.Future[None]'
     status: int = 0
     parts: list[bytes] = field(default_factory=list)
     size_bytes: int = 0
+    retry_after_s: float = 0
 
     def accepts(self, head: AnswerHead) -> bool:
         """Accept the first answer: a call has no id that an answer could refer to."""
         return True
 
+    def on_interim(self, head: AnswerHead) -> None:
+        """Wait for the final answer."""
+
     def on_head(self, head: AnswerHead) -> None:
-        """Store the status."""
+        """Store the status, and how long the rank wants no more calls."""
         self.status = head.status
+        self.retry_after_s = read_retry_after_s(head.status, head.headers)
 
     def on_part(self, part: bytes) -> None:
         """Collect a part of the body; fail if it exceeds ``MAX_ANSWER_BYTES``."""
@@ -41,14 +49,28 @@
             self.on_broken('the answer is too large')
 
     def on_end(self) -> None:
-        """Set the answer as the result."""
-        if not self.answer.done():
-            self.answer.set_result((self.status, b''.join(self.parts)))
+        """Mark the answer as complete."""
+        if not self.is_complete.done():
+            self.is_complete.set_result(None)
 
     def on_broken(self, reason: str) -> None:
         """Fail, as no complete answer follows."""
-        if not self.answer.done():
-            self.answer.set_exception(ConnectionError(reason))
+        if not self.is_complete.done():
+            self.is_complete.set_exception(ConnectionError(reason))
+
+    @property
+    def body(self) -> bytes:
+        """Return the body."""
+        return b''.join(self.parts)
+
+
+@dataclass(frozen=True, slots=True)
+class _EncodedCall:
+    """The last call that was encoded; ``issuer`` has the epoch of the group and the fencing token."""
+
+    call: Order | RankQuery
+    issuer: tuple[int, int]
+    http_call: HttpCall
 
 
 class RankDriver:
@@ -67,6 +89,9 @@
         self._connections = connections
         self._apply = apply
         self._tasks: set[asyncio.Task[None]] = set()
+        # Monotonic time until which an instance wants no calls, from its Retry-After.
+        self._held_until: dict[InstanceId, float] = {}
+        self._encoded: _EncodedCall | None = None
 
     def call(self, effect: CallRank) -> None:
         """Call a rank; one event follows, with its answer or ``UNKNOWN``."""
@@ -78,35 +103,61 @@
         """Close all connections."""
         self._connections.close_all()
 
+    def _encode(self, effect: CallRank) -> HttpCall:
+        """Encode a call; a map that goes to all ranks of a group is encoded once."""
+        last = self._encoded
+        if last is None or last.call is not effect.call or last.issuer != (effect.epoch, effect.token):
+            http_call = self._dialect.encode(effect.call, effect.epoch, effect.token)
+            last = _EncodedCall(effect.call, (effect.epoch, effect.token), http_call)
+            self._encoded = last
+        return last.http_call
+
     async def _call(self, effect: CallRank) -> None:
-        http_call = self._dialect.encode(effect.call, effect.epoch, effect.token)
+        reply = OrderResult.UNKNOWN
+        if time.monotonic() >= self._held_until.get(effect.instance, 0):
+            reply = await self._send(effect)
+        answered = RankAnswered(effect.group, effect.rank, effect.number, effect.epoch, effect.call, reply)
+        self._apply(answered)
+
+    async def _send(self, effect: CallRank) -> Reply:
+        """Return the reply of a rank; ``UNKNOWN`` if the call may or may not have taken effect."""
+        http_call = self._encode(effect)
         headers: Headers = [
             (b'Host', effect.address.encode()),
             (b'Content-Type', b'application/json'),
             (self._instance_header, effect.instance.encode()),
         ]
         content = encode_request(http_call.method, http_call.path, headers, http_call.body)
-        reply = OrderResult.UNKNOWN
         try:
-            status, body = await self._exchange(effect.address, http_call.method, content)
-            reply = self._dialect.decode(effect.call, status, body)  # type: ignore[assignment]
+            reader = await self._exchange(effect.address, http_call.method, content)
+            self._hold(effect.instance, reader.retry_after_s)
+            return self._dialect.decode(effect.call, reader.status, reader.body)
         except (OSError, TimeoutError) as exc:
             logger.bind(address=effect.address).debug('rank did not answer: {}', exc)
         except Exception as exc:
             logger.bind(address=effect.address).error(
                 'call of a rank failed: {}: {}', type(exc).__name__, exc
             )
-        answered = RankAnswered(effect.group, effect.rank, effect.number, effect.epoch, effect.call, reply)
-        self._apply(answered)
-
-    async def _exchange(self, address: str, method: bytes, content: bytes) -> tuple[int, bytes]:
+        return OrderResult.UNKNOWN
+
+    def _hold(self, instance: InstanceId, retry_after_s: float) -> None:
+        if not retry_after_s:
+            return
+        hold_s = min(MAX_HOLD_S, retry_after_s)
+        now = time.monotonic()
+        self._held_until = {name: until for name, until in self._held_until.items() if until > now}
+        self._held_until[instance] = now + hold_s
+        logger.bind(instance=instance, held_s=hold_s).info('rank takes no calls')
+
+    async def _exchange(self, address: str, method: bytes, content: bytes) -> '_AnswerReader':
         conn: UpstreamConnection | None = None
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 conn = self._connections.pop_idle(address) or await self._connections.open(address)
-                fut = asyncio.get_running_loop().create_future()
-                conn.send(content, method, _AnswerReader(fut))
-                return await fut  # type: ignore[no-any-return]
+                reader = _AnswerReader(asyncio.get_running_loop().create_future())
+                conn.send(content, method, reader)
+                await reader.is_complete
+                return reader
         except Exception:
             # A late answer would be mistaken for that of the next call.
             if conn is not None:
--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -1,11 +1,12 @@
 """Starts the attempts of a request and decides on a retry when one ends."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from basilcove.core.events import Count, Effect, Log
 from basilcove.core.reducer import Context
 from basilcove.environment.models import RouteKind
-from basilcove.gateway.const import MAX_UNSENT_ATTEMPTS, MIN_ATTEMPT_S
+from basilcove.gateway.const import MAX_HELD_RETRY_AFTER_S, MAX_UNSENT_ATTEMPTS, MIN_ATTEMPT_S
 from basilcove.gateway.events import (
     AbortAnswer,
     AttemptEnded,
@@ -17,6 +18,7 @@
 from basilcove.gateway.models import GatewayState, OpenRequest
 from basilcove.gateway.outcomes import (
     ANSWER_LOST,
+    HELD,
     NO_ROOM,
     NO_UPSTREAM,
     NOT_STARTED,
@@ -80,6 +82,7 @@
         req.number,
         registration.instance,
         registration.address,
+        registration.born_ms,
         req.deadline - ctx.now,
         req.team,
         req.level,
@@ -123,6 +126,9 @@
 def _update_upstream(upstream: PooledUpstream, event: AttemptEnded, now: float) -> None:
     if event.load is not None:
         upstream.update_load(event.load, now)
+    if event.result is AttemptResult.ANSWERED:
+        # An upstream that serves requests again no longer holds them off.
+        upstream.hold_stated_until = 0
     if event.result is AttemptResult.MISDIRECTED:
         upstream.is_misdirected = True
     if event.result is not AttemptResult.MOVED:
@@ -203,6 +209,10 @@
         return [DeliverBuffered(req.key)]
     if req.may_have_run:
         return end_refused(state, req, ANSWER_LOST, ctx)
+    held_s = state.pools.held_for_s(req.service, ctx.now)
+    if held_s is not None:
+        retry_after_s = min(MAX_HELD_RETRY_AFTER_S, held_s)
+        return end_refused(state, req, replace(HELD, retry_after_s=retry_after_s), ctx)
     return end_refused(state, req, NO_ROOM if req.sent else NO_UPSTREAM, ctx)
 
 
--- a/basilcove/gateway/config.py
+++ b/basilcove/gateway/config.py
@@ -15,6 +15,7 @@
     priority: str = 'Basilcove-Priority'
     not_run: str = 'Basilcove-Not-Run'
     load: str = 'Basilcove-Load'
+    leaving: str = 'Basilcove-Leaving'
 
 
 class RetryConfig(BaseModel):
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -37,6 +37,16 @@
 # Load that an upstream reported decays linearly to zero over this time.
 LOAD_LIFETIME_S: Final = 2.0
 
+# An upstream that said it leaves is believed for this long after it last said so, in case it stays.
+LEAVING_LIFETIME_S: Final = 300.0
+# Longest Retry-After of an upstream that is believed. After it, one request at a time finds out whether it is
+# well again.
+MAX_HOLD_S: Final = 60.0
+# Retry-After of an upstream is lengthened by up to this fraction, so that gateways don't return together.
+HOLD_SPREAD: Final = 0.1
+# Longest Retry-After that callers are told while all upstreams hold requests off.
+MAX_HELD_RETRY_AFTER_S: Final = 10.0
+
 # No attempt is started with less time left than this, since no answer can arrive within it.
 MIN_ATTEMPT_S: Final = 0.03
 # After an unsent attempt, a request with this many attempts gets no further one. Unsent attempts don't count
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -34,6 +34,7 @@
     RequestArrived,
     RequestHead,
     StartAttempt,
+    UpstreamHinted,
 )
 from basilcove.gateway.exchange import Attempt, Exchange
 from basilcove.http1.client import ClientConfig, UpstreamConnections
@@ -162,7 +163,7 @@
         if exchange is not None:
             exchange.caller.abort()
 
-    def _report(self, event: AttemptEnded | AnswerBegun) -> None:
+    def _report(self, event: AttemptEnded | AnswerBegun | UpstreamHinted) -> None:
         if isinstance(event, AttemptEnded) and event.result is AttemptResult.ANSWERED:
             self._close(event.key)
         self._apply_for(event.key, event)
--- a/basilcove/gateway/events.py
+++ b/basilcove/gateway/events.py
@@ -5,6 +5,7 @@
 
 from basilcove.core.events import Effect, Event
 from basilcove.core.ids import InstanceId, TeamName
+from basilcove.gateway.hints import Hints
 
 
 class AttemptResult(enum.Enum):
@@ -74,6 +75,17 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamHinted(Event):
+    """The upstream of an attempt stated something about itself in the head of an answer."""
+
+    key: int
+    number: int
+    instance: InstanceId
+    born_ms: int
+    hints: Hints
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded(Event):
     """An attempt ended; ``last_event`` is the id of the last event that the caller was sent."""
@@ -89,12 +101,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt(Effect):
-    """Sends a request to an upstream, which resumes the stream after ``last_event`` if that isn't empty."""
+    """Sends a request to an upstream, which resumes the stream after ``last_event`` if that isn't empty.
+
+    ``born_ms`` identifies the start of the instance, as in its registration.
+    """
 
     key: int
     number: int
     instance: InstanceId
     address: str
+    born_ms: int
     timeout_s: float
     team: TeamName
     urgency: int
--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -7,8 +7,16 @@
 
 from basilcove.gateway.config import HeaderNames
 from basilcove.gateway.const import MAX_BUFFERED_BYTES
-from basilcove.gateway.events import AnswerBegun, AttemptEnded, AttemptResult, ReportedLoad, StartAttempt
+from basilcove.gateway.events import (
+    AnswerBegun,
+    AttemptEnded,
+    AttemptResult,
+    ReportedLoad,
+    StartAttempt,
+    UpstreamHinted,
+)
 from basilcove.gateway.eventstream import EventSplitter, EventTooLargeError
+from basilcove.gateway.hints import read_hints
 from basilcove.http1.client import AnswerHead, UpstreamConnection
 from basilcove.http1.headers import HttpRequest, find_header, parse_count, remove_hop_by_hop
 from basilcove.http1.server import CallerConnection
@@ -16,7 +24,7 @@
 # Running requests, waiting requests and slots.
 _LOAD_COUNTS: Final = 3
 
-Report = Callable[[AttemptEnded | AnswerBegun], None]
+Report = Callable[[AttemptEnded | AnswerBegun | UpstreamHinted], None]
 
 
 @dataclass(slots=True)
@@ -96,9 +104,14 @@
 
     def accepts(self, head: AnswerHead) -> bool:
         """Return whether the answer names this request or no request at all."""
+        self._report_hints(head)
         echoed = find_header(head.headers, self._names.request_id.lower().encode())
         return not echoed or echoed == self._exchange.request.header(self._names.request_id.lower().encode())
 
+    def on_interim(self, head: AnswerHead) -> None:
+        """Report the hints of an interim answer."""
+        self._report_hints(head)
+
     def on_head(self, head: AnswerHead) -> None:
         """Prepare to forward a successful stream as it arrives, or to buffer any other answer."""
         self._head = head
@@ -147,6 +160,12 @@
 
     # Helpers.
 
+    def _report_hints(self, head: AnswerHead) -> None:
+        hints = read_hints(head, self._names)
+        if hints:
+            start = self._start
+            self._report(UpstreamHinted(start.key, start.number, start.instance, start.born_ms, hints))
+
     def _buffer(self, part: bytes) -> None:
         buffered = self._buffered
         assert buffered is not None
--- a/basilcove/gateway/outcomes.py
+++ b/basilcove/gateway/outcomes.py
@@ -43,6 +43,7 @@
 NO_ROUTE: Final = Refusal(HTTPStatus.NOT_FOUND, 'no route matches')
 UNKNOWN_KEY: Final = Refusal(HTTPStatus.UNAUTHORIZED, 'the key is unknown')
 NO_UPSTREAM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no upstream takes the request')
+HELD: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the upstreams hold requests off')
 NO_ROOM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the upstreams have no room')
 NOT_STARTED: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the deadline passed before the request ran')
 ANSWER_LOST: Final = Refusal(HTTPStatus.BAD_GATEWAY, 'the answer of the upstream was lost')
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -6,10 +6,12 @@
 
 from basilcove.core.ids import InstanceId, NodeId, ServiceName, Zone
 from basilcove.gateway.const import (
+    DEFAULT_RETRY_AFTER_S,
     FAILURE_COST,
     FAILURE_HALF_LIFE_S,
     FAILURE_WEIGHT,
     LOAD_LIFETIME_S,
+    MAX_HOLD_S,
     REMOTE_ZONE_COST,
     SLOW_COST,
     SLOW_LIFETIME_S,
@@ -27,7 +29,8 @@
 
     ``liveness`` holds, for each linked control host, whether that host still receives its registrations.
     ``others_load`` is the number of requests that it had from other gateways when it last reported its
-    load. ``failure_average`` is the share of failures at the time of the last result.
+    load. ``failure_average`` is the share of failures at the time of the last result. No request is sent
+    before ``held_until``, and then only one at a time until ``hold_stated_until`` or an answer.
     """
 
     registration: Registration
@@ -39,6 +42,9 @@
     averaged_at: float = 0
     is_misdirected: bool = False
     slow_until: float = 0
+    leaving_until: float = 0
+    held_until: float = 0
+    hold_stated_until: float = 0
 
     @property
     def is_silent(self) -> bool:
@@ -50,6 +56,18 @@
         """Return whether the upstream accepts new requests according to its registration and answers."""
         return self.registration.standing is RegistrationState.READY and not self.is_misdirected
 
+    def is_usable(self, now: float) -> bool:
+        """Return whether the upstream is ready, has not said that it leaves and holds no requests off."""
+        if not self.is_ready or now < max(self.leaving_until, self.held_until):
+            return False
+        return now >= self.hold_stated_until or not self.open_attempts
+
+    def hold(self, retry_after_s: float, spread: float, now: float) -> None:
+        """Hold requests off for the stated time, lengthened by a fraction, up to ``MAX_HOLD_S``."""
+        hold_s = retry_after_s * (1 + spread)
+        self.held_until = max(self.held_until, now + min(MAX_HOLD_S, hold_s))
+        self.hold_stated_until = max(self.hold_stated_until, now + hold_s)
+
     def is_slow(self, now: float) -> bool:
         """Return whether the control leader recently reported that the group of the upstream waits for it."""
         return now < self.slow_until
@@ -139,7 +157,7 @@
         """Return the upstream with the lowest cost; a silent one only if there is no other."""
         best = None
         best_cost = (True, 0.0)
-        for upstream in self.ready(service):
+        for upstream in self.usable(service, now):
             instance = upstream.registration.instance
             if instance in excluded:
                 continue
@@ -149,8 +167,20 @@
                 best, best_cost = upstream, cost
         return best
 
-    def ready(self, service: ServiceName) -> Iterator[PooledUpstream]:
+    def usable(self, service: ServiceName, now: float) -> Iterator[PooledUpstream]:
         """Yield the upstreams that accept new requests of a service."""
         for upstream in self.by_service.get(service, {}).values():
-            if upstream.is_ready:
+            if upstream.is_usable(now):
                 yield upstream
+
+    def held_for_s(self, service: ServiceName, now: float) -> float | None:
+        """Return the time until an upstream takes requests again; None if one does now, or none ever will."""
+        returns = []
+        for upstream in self.by_service.get(service, {}).values():
+            if upstream.is_usable(now):
+                return None
+            if upstream.is_ready and now >= upstream.leaving_until:
+                returns.append(
+                    upstream.held_until - now if now < upstream.held_until else DEFAULT_RETRY_AFTER_S
+                )
+        return min(returns, default=None)
--- a/basilcove/gateway/relief.py
+++ b/basilcove/gateway/relief.py
@@ -75,7 +75,7 @@
 
     def _compute_share(self, service: ServiceName) -> float:
         free_slots, slow_load = 0.0, 0.0
-        for upstream in self._pools.ready(service):
+        for upstream in self._pools.usable(service, self._now):
             load = self._pools.load(upstream, self._now)
             if upstream.is_slow(self._now):
                 slow_load += load
--- a/basilcove/http1/client.py
+++ b/basilcove/http1/client.py
@@ -48,6 +48,9 @@
     def accepts(self, head: AnswerHead) -> bool:
         """Return whether this answer belongs to the request; otherwise it is skipped."""
 
+    def on_interim(self, head: AnswerHead) -> None:
+        """Handle the head of an interim answer (1xx), which the final one follows."""
+
     def on_head(self, head: AnswerHead) -> None:
         """Handle the head."""
 
@@ -202,6 +205,7 @@
             return
         head = AnswerHead(self._parser.get_status_code(), pending.reason, pending.headers)
         if head.status < _OK:
+            pending.reader.on_interim(head)
             return
         pending.head = head
         head.size = parse_count(find_header(head.headers, b'content-length'))
