Let control hosts of large groups lead: plan in slices, repeat orders by their number, apply logs once

Orders were repeated after 0.15 s while the host was still sending the first ones; the answer to the first was then ignored, and the repeated one refused (352 of 5,783). After a loss of power the first commit applied the log and read, parsed and announced each of its documents.

Ruled out: a thread for the plan (it shares the processor time of the loop).

--- a/basilcove/catalog/claims.py
+++ b/basilcove/catalog/claims.py
@@ -2,6 +2,7 @@
 
 from basilcove.catalog.commands import AbandonClaim, Claim, CompleteClaim, ReleaseClaim
 from basilcove.catalog.const import MAX_ANSWER_BYTES, MAX_FORMER_ATTEMPTS, MAX_TOTAL_ANSWER_BYTES
+from basilcove.catalog.documents import limits_of
 from basilcove.catalog.models import CatalogState, ClaimRow, ClaimState, ClaimTable
 from basilcove.catalog.outcomes import (
     ClaimCompleted,
@@ -16,9 +17,7 @@
 from basilcove.catalog.registry import applies
 from basilcove.core.events import Message
 from basilcove.core.ids import AttemptId, EnvironmentName, NodeId
-from basilcove.environment.models import Limits
 
-_DEFAULT_LIMITS = Limits()
 _NO_OWNER = NodeId('')
 
 
@@ -27,7 +26,7 @@
     table = _get_table(state, command.environment)
     row = table.rows.get(command.key)
     if row is None:
-        if len(table.rows) >= _get_limits(state, command.environment).max_claims:
+        if len(table.rows) >= limits_of(state, command.environment).max_claims:
             return ClaimTableFull()
         row = ClaimRow(command.fingerprint, _NO_OWNER, command.attempt_id, ClaimState.RELEASED, state.time)
         table.rows[command.key] = row
@@ -94,7 +93,7 @@
     row = table.rows.get(command.key)
     if row is None:
         # The release arrived before the claim, which must not be granted when it arrives.
-        if len(table.rows) >= _get_limits(state, command.environment).max_claims:
+        if len(table.rows) >= limits_of(state, command.environment).max_claims:
             return ClaimTableFull()
         row = ClaimRow('', _NO_OWNER, command.attempt_id, ClaimState.RELEASED, state.time)
         table.rows[command.key] = row
@@ -110,7 +109,7 @@
 def drop_expired_claims(state: CatalogState) -> None:
     """Drop claims whose last change is older than the environment's retention."""
     for environment, table in state.claims.items():
-        oldest_kept = state.time - _get_limits(state, environment).claim_retention_s
+        oldest_kept = state.time - limits_of(state, environment).claim_retention_s
         while table.rows:
             key = next(iter(table.rows))
             row = table.rows[key]
@@ -128,10 +127,6 @@
     return table
 
 
-def _get_limits(state: CatalogState, environment: EnvironmentName) -> Limits:
-    return state.limits.get(environment, _DEFAULT_LIMITS)
-
-
 def _find_held(table: ClaimTable, key: str, attempt_id: AttemptId) -> ClaimRow | None:
     row = table.rows.get(key)
     if row is None or row.attempt_id != attempt_id or row.state is ClaimState.RELEASED:
--- a/basilcove/catalog/coordinator.py
+++ b/basilcove/catalog/coordinator.py
@@ -12,7 +12,7 @@
 from basilcove.catalog.events import DocumentAccepted
 from basilcove.catalog.messages import Answer, Ask, LoggedCommand
 from basilcove.catalog.models import DocumentKey, DocumentRow
-from basilcove.catalog.outcomes import CommandRefused, DocumentApplied, MembersChanged
+from basilcove.catalog.outcomes import CommandRefused, MembersChanged
 from basilcove.catalog.reads import answer_read
 from basilcove.catalog.snapshot import decode_state, encode_state
 from basilcove.consensus.events import (
@@ -178,27 +178,25 @@
 
 @handles(EntriesCommitted, ControlState)
 def _on_committed(state: ControlState, event: EntriesCommitted, ctx: Context) -> list[Effect]:
-    effects: list[Effect] = []
+    """Apply entries; after a restart they may hold many revisions, of which only the last is announced."""
+    before = dict(state.catalog.documents)
+    answers: list[Effect] = []
     for entry in event.entries:
-        effects.extend(_apply_entry(state, entry))
+        answers.extend(_apply_entry(state, entry))
         state.applied = entry.index
-    return effects
+    return [*_announce_changes(state, before), *answers]
 
 
 def _apply_entry(state: ControlState, entry: LogEntry) -> list[Effect]:
     pending = state.pending_proposals.pop(state.proposals_by_index.pop(entry.index, ''), None)
     result: Message = MembersChanged()
-    effects: list[Effect] = []
     if entry.kind is EntryKind.MEMBERS:
         apply_members(state.catalog, Members.decode(entry.body), entry.time)
     if entry.kind is EntryKind.COMMAND:
-        before = dict(state.catalog.documents)
         result = apply_logged(state.catalog, _decode_logged(entry.body), entry.time)
-        if isinstance(result, DocumentApplied):
-            effects.extend(_announce_changes(state, before))
-    if pending is not None and pending.term == entry.term:
-        effects.append(_answer(state, pending, result))
-    return effects
+    if pending is None or pending.term != entry.term:
+        return []
+    return [_answer(state, pending, result)]
 
 
 def _decode_logged(body: bytes) -> LoggedCommand:
--- a/basilcove/catalog/documents.py
+++ b/basilcove/catalog/documents.py
@@ -70,10 +70,13 @@
     return _store_document(state, key, trial.text, trial.revision)
 
 
-def derive_limits(state: CatalogState) -> None:
-    """Read the limits of all environments from their documents."""
-    for environment, _stage in state.documents:
-        _derive_limits(state, environment)
+def limits_of(state: CatalogState, environment: EnvironmentName) -> Limits:
+    """Return the limits of an environment, which are read from its document when they are first needed."""
+    limits = state.limits.get(environment)
+    if limits is None:
+        limits = _read_limits(state, environment)
+        state.limits[environment] = limits
+    return limits
 
 
 def _current_revision(state: CatalogState, key: DocumentKey) -> Revision:
@@ -101,16 +104,21 @@
     if revision is None:
         revision = Revision(_current_revision(state, key) + 1)
     state.documents[key] = DocumentRow(*key, revision, text, state.time, promoted_from)
-    _derive_limits(state, key[0])
+    state.limits.pop(key[0], None)
     return DocumentApplied(revision)
 
 
-def _derive_limits(state: CatalogState, environment: EnvironmentName) -> None:
+def _read_limits(state: CatalogState, environment: EnvironmentName) -> Limits:
     for stage in (Stage.PRODUCTION, Stage.TRIAL):
         row = state.documents.get((environment, stage))
-        if row is not None:
-            state.limits[environment] = _read_sections(row.text).limits
-            return
+        if row is None:
+            continue
+        try:
+            return _read_sections(row.text).limits
+        except ValueError:
+            # An adapter stored a document of another build.
+            return Limits()
+    return Limits()
 
 
 def _missing_evidence(
--- a/basilcove/catalog/models.py
+++ b/basilcove/catalog/models.py
@@ -108,4 +108,5 @@
     requests: dict[str, AnswerRow] = field(default_factory=dict)
     proposals: dict[str, AnswerRow] = field(default_factory=dict)
     claims: dict[EnvironmentName, ClaimTable] = field(default_factory=dict)
-    limits: dict[EnvironmentName, Limits] = field(default_factory=dict)
+    # Read from the documents when they are first needed, so that the copies of two replicas may differ.
+    limits: dict[EnvironmentName, Limits] = field(default_factory=dict, compare=False)
--- a/basilcove/catalog/snapshot.py
+++ b/basilcove/catalog/snapshot.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 
 from basilcove.catalog import catalog_pb2 as pb
-from basilcove.catalog.documents import derive_limits
 from basilcove.catalog.models import (
     AnswerRow,
     CatalogState,
@@ -67,7 +66,7 @@
 def decode_state(body: bytes) -> CatalogState:
     """Return the state of a snapshot."""
     snapshot = codec.from_proto(CatalogSnapshot, pb.CatalogSnapshot.FromString(body))
-    state = CatalogState(
+    return CatalogState(
         snapshot.time,
         snapshot.fence,
         {(row.environment, row.stage): row for row in snapshot.documents},
@@ -77,8 +76,6 @@
         {row.key: row for row in snapshot.proposals},
         {columns.environment: _from_columns(columns) for columns in snapshot.claims},
     )
-    derive_limits(state)
-    return state
 
 
 def _to_columns(environment: EnvironmentName, table: ClaimTable) -> ClaimColumns:
--- a/basilcove/consensus/const.py
+++ b/basilcove/consensus/const.py
@@ -15,6 +15,8 @@
 # Without a message from the leader for this long a replica confirms nothing, since it may have been removed
 # without being notified. Longer than the election timeout, so that losing a few heartbeats doesn't matter.
 LEADER_CONTACT_TIMEOUT_S: Final = 1.5
+# A longer gap between two ticks is a pause of this process.
+MIN_PAUSE_S: Final = 0.3
 RESEND_INTERVAL_S: Final = 0.4
 FORMING_INTERVAL_S: Final = 0.25
 JOIN_INTERVAL_S: Final = 0.5
--- a/basilcove/consensus/coordinator.py
+++ b/basilcove/consensus/coordinator.py
@@ -2,7 +2,12 @@
 
 from basilcove.consensus import handover as _handover  # noqa: F401
 from basilcove.consensus import snapshots as _snapshots  # noqa: F401
-from basilcove.consensus.const import ELECTION_TIMEOUT_S, HEARTBEAT_INTERVAL_S, MAX_UNCOMMITTED_ENTRIES
+from basilcove.consensus.const import (
+    ELECTION_TIMEOUT_S,
+    HEARTBEAT_INTERVAL_S,
+    MAX_UNCOMMITTED_ENTRIES,
+    MIN_PAUSE_S,
+)
 from basilcove.consensus.durability import confirm_writes, is_hard_state_durable
 from basilcove.consensus.elections import campaign_if_due, count_votes
 from basilcove.consensus.events import (
@@ -34,8 +39,11 @@
 
 @handles(Tick, ConsensusState)
 def _on_tick(state: ConsensusState, event: Tick, ctx: Context) -> list[Effect]:
+    paused_s, state.ticked_at = ctx.now - state.ticked_at, ctx.now
     if state.member_state is MemberState.FAILED:
         return []
+    if MIN_PAUSE_S < paused_s < ELECTION_TIMEOUT_S:
+        _discount_pause(state, paused_s, ctx.now)
     if state.member_state is MemberState.UNFORMED:
         return [*ask_first_members(state, ctx.now), *form_if_ready(state)]
     if state.is_leader:
@@ -43,6 +51,15 @@
     return [*ask_to_join(state, ctx.now), *campaign_if_due(state, ctx)]
 
 
+def _discount_pause(state: ConsensusState, paused_s: float, now: float) -> None:
+    """Don't count the time in which this process was busy: what arrived in it hasn't been read yet.
+
+    A process that was paused for longer than the election timeout finds out whether another one leads.
+    """
+    for progress in state.leader_state.progress.values():
+        progress.contact_at = min(now, progress.contact_at + paused_s)
+
+
 def _tick_leader(state: ConsensusState, ctx: Context) -> list[Effect]:
     responsive = {state.member}
     for member, progress in state.leader_state.progress.items():
--- a/basilcove/consensus/models.py
+++ b/basilcove/consensus/models.py
@@ -210,6 +210,7 @@
     durability: Durability = field(default_factory=Durability)
     forming: Forming = field(default_factory=Forming)
     leader_state: LeaderState = field(default_factory=LeaderState)
+    ticked_at: float = NEVER
     peers: dict[NodeId, None] = field(default_factory=dict)
     is_stopping: bool = False
     failure: str = ''
--- a/basilcove/experts/remote/calls.py
+++ b/basilcove/experts/remote/calls.py
@@ -4,7 +4,7 @@
 
 from basilcove.core.events import Effect, Log
 from basilcove.core.ids import Rank
-from basilcove.experts.remote.const import RESEND_S
+from basilcove.experts.remote.const import RESEND_PER_CALL_S, RESEND_S
 from basilcove.experts.remote.events import CallRank
 from basilcove.experts.remote.models import GroupChange, PendingCall, Phase
 from basilcove.experts.remote.orders import Order, RankQuery
@@ -46,20 +46,24 @@
 
 def send_due(change: GroupChange, now: float) -> Effects:
     """Retry calls that have no answer."""
+    resend_s = RESEND_S + RESEND_PER_CALL_S * len(change.calls)
     for rank, pending in tuple(change.pending_calls.items()):
-        if now - pending.sent_at >= RESEND_S:
+        if now - pending.sent_at >= resend_s:
             change.has_lost_order |= isinstance(change.calls[rank], Order)
             yield _call(change, rank, now)
 
 
 def _call(change: GroupChange, rank: Rank, now: float) -> Effect:
     change.last_call_number += 1
-    change.pending_calls[rank] = PendingCall(change.last_call_number, now)
+    number = change.last_call_number
+    former = change.pending_calls.get(rank)
+    first_number = former.first_number if former is not None else number
+    change.pending_calls[rank] = PendingCall(first_number, number, now)
     rank_address, identity = change.ranks[rank], change.identity
     return CallRank(
         identity.name,
         rank,
-        change.last_call_number,
+        number,
         rank_address.instance,
         rank_address.address,
         identity.epoch,
--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -9,6 +9,10 @@
 RESEND_S: Final = 0.15
 # Longest Retry-After of a rank that is believed.
 MAX_HOLD_S: Final = 60.0
+# Added to the time until a call is sent again for each call of its phase, since the work on all takes time.
+RESEND_PER_CALL_S: Final = 0.004
+# Calls to ranks that are in progress at the same time; the others wait.
+MAX_OPEN_CALLS: Final = 32
 # Lists of a map with thousands of experts take some tens of kilobytes.
 MAX_ANSWER_BYTES: Final = 1024 * 1024
 # An order without an answer may still take effect within this time.
@@ -31,6 +35,10 @@
 FIRST_MAP_UTILISATION: Final = 0.3
 # By how much a new map must lower the expected skew, which is the slowest over the mean load of the ranks.
 MIN_SKEW_GAIN: Final = 0.25
+# A layer whose expected skew falls by less keeps its experts, which saves their copies.
+MIN_LAYER_SKEW_GAIN: Final = 0.1
+# Ranks times layers that are planned in one step of the loop; heartbeats of the control group go out between.
+PLANNED_RANKS_PER_TICK: Final = 260
 # The search in one layer ends at this skew; what remains is far less than a change of popularity costs.
 TARGET_SKEW: Final = 1.12
 
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -16,6 +16,7 @@
     FIRST_MAP_UTILISATION,
     MIN_SKEW_GAIN,
     MIN_UTILISATION,
+    PLANNED_RANKS_PER_TICK,
 )
 from basilcove.experts.remote.events import RankAnswered
 from basilcove.experts.remote.models import (
@@ -28,7 +29,7 @@
 )
 from basilcove.experts.remote.orders import ReadCounts
 from basilcove.experts.remote.phases import advance, handle_answer, read_counts, start_change, survey
-from basilcove.experts.remote.planning import RankBounds, propose
+from basilcove.experts.remote.planning import Draft, RankBounds
 from basilcove.experts.remote.popularity import decay, shares_of
 from basilcove.gateway.messages import SlowInstances
 from basilcove.gateway.totals import AttemptTotals
@@ -63,8 +64,9 @@
     for change in tuple(state.changes.values()):
         yield from advance(change, ctx.now)
         if change.phase is Phase.SURVEYED:
-            yield from enter_phase(change, Phase.IDLE, ctx.now)
             yield from _notify_gateways(state, change, ctx)
+            yield from _begin_plan(change, ctx.now)
+        if change.phase is Phase.PLANNING:
             yield from _plan(change, ctx.now)
         elif change.phase is Phase.IDLE:
             yield from _collect_counts(state, change, ctx)
@@ -146,19 +148,32 @@
     return now >= max(change.backoff_until, change.counts_read_at + interval_s)
 
 
-def _plan(change: GroupChange, now: float) -> Iterator[Effect]:
+def _begin_plan(change: GroupChange, now: float) -> Iterator[Effect]:
     shares = shares_of(change)
     if shares is None:
+        yield from enter_phase(change, Phase.IDLE, now)
+        return
+    bounds = RankBounds(change.layout.slots, change.layout.max_new)
+    change.draft = Draft(shares, change.current, bounds, change.speeds())
+    yield from enter_phase(change, Phase.PLANNING, now)
+
+
+def _plan(change: GroupChange, now: float) -> Iterator[Effect]:
+    """Plan some layers; start the change to a map that is complete and better by enough."""
+    draft = change.draft
+    assert draft is not None
+    draft.plan(max(1, PLANNED_RANKS_PER_TICK // len(change.ranks)))
+    if not draft.is_complete:
         return
-    layout = change.layout
-    speeds = change.speeds()
-    proposal = propose(shares, change.current, RankBounds(layout.slots, layout.max_new), speeds)
+    change.draft = None
+    proposal = draft.finish()
+    yield from enter_phase(change, Phase.IDLE, now)
     fields = (
         ('group', change.identity.name),
         ('version', str(change.version)),
         ('skew_before', f'{proposal.skew_before:.2f}'),
         ('skew_after', f'{proposal.skew_after:.2f}'),
-        ('slowest', f'{min(speeds):.2f}'),
+        ('slowest', f'{min(draft.speeds):.2f}'),
     )
     yield Log('info', 'map of a remote group planned', fields)
     if proposal.skew_before - proposal.skew_after >= MIN_SKEW_GAIN:
--- a/basilcove/experts/remote/driver.py
+++ b/basilcove/experts/remote/driver.py
@@ -10,7 +10,7 @@
 from basilcove.core.events import Event
 from basilcove.core.ids import InstanceId
 from basilcove.core.runtime import carries_out
-from basilcove.experts.remote.const import CALL_TIMEOUT_S, MAX_ANSWER_BYTES, MAX_HOLD_S
+from basilcove.experts.remote.const import CALL_TIMEOUT_S, MAX_ANSWER_BYTES, MAX_HOLD_S, MAX_OPEN_CALLS
 from basilcove.experts.remote.events import CallRank, RankAnswered
 from basilcove.experts.remote.orders import HttpCall, Order, OrderResult, RankDialect, RankQuery, Reply
 from basilcove.http1.client import AnswerHead, UpstreamConnection, UpstreamConnections
@@ -92,6 +92,7 @@
         # Monotonic time until which an instance wants no calls, from its Retry-After.
         self._held_until: dict[InstanceId, float] = {}
         self._encoded: _EncodedCall | None = None
+        self._slots = asyncio.Semaphore(MAX_OPEN_CALLS)
 
     def call(self, effect: CallRank) -> None:
         """Call a rank; one event follows, with its answer or ``UNKNOWN``."""
@@ -113,9 +114,10 @@
         return last.http_call
 
     async def _call(self, effect: CallRank) -> None:
-        reply = OrderResult.UNKNOWN
+        reply: Reply = OrderResult.UNKNOWN
         if time.monotonic() >= self._held_until.get(effect.instance, 0):
-            reply = await self._send(effect)
+            async with self._slots:
+                reply = await self._send(effect)
         answered = RankAnswered(effect.group, effect.rank, effect.number, effect.epoch, effect.call, reply)
         self._apply(answered)
 
--- a/basilcove/experts/remote/models.py
+++ b/basilcove/experts/remote/models.py
@@ -7,6 +7,7 @@
 from basilcove.experts.models import Layer
 from basilcove.experts.remote.const import MAX_SLOW_SHARE, RELIEF_SPEED
 from basilcove.experts.remote.orders import Order, RankLists, RankQuery, RankReport
+from basilcove.experts.remote.planning import Draft
 
 
 class Phase(enum.Enum):
@@ -18,6 +19,8 @@
     LEARNING = 'learning'
     LISTING = 'listing'
     IDLE = 'idle'
+    # A map is planned, over several ticks for a large group.
+    PLANNING = 'planning'
     # Counts have been read; the ranks' speeds are read before a map is planned.
     SURVEYING = 'surveying'
     SURVEYED = 'surveyed'
@@ -60,8 +63,9 @@
 
 @dataclass(slots=True)
 class PendingCall:
-    """A call that has no answer yet."""
+    """A call that has no answer yet; it was sent under the numbers from ``first_number`` to ``number``."""
 
+    first_number: int
     number: int
     sent_at: float
 
@@ -86,6 +90,7 @@
     current: tuple[Layer, ...] = ()
     version: int = 0
     target: tuple[Layer, ...] = ()
+    draft: Draft | None = None
     target_version: int = 0
     step: int = 0
     holder: Rank = Rank(0)  # noqa: RUF009 - a NewType of int, so immutable
--- a/basilcove/experts/remote/phases.py
+++ b/basilcove/experts/remote/phases.py
@@ -105,7 +105,7 @@
 def handle_answer(change: GroupChange, event: RankAnswered, now: float) -> Effects:
     """Process the answer of a rank; an answer to an older call is ignored."""
     pending = change.pending_calls.get(event.rank)
-    if pending is None or pending.number != event.number:
+    if pending is None or not pending.first_number <= event.number <= pending.number:
         return
     reply = event.reply
     if reply is OrderResult.UNKNOWN or _is_of_another_epoch(change, reply):
@@ -114,21 +114,31 @@
     if reply is OrderResult.FENCED:
         change.is_fenced = True
         return
-    if reply is OrderResult.CONFLICT:
-        change.refused_at.setdefault(event.rank, now)
-        if change.phase in _ENDED_BY_REFUSAL:
-            change.pending_calls.pop(event.rank)
+    # The first sending of a repeated order may have prepared the map; the report that follows tells.
+    may_be_prepared = change.phase is Phase.PREPARING and pending.first_number != pending.number
+    if reply is OrderResult.CONFLICT and not may_be_prepared:
+        _record_refusal(change, event.rank, now)
         return
     change.pending_calls.pop(event.rank)
     change.refused_at.pop(event.rank, None)
+    _record_reply(change, event.rank, reply, now)
+    change.completed.add(event.rank)
+    yield from advance(change, now)
+
+
+def _record_refusal(change: GroupChange, rank: Rank, now: float) -> None:
+    change.refused_at.setdefault(rank, now)
+    if change.phase in _ENDED_BY_REFUSAL:
+        change.pending_calls.pop(rank)
+
+
+def _record_reply(change: GroupChange, rank: Rank, reply: Reply, now: float) -> None:
     if isinstance(reply, RankReport):
-        _record_report(change, event.rank, reply, now)
+        _record_report(change, rank, reply, now)
     elif isinstance(reply, RankLists):
-        change.lists[event.rank] = reply
+        change.lists[rank] = reply
     elif isinstance(reply, RankCounts):
-        add_counts(change, event.rank, reply)
-    change.completed.add(event.rank)
-    yield from advance(change, now)
+        add_counts(change, rank, reply)
 
 
 def _is_of_another_epoch(change: GroupChange, reply: Reply) -> bool:
--- a/basilcove/experts/remote/planning.py
+++ b/basilcove/experts/remote/planning.py
@@ -1,11 +1,13 @@
 """Plans the next expert map of a remote group within the bounds of its ranks."""
 
+import heapq
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Self
 
 from basilcove.experts.const import MAX_ESCAPES
 from basilcove.experts.models import Layer, Shares
-from basilcove.experts.remote.const import RELIEF_SPEED, TARGET_SKEW
+from basilcove.experts.remote.const import MIN_LAYER_SKEW_GAIN, RELIEF_SPEED, TARGET_SKEW
 from basilcove.experts.swaps import Candidate, LayerState
 
 # Speed of each rank; 1 is the usual speed.
@@ -35,15 +37,47 @@
     return (layer,) * layers
 
 
+@dataclass(slots=True)
+class Draft:
+    """A map that is planned layer by layer, since a large group takes longer than a step of the loop may."""
+
+    shares: Sequence[Shares]
+    current: tuple[Layer, ...]
+    bounds: RankBounds
+    speeds: Speeds
+    layers: list[Layer] = field(default_factory=list)
+    skews_before: list[float] = field(default_factory=list)
+    skews_after: list[float] = field(default_factory=list)
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all layers are planned."""
+        return len(self.layers) == len(self.current)
+
+    def plan(self, count: int) -> Self:
+        """Plan up to this many further layers."""
+        first = len(self.layers)
+        for number in range(first, min(first + count, len(self.current))):
+            popularity, layer = self.shares[number], self.current[number]
+            improved = _improve(popularity, layer, self.bounds, self.speeds)
+            before, after = (skew_of(popularity, each, self.speeds) for each in (layer, improved))
+            is_worth_copies = before - after >= MIN_LAYER_SKEW_GAIN
+            self.layers.append(improved if is_worth_copies else layer)
+            self.skews_before.append(before)
+            self.skews_after.append(after if is_worth_copies else before)
+        return self
+
+    def finish(self) -> Proposal:
+        """Return the complete map."""
+        count = len(self.layers)
+        return Proposal(tuple(self.layers), sum(self.skews_before) / count, sum(self.skews_after) / count)
+
+
 def propose(
     shares: Sequence[Shares], current: tuple[Layer, ...], bounds: RankBounds, speeds: Speeds
 ) -> Proposal:
     """Return a better map within the bounds of the ranks."""
-    pairs = list(zip(shares, current, strict=True))
-    layers = [_improve(popularity, layer, bounds, speeds) for popularity, layer in pairs]
-    before = [skew_of(popularity, layer, speeds) for popularity, layer in pairs]
-    after = [skew_of(popularity, layer, speeds) for popularity, layer in zip(shares, layers, strict=True)]
-    return Proposal(tuple(layers), sum(before) / len(before), sum(after) / len(after))
+    return Draft(shares, current, bounds, speeds).plan(len(current)).finish()
 
 
 def skew_of(shares: Shares, layer: Layer, speeds: Speeds) -> float:
@@ -91,15 +125,24 @@
 
     def ranks_for(self, expert: int) -> list[int]:
         """Return the ranks of usual speed that can add an expert, those with the shortest time first."""
-        ranks = []
-        for rank, experts in enumerate(self.state.slots):
-            if self.state.capacity[rank] < RELIEF_SPEED or expert in experts:
-                continue
-            is_free = len(experts) < self.bounds.slots
-            if is_free and self._new_to(rank, (*experts, expert)) <= self.bounds.max_new:
-                ranks.append(rank)
+        ranks = [
+            rank
+            for rank in range(len(self.state.slots))
+            if self.may_add_any(rank) and self.may_add(rank, expert)
+        ]
         return sorted(ranks, key=self.state.time)
 
+    def may_add_any(self, rank: int) -> bool:
+        """Return whether a rank is of usual speed and has a free slot."""
+        return self.state.capacity[rank] >= RELIEF_SPEED and len(self.state.slots[rank]) < self.bounds.slots
+
+    def may_add(self, rank: int, expert: int) -> bool:
+        """Return whether a rank with a free slot can add an expert."""
+        experts = self.state.slots[rank]
+        if expert in experts:
+            return False
+        return expert in self.current[rank] or self._new_to(rank, experts) < self.bounds.max_new
+
     def _new_to(self, rank: int, experts: Sequence[int]) -> int:
         return len(set(experts).difference(self.current[rank]))
 
@@ -151,15 +194,23 @@
 
 def _fill_free_slots(state: LayerState, limits: _Limits) -> None:
     """Use free slots for replicas of the hottest experts, on the ranks with the shortest time."""
-    while True:
-        hottest = sorted(range(len(state.unit)), key=state.unit.__getitem__, reverse=True)
-        for expert in hottest:
-            ranks = limits.ranks_for(expert)
-            if ranks:
-                state.add(ranks[0], expert)
-                break
-        else:
-            return
+    free = [rank for rank in range(len(state.slots)) if limits.may_add_any(rank)]
+    hottest = [(-unit, expert) for expert, unit in enumerate(state.unit)]
+    heapq.heapify(hottest)
+    while free and hottest:
+        negative_unit, expert = hottest[0]
+        if -negative_unit != state.unit[expert]:
+            heapq.heapreplace(hottest, (-state.unit[expert], expert))
+            continue
+        candidates = [rank for rank in free if limits.may_add(rank, expert)]
+        if not candidates:
+            # Ranks only fill up, so none will be able to add this expert later.
+            heapq.heappop(hottest)
+            continue
+        rank = min(candidates, key=state.time)
+        state.add(rank, expert)
+        if not limits.may_add_any(rank):
+            free.remove(rank)
 
 
 def _freeze(state: LayerState) -> Layer:
--- a/tests/consensus/test_cluster.py
+++ b/tests/consensus/test_cluster.py
@@ -21,7 +21,7 @@
     RevisionConflict,
 )
 from basilcove.consensus.messages import VoteRequest
-from basilcove.core.events import Message, Peer, Received
+from basilcove.core.events import Message, Peer, Received, Tick
 from basilcove.core.ids import AttemptId, EnvironmentName, NodeId, RequestId, Revision, Role, Stage, Zone
 from tests.consensus.cluster import CLIENT, Cluster, claim
 
@@ -101,6 +101,20 @@
         assert isinstance(failed, ProposalFailed)
         assert not failed.sent
 
+    def test_leader_that_was_busy_reads_before_it_steps_down(self) -> None:
+        """Guards against a long step of the loop that costs an election though all others answered."""
+        cluster = Cluster()
+        leader = cluster.elect()
+        cluster.run(2)
+        leader.is_frozen = True
+        cluster.run(0.95)
+        leader.is_frozen = False
+        cluster.apply(leader, Tick())
+        assert leader.is_leader
+        cluster.thaw(leader.name)
+        cluster.run(3)
+        assert leader.is_leader
+
 
 class TestRepair:
     def test_second_member_lost_right_after_a_repair(self) -> None:
--- a/tests/experts/remote/ranks.py
+++ b/tests/experts/remote/ranks.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -27,7 +28,6 @@
 from basilcove.experts.remote.phases import advance, handle_answer, start_change, survey
 from basilcove.experts.remote.planning import first_layers
 
-LAYOUT = ExpertLayout(2, 6, 3, 1)
 RANKS = 3
 PASS_S = 0.08
 COPY_S = 0.1
@@ -58,15 +58,22 @@
     # Orders of these types always get no answer and take effect late.
     lost: tuple[type, ...] = ()
     fences_late_orders: bool = True
+    # Number of ranks, and the time that the control host takes for each call, one call after the other.
+    size: int = RANKS
+    work_s: float = 0
     now: float = 0
     step: int = 0
     epoch: int = 1
     is_split: bool = False
     stalled_s: float = 0
-    ranks: list[FakeRank] = field(default_factory=lambda: [FakeRank() for _ in range(RANKS)])
+    ranks: list[FakeRank] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
+        self.ranks = [FakeRank() for _ in range(self.size)]
+        self.layout = ExpertLayout(2, 2 * self.size, 3, 1)
+        self.sent: Counter[type] = Counter()
+        self._busy_until = 0.0
         self.leaders: list[GroupChange] = []
         self._numbers = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -76,9 +83,11 @@
 
     def lead(self, token: int) -> GroupChange:
         """Add a leader; earlier ones stay active."""
-        addresses = {Rank(rank): RankAddress(InstanceId(f'i-{rank}'), f'h:{rank}') for rank in range(RANKS)}
+        addresses = {
+            Rank(rank): RankAddress(InstanceId(f'i-{rank}'), f'h:{rank}') for rank in range(self.size)
+        }
         identity = GroupIdentity(GroupName('g'), ServiceName('s'), self.epoch)
-        change = GroupChange(identity, token, addresses, LAYOUT)
+        change = GroupChange(identity, token, addresses, self.layout)
         self.leaders.append(change)
         self._at(0, lambda: self._tick(change))
         return change
@@ -92,10 +101,10 @@
         elif change.phase is Phase.SURVEYED:
             self._carry_out(change, list(enter_phase(change, Phase.IDLE, self.now)))
             # Each leader wants another map, and a new one each time.
-            rotation = (change.token + change.changes) % RANKS
+            rotation = (change.token + change.changes) % self.size
             layers = tuple(
                 (*layer[rotation:], *layer[:rotation])
-                for layer in first_layers(LAYOUT.layers, LAYOUT.experts, RANKS)
+                for layer in first_layers(self.layout.layers, self.layout.experts, self.size)
             )
             self._carry_out(change, list(start_change(change, layers, self.now)))
         self._at(TICK_S, lambda: self._tick(change))
@@ -114,7 +123,10 @@
             self._at(late, lambda: self._apply(effect, fence))
             self._at(0.4, lambda: self._answer(change, effect, OrderResult.UNKNOWN))
             return
-        self._at(self.rng.uniform(0.001, 0.02), lambda: self._arrive(change, effect))
+        self.sent[type(effect.call)] += 1
+        self._busy_until = max(self._busy_until, self.now) + self.work_s
+        waits_s = self._busy_until - self.now
+        self._at(waits_s + self.rng.uniform(0.001, 0.02), lambda: self._arrive(change, effect))
 
     def _arrive(self, change: GroupChange, effect: CallRank) -> None:
         reply = self._apply(effect, None)
@@ -135,7 +147,7 @@
             prepared = rank.prepared if self.now >= rank.copied_at else None
             return RankReport(self.epoch, self.step, rank.version, prepared, rank.armed, rank.held)
         if isinstance(call, ReadLists):
-            return RankLists(self.epoch, rank.version, ((effect.rank,),) * LAYOUT.layers)
+            return RankLists(self.epoch, rank.version, ((effect.rank,),) * self.layout.layers)
         present = rank.fence if fence is None else fence
         if effect.token < present:
             return OrderResult.FENCED
@@ -200,7 +212,7 @@
     def restart(self) -> None:
         """Start a new epoch of the group, as after the crash of a rank."""
         self.epoch += 1
-        self.ranks = [FakeRank() for _ in range(RANKS)]
+        self.ranks = [FakeRank() for _ in range(self.size)]
 
     # Time.
 
--- a/tests/experts/remote/test_phases.py
+++ b/tests/experts/remote/test_phases.py
@@ -47,6 +47,19 @@
             group.run(0.01)
         return leader.step - group.step
 
+    @pytest.mark.parametrize('size', [8, 40, 129, 200])
+    def test_large_group_on_a_busy_host(self, size: int) -> None:
+        """Guards against orders that are repeated, and refused, before the host has read their answers."""
+        group = FakeGroup(seed=1, size=size, work_s=0.002)
+        leader = group.lead(token=1)
+        group.run(30)
+        assert leader.changes >= 4
+        assert group.sent[PrepareMap] <= (leader.changes + 1) * size
+        assert not group.is_split
+        group.loss = 0.1
+        group.run(30)
+        assert not group.is_split
+
     @pytest.mark.parametrize('seed', SEEDS)
     def test_lost_and_late_orders_never_split_a_group(self, seed: int) -> None:
         """Guards against ranks with two maps when orders get no answer and take effect late."""
--- a/tests/experts/remote/test_planning.py
+++ b/tests/experts/remote/test_planning.py
@@ -6,7 +6,7 @@
 
 from basilcove.experts.models import Layer, Shares
 from basilcove.experts.remote.const import RELIEF_SPEED
-from basilcove.experts.remote.planning import RankBounds, first_layers, propose, skew_of
+from basilcove.experts.remote.planning import Draft, RankBounds, first_layers, propose, skew_of
 
 RANKS = 12
 EXPERTS = 72
@@ -79,3 +79,26 @@
             check(layers[0], proposal.layers[0])
             assert all(proposal.layers[0])
             layers = proposal.layers
+
+
+class TestDraft:
+    @pytest.mark.parametrize('ranks', [8, 40, 129, 200])
+    def test_slices_give_the_same_map(self, ranks: int) -> None:
+        """Guards against a plan that depends on how many layers one step of the loop takes."""
+        rng = random.Random(ranks)
+        current = first_layers(4, 2 * ranks, ranks)
+        shares = [tuple(rng.paretovariate(1.2) for _ in range(2 * ranks)) for _ in range(4)]
+        bounds, speeds = RankBounds(3, 1), (1.0,) * ranks
+        draft = Draft(shares, current, bounds, speeds)
+        while not draft.is_complete:
+            draft.plan(1)
+        assert draft.finish() == propose(shares, current, bounds, speeds)
+        assert draft.finish().skew_after < draft.finish().skew_before
+
+    def test_layer_without_gain_keeps_its_experts(self) -> None:
+        """Guards against copies of experts that improve nothing."""
+        current = first_layers(2, EXPERTS, RANKS)
+        even = tuple(1 + 0.001 * expert for expert in range(EXPERTS))
+        proposal = propose((even, skewed(1)), current, RankBounds(SLOTS, MAX_NEW), EQUAL)
+        assert proposal.layers[0] == current[0]
+        assert proposal.layers[1] != current[1]
