--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -25,8 +25,8 @@
 COUNTS_INTERVAL_S: Final = 1.2
 # Used until a popularity is known, as after a change of leader: a map needs the difference of two readings.
 FIRST_COUNTS_INTERVAL_S: Final = 0.4
-# Ranks whose counts are read: requests are spread over all ranks, so a few of them are a fair sample. In a large
-# group each has fewer requests between two readings.
+# Ranks whose counts are read: requests are spread over all ranks, so a few of them are a fair sample. Each
+# rank of a large group has fewer requests between two readings.
 MIN_SAMPLED_RANKS: Final = 3
 RANKS_PER_SAMPLED: Final = 16
 # Weight of earlier readings relative to the latest one.
--- a/basilcove/gateway/admission.py
+++ b/basilcove/gateway/admission.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from basilcove.gateway.const import ADMISSION_WINDOW_S, LEVEL_FLOOR, QUEUE_ALLOWANCE, RESERVED_SHARE
+from basilcove.gateway.const import ADMISSION_WINDOW_S, LEVEL_FLOOR, RESERVED_SHARE
 
 _MAX_RESERVED_LEVELS: Final = 2
 
@@ -42,16 +42,19 @@
 
     records: dict[int, LevelRecord] = field(default_factory=dict)
 
-    def admit(self, level: int, load: float, slots: int, now: float) -> bool:
-        """Decide whether the least loaded upstream, which has ``load`` requests, gets another one."""
+    def admit(self, level: int, load: float, slots: int, allowance: float, now: float) -> bool:
+        """Decide on a request if the least loaded upstream of a sample has ``load`` requests.
+
+        ``allowance`` is how many urgent requests may wait for one of its ``slots``.
+        """
         record = self.records.setdefault(level, LevelRecord())
         effective_level = 1 if record.is_below_floor else level
-        is_admitted = load < load_limit(effective_level, slots)
+        is_admitted = load < load_limit(effective_level, slots, allowance)
         record.count_decision(now, is_admitted=is_admitted)
         return is_admitted
 
 
-def load_limit(level: int, slots: int) -> float:
+def load_limit(level: int, slots: int, allowance: float) -> float:
     """Return the number of requests at an upstream from which one of this level is refused."""
     reserved = min(level - 1, _MAX_RESERVED_LEVELS) * RESERVED_SHARE * slots
-    return slots - reserved if reserved else slots + QUEUE_ALLOWANCE
+    return slots - reserved if reserved else slots + allowance
--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -6,7 +6,13 @@
 from basilcove.core.events import Count, Effect, Log
 from basilcove.core.reducer import Context
 from basilcove.environment.models import RouteKind
-from basilcove.gateway.const import MAX_HELD_RETRY_AFTER_S, MAX_UNSENT_ATTEMPTS, MIN_ATTEMPT_S
+from basilcove.gateway.const import (
+    MAX_HELD_RETRY_AFTER_S,
+    MAX_UNSENT_ATTEMPTS,
+    MIN_ATTEMPT_S,
+    QUEUE_ALLOWANCE,
+    STREAM_QUEUE_ALLOWANCE,
+)
 from basilcove.gateway.events import (
     AbortAnswer,
     AttemptEnded,
@@ -26,7 +32,7 @@
     end_refused,
     progress_fields,
 )
-from basilcove.gateway.pools import PooledUpstream
+from basilcove.gateway.pools import Choice, PooledUpstream
 
 EndHandler = Callable[[GatewayState, OpenRequest, AttemptEnded, Context], list[Effect]]
 
@@ -56,10 +62,17 @@
     chosen = state.pools.choose(req.service, ctx.now, req.tried, req.request_id)
     if chosen is None:
         return _give_up(state, req, ctx)
-    load = state.pools.load(chosen, ctx.now)
-    if not req.sent and not state.admission.admit(req.level, load, chosen.registration.slots, ctx.now):
-        return end_refused(state, req, NO_ROOM, ctx, ('load', f'{load:.1f}'))
-    return _send(req, chosen, load, ctx)
+    if not req.sent and not _admit(state, req, chosen, ctx):
+        return end_refused(state, req, NO_ROOM, ctx, ('utilisation', f'{chosen.utilisation:.2f}'))
+    return _send(req, chosen.upstream, chosen.load, ctx)
+
+
+def _admit(state: GatewayState, req: OpenRequest, chosen: Choice, ctx: Context) -> bool:
+    is_stream = req.named_route.route.kind is RouteKind.STREAM
+    allowance = STREAM_QUEUE_ALLOWANCE if is_stream and chosen.is_sampled else QUEUE_ALLOWANCE
+    slots = max(1, chosen.upstream.registration.slots)
+    load = chosen.utilisation * slots
+    return state.admission.admit(req.level, load, slots, allowance, ctx.now)
 
 
 def _send(req: OpenRequest, chosen: PooledUpstream, load: float, ctx: Context) -> list[Effect]:
@@ -189,13 +202,13 @@
     """Spend a retry of the budget if a request may be sent to another upstream."""
     if req.sent >= req.named_route.route.max_upstreams or not _has_candidate(state, req, ctx):
         return False
-    return state.budget(req.service).spend(ctx.now, state.gateways)
+    return state.budget(req.service).spend(ctx.now, state.pools.gateways)
 
 
 def _has_candidate(state: GatewayState, req: OpenRequest, ctx: Context) -> bool:
     if req.deadline - ctx.now < MIN_ATTEMPT_S:
         return False
-    return state.pools.choose(req.service, ctx.now, req.tried, req.request_id) is not None
+    return state.pools.has_candidate(req.service, ctx.now, req.tried)
 
 
 def _give_up(state: GatewayState, req: OpenRequest, ctx: Context) -> list[Effect]:
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -47,6 +47,13 @@
 # Longest Retry-After that callers are told while all upstreams hold requests off.
 MAX_HELD_RETRY_AFTER_S: Final = 10.0
 
+# An upstream is chosen from a sample, so large that each one is in the samples of this many gateways: so many
+# requests may reach it before the counts of open attempts show them. Few gateways consider all upstreams.
+GATEWAYS_PER_UPSTREAM: Final = 7
+# A request is refused if none of so many upstreams has room for it. Others may have room, but the room that
+# gateways see is taken by the requests that others have just sent.
+ADMISSION_SAMPLE: Final = 4
+
 # No attempt is started with less time left than this, since no answer can arrive within it.
 MIN_ATTEMPT_S: Final = 0.03
 # After an unsent attempt, a request with this many attempts gets no further one. Unsent attempts don't count
@@ -71,8 +78,10 @@
 # sending new connections after two failed probes.
 STOP_NOTICE_S: Final = 2.8
 
-# Requests that urgent work may add beyond an upstream's slots; each waits for a slot.
+# Requests that urgent work may add beyond an upstream's slots; each waits for a slot. Where many gateways decide
+# on the same counts, more streams wait than these show.
 QUEUE_ALLOWANCE: Final = 1.0
+STREAM_QUEUE_ALLOWANCE: Final = 0.0
 # Fraction of an upstream's slots that each less urgent level leaves free.
 RESERVED_SHARE: Final = 0.17
 # Share of the requests of each level that is admitted even when urgent work takes all slots.
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -58,7 +58,7 @@
 def _on_registrations(state: GatewayState, event: Received, ctx: Context) -> list[Effect]:
     msg = event.message
     assert isinstance(msg, Registrations)
-    state.gateways = max(state.gateways, msg.gateways)
+    state.pools.gateways = max(state.pools.gateways, msg.gateways)
     effects: list[Effect] = []
     for registration in msg.registrations:
         is_silent = registration.instance in msg.silent
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -73,8 +73,6 @@
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
     sharing: Sharing = field(default_factory=Sharing)
     admission: Admission = field(default_factory=Admission)
-    # The largest number of gateways linked to a control host; a host behind a partition sees fewer.
-    gateways: int = 0
     stopping_since: float | None = None
     is_stopped: bool = False
 
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -1,15 +1,18 @@
 """The upstreams that a gateway knows, by service, and the choice among them."""
 
 import math
+import random
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
 from basilcove.core.ids import InstanceId, NodeId, ServiceName, Zone
 from basilcove.gateway.const import (
+    ADMISSION_SAMPLE,
     DEFAULT_RETRY_AFTER_S,
     FAILURE_COST,
     FAILURE_HALF_LIFE_S,
     FAILURE_WEIGHT,
+    GATEWAYS_PER_UPSTREAM,
     LOAD_LIFETIME_S,
     MAX_HOLD_S,
     REMOTE_ZONE_COST,
@@ -17,11 +20,9 @@
     SLOW_LIFETIME_S,
 )
 from basilcove.gateway.events import ReportedLoad
-from basilcove.helpers.hashing import stable_fraction
+from basilcove.helpers.hashing import stable_hash
 from basilcove.registry.messages import Registration, RegistrationState
 
-_TIE_COST = 1e-3
-
 
 @dataclass(slots=True)
 class PooledUpstream:
@@ -94,6 +95,20 @@
         return self.others_load * max(0, 1 - age)
 
 
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The upstream for a request and its load.
+
+    ``utilisation`` is its open requests over its slots or, if it ``is_sampled`` from all upstreams, the lowest
+    such figure of a few upstreams.
+    """
+
+    upstream: PooledUpstream
+    load: float
+    utilisation: float
+    is_sampled: bool
+
+
 @dataclass(slots=True)
 class Pools:
     """All upstreams that the control hosts have reported."""
@@ -101,6 +116,8 @@
     zone: Zone
     by_instance: dict[InstanceId, PooledUpstream] = field(default_factory=dict)
     by_service: dict[ServiceName, dict[InstanceId, PooledUpstream]] = field(default_factory=dict)
+    # The largest number of gateways linked to a control host; a host behind a partition sees fewer.
+    gateways: int = 0
     # Open attempts of all other gateways by instance; None while no control host reports them.
     other_attempts: dict[str, int] | None = None
 
@@ -153,19 +170,42 @@
 
     def choose(
         self, service: ServiceName, now: float, excluded: Collection[InstanceId], salt: str
-    ) -> PooledUpstream | None:
-        """Return the upstream with the lowest cost; a silent one only if there is no other."""
-        best = None
-        best_cost = (True, 0.0)
-        for upstream in self.usable(service, now):
-            instance = upstream.registration.instance
-            if instance in excluded:
-                continue
-            tie = _TIE_COST * stable_fraction(salt, instance)
-            cost = (upstream.is_silent, self.cost(upstream, now) + tie)
-            if best is None or cost < best_cost:
-                best, best_cost = upstream, cost
-        return best
+    ) -> Choice | None:
+        """Choose the upstream with the lowest cost in a sample; a silent one only if there is no other.
+
+        Gateways learn of each other's requests some time after these are sent. If all of them chose the least
+        loaded upstream of all, it would get the requests of all gateways at once.
+        """
+        candidates = self._candidates(service, now, excluded)
+        if not candidates:
+            return None
+        size = math.ceil(len(candidates) * GATEWAYS_PER_UPSTREAM / max(1, self.gateways))
+        rng = random.Random(stable_hash(salt, len(excluded)))
+        sample = rng.sample(candidates, min(size, len(candidates)))
+        costs = [self.cost(upstream, now) for upstream in sample]
+        chosen = sample[costs.index(min(costs))]
+        if len(sample) == len(candidates):
+            return Choice(chosen, self.load(chosen, now), self.utilisation(chosen, now), is_sampled=False)
+        least = min(self.utilisation(upstream, now) for upstream in sample[:ADMISSION_SAMPLE])
+        return Choice(chosen, self.load(chosen, now), least, is_sampled=True)
+
+    def utilisation(self, upstream: PooledUpstream, now: float) -> float:
+        """Return the estimated number of open requests at an upstream over its slots."""
+        return self.load(upstream, now) / max(1, upstream.registration.slots)
+
+    def has_candidate(self, service: ServiceName, now: float, excluded: Collection[InstanceId]) -> bool:
+        """Return whether an upstream that is not excluded accepts new requests."""
+        return bool(self._candidates(service, now, excluded))
+
+    def _candidates(
+        self, service: ServiceName, now: float, excluded: Collection[InstanceId]
+    ) -> list[PooledUpstream]:
+        candidates = [
+            upstream
+            for upstream in self.usable(service, now)
+            if upstream.registration.instance not in excluded
+        ]
+        return [upstream for upstream in candidates if not upstream.is_silent] or candidates
 
     def usable(self, service: ServiceName, now: float) -> Iterator[PooledUpstream]:
         """Yield the upstreams that accept new requests of a service."""
