--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -78,8 +78,8 @@
 # sending new connections after two failed probes.
 STOP_NOTICE_S: Final = 2.8
 
-# Requests that urgent work may add beyond an upstream's slots; each waits for a slot. Where many gateways decide
-# on the same counts, more streams wait than these show.
+# Requests that urgent work may add beyond an upstream's slots; each waits for a slot. Where many gateways
+# decide on the same counts, more streams wait than these show.
 QUEUE_ALLOWANCE: Final = 1.0
 STREAM_QUEUE_ALLOWANCE: Final = 0.0
 # Fraction of an upstream's slots that each less urgent level leaves free.
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -99,8 +99,8 @@
 class Choice:
     """The upstream for a request and its load.
 
-    ``utilisation`` is its open requests over its slots or, if it ``is_sampled`` from all upstreams, the lowest
-    such figure of a few upstreams.
+    ``utilisation`` is its open requests over its slots or, if it ``is_sampled`` from all upstreams, the
+    lowest such figure of a few upstreams.
     """
 
     upstream: PooledUpstream
