--- a/tests/registry/test_coordinator.py
+++ b/tests/registry/test_coordinator.py
@@ -136,3 +136,22 @@
         control.run(FORGOTTEN_AFTER_S + 1)
         assert not control.state.rows
         assert not control.state.addresses
+
+
+class TestRestart:
+    def test_late_call_of_an_upstream_that_left(self) -> None:
+        """Guards against a restarted control host that brings back what has left."""
+        kept, restarted = RegistryState(), RegistryState()
+        upstream = registration('up-1', sequence=4)
+        reduce(Node(kept), UpstreamRegistered(upstream), 1, 1)
+        departure = kept.departure_of(upstream.instance)
+        assert departure is not None
+        reduce(Node(kept), UpstreamRegistered(departure), 2, 2)
+        # The restarted host is linked to the other one, which tells it all that it knows.
+        told = [
+            effect.message for effect in reduce(Node(kept), PeerFound(HOST), 3, 3) if isinstance(effect, Send)
+        ]
+        for message in told:
+            reduce(Node(restarted), Received(HOST, message), 3, 3)
+        reduce(Node(restarted), UpstreamRegistered(registration('up-1', sequence=5)), 4, 4)
+        assert restarted.rows[upstream.instance].registration.standing is RegistrationState.GONE
