--- a/tests/system/test_reports.py
+++ b/tests/system/test_reports.py
@@ -105,7 +105,7 @@
         for caller in callers:
             caller.join(GRACE_S)
         assert sum(caller.answered for caller in callers) > CALLERS
-        unanswered: set[str] = set().union(*(caller.unanswered for caller in callers))
+        unanswered: set[str] = set().union(*(each.unanswered for each in callers))
         assert not unanswered & SlowEngine.ran
 
 
