--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -26,9 +26,8 @@
 # Used until a popularity is known, as after a change of leader: a map needs the difference of two readings.
 FIRST_COUNTS_INTERVAL_S: Final = 0.4
 # Ranks whose counts are read: requests are spread over all ranks, so a few of them are a fair sample. Each
-# rank of a large group has fewer requests between two readings.
-MIN_SAMPLED_RANKS: Final = 3
-RANKS_PER_SAMPLED: Final = 16
+# reading pauses the whole group, and all of them together may make an event of every stream late.
+SAMPLED_RANKS: Final = 3
 # Weight of earlier readings relative to the latest one.
 COUNTS_DECAY: Final = 0.3
 # Part of its slots that a group must have in use for its map to change; below it, passes are short enough.
--- a/basilcove/experts/remote/popularity.py
+++ b/basilcove/experts/remote/popularity.py
@@ -1,12 +1,11 @@
 """Popularity of the experts of a remote group, from the counts of a sample of its ranks."""
 
-import math
 from itertools import islice, repeat
 
 from basilcove.core.ids import Rank
 from basilcove.experts.const import MIN_POPULARITY
 from basilcove.experts.models import Shares
-from basilcove.experts.remote.const import COUNTS_DECAY, MIN_SAMPLED_RANKS, RANKS_PER_SAMPLED
+from basilcove.experts.remote.const import COUNTS_DECAY, SAMPLED_RANKS
 from basilcove.experts.remote.models import GroupChange
 from basilcove.experts.remote.orders import RankCounts
 
@@ -14,9 +13,8 @@
 def sampled_ranks(change: GroupChange) -> list[Rank]:
     """Return the ranks whose counts are read, evenly spread."""
     ranks = sorted(change.ranks)
-    count = max(MIN_SAMPLED_RANKS, math.ceil(len(ranks) / RANKS_PER_SAMPLED))
-    stride = max(1, len(ranks) // count)
-    return list(islice(ranks, 0, stride * count, stride))
+    stride = max(1, len(ranks) // SAMPLED_RANKS)
+    return list(islice(ranks, 0, stride * SAMPLED_RANKS, stride))
 
 
 def add_counts(change: GroupChange, rank: Rank, reading: RankCounts) -> None:
--- a/tests/experts/remote/test_phases.py
+++ b/tests/experts/remote/test_phases.py
@@ -3,6 +3,7 @@
 from basilcove.experts.remote.models import Phase
 from basilcove.experts.remote.orders import ArmMap, HoldStep, PrepareMap
 from basilcove.experts.remote.phases import start_change
+from basilcove.experts.remote.popularity import sampled_ranks
 from tests.experts.remote.ranks import FakeGroup
 
 # An order without an answer takes effect within this time.
@@ -60,6 +61,12 @@
         group.run(30)
         assert not group.is_split
 
+    def test_few_ranks_of_a_large_group_are_read(self) -> None:
+        """Guards against readings of counts, each of which pauses the group, that make all streams late."""
+        group = FakeGroup(seed=1, size=129)
+        leader = group.lead(token=1)
+        assert len(sampled_ranks(leader)) == 3
+
     @pytest.mark.parametrize('seed', SEEDS)
     def test_lost_and_late_orders_never_split_a_group(self, seed: int) -> None:
         """Guards against ranks with two maps when orders get no answer and take effect late."""
