Log which shared parts of its prompt a request carries when an attempt ends

Callers lost whole groups of ranks one after the other, and the logs did not say whether the lost requests had something in common. The gateway now reads the header that lists the parts of a prompt (setting gateway.headers.prompt_parts), leaves out the last part, which is the request's own, bounds number and length, and writes the others with the end of each attempt. No decision depends on them yet.

--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -129,6 +129,7 @@
         ('result', event.result.value),
         ('status', str(event.status)),
         ('reason', event.reason),
+        ('parts', ' '.join(req.parts)),
         *progress_fields(req, ctx.now),
     )
     level = 'info' if event.result in _EXPECTED_RESULTS else 'warning'
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -54,6 +54,10 @@
 # gateways see is taken by the requests that others have just sent.
 ADMISSION_SAMPLE: Final = 4
 
+# Shared parts of a prompt that a gateway reads, and the characters of the id of a part.
+MAX_PROMPT_PARTS: Final = 64
+MAX_PART_ID_LENGTH: Final = 64
+
 # No attempt is started with less time left than this, since no answer can arrive within it.
 MIN_ATTEMPT_S: Final = 0.03
 # After an unsent attempt, a request with this many attempts gets no further one. Unsent attempts don't count
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -121,6 +121,7 @@
         table.resolve_level(team or None, named_route),
         now,
         now + timeout_s,
+        head.parts,
     )
 
 
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -37,6 +37,7 @@
     UpstreamHinted,
 )
 from basilcove.gateway.exchange import Attempt, Exchange
+from basilcove.gateway.prompts import parse_shared_parts
 from basilcove.http1.client import ClientConfig, UpstreamConnections
 from basilcove.http1.headers import Headers, HttpRequest, encode_request, remove_hop_by_hop
 from basilcove.http1.server import CallerConnection, ConnectionLimits, HttpServer
@@ -218,6 +219,7 @@
         self._scheme = f'{cfg.key_scheme} '.lower()
         self._request_id = names.request_id.lower().encode()
         self._timeout_ms = names.timeout_ms.lower().encode()
+        self._prompt_parts = names.prompt_parts.lower().encode()
         self._names = names
         self._replaced_names = frozenset(
             name.lower().encode()
@@ -234,6 +236,7 @@
             request.path,
             credential[len(self._scheme) :].strip() if has_scheme else '',
             _parse_timeout_s(request.header(self._timeout_ms)),
+            parse_shared_parts(request.header(self._prompt_parts)),
         )
 
     def encode_request(self, request: HttpRequest, start: StartAttempt) -> bytes:
--- a/basilcove/gateway/events.py
+++ b/basilcove/gateway/events.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from basilcove.core.events import Effect, Event
-from basilcove.core.ids import InstanceId, TeamName
+from basilcove.core.ids import InstanceId, PartId, TeamName
 from basilcove.gateway.hints import Hints
 
 
@@ -33,7 +33,8 @@
 class RequestHead:
     """Parts of a request on which a gateway decides.
 
-    ``path`` has no query; ``timeout_s`` is how long the caller waits, None if it doesn't say.
+    ``path`` has no query; ``timeout_s`` is how long the caller waits, None if it doesn't say. ``parts`` are
+    those of the prompt that other requests may share, in order.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     path: str
     credential: str
     timeout_s: float | None
+    parts: tuple[PartId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Self
 
-from basilcove.core.ids import InstanceId, NodeId, Revision, ServiceName, TeamName, Zone
+from basilcove.core.ids import InstanceId, NodeId, PartId, Revision, ServiceName, TeamName, Zone
 from basilcove.environment.models import RouteKind
 from basilcove.gateway.admission import Admission
 from basilcove.gateway.budget import RetryBudget
@@ -30,6 +30,7 @@
     level: int
     arrived_at: float
     deadline: float
+    parts: tuple[PartId, ...] = ()
     number: int = 0
     sent: int = 0
     tried: set[InstanceId] = field(default_factory=set)
