Show with real processes that one part of a prompt crashes engine after engine

The test runs control hosts and gateways as on the platform in front of engines that crash when they begin to answer a prompt with a certain part.

--- /dev/null
+++ b/tests/standins/crashing.py
@@ -0,0 +1,141 @@
+"""Stand-in engines that crash when they begin to answer a request with a certain part in its prompt."""
+
+import asyncio
+import contextlib
+import json
+import threading
+import time
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Final
+
+from basilcove.http1.resets import reset
+from soak.calls import call
+from soak.connections import Acceptor
+from soak.http import BrokenError, Message, chunk, read_message, write_message
+
+# Time from a crash to the next start of the engine.
+DOWN_S: Final = 0.5
+ANNOUNCE_INTERVAL_S: Final = 0.5
+READING_S: Final = 0.02
+EVENT_INTERVAL_S: Final = 0.005
+EVENTS: Final = 5
+SLOTS: Final = 4
+
+
+@dataclass
+class Arrivals:
+    """What all engines have seen; times are monotonic seconds."""
+
+    deadly: list[float] = field(default_factory=list)
+    crashes: list[float] = field(default_factory=list)
+
+
+class CrashingEngine:
+    """An engine on one address that announces itself to control hosts and starts again after a crash."""
+
+    def __init__(self, address: str, control: list[str], deadly_part: str, arrivals: Arrivals) -> None:
+        """Announce ``address`` to the first of the control hosts that answers."""
+        self._address = address
+        self._control = control
+        self._deadly_part = deadly_part
+        self._arrivals = arrivals
+        self._starts = count(1)
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._crashed = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve one start after the other until the task is cancelled."""
+        while True:
+            self._crashed.clear()
+            acceptor = Acceptor(self._address, self._serve)
+            await acceptor.setup()
+            announcer = asyncio.create_task(self._announce(f'i-{self._address}-{next(self._starts)}'))
+            try:
+                await self._crashed.wait()
+            finally:
+                announcer.cancel()
+                for writer in tuple(self._writers):
+                    writer.transport.close()
+                await acceptor.unload()
+            await asyncio.sleep(DOWN_S)
+
+    async def _announce(self, instance: str) -> None:
+        born_ms = time.time_ns() // 1_000_000
+        for sequence in count(1):
+            content = {
+                'service': 'desk',
+                'address': self._address,
+                'zone': 'a',
+                'slots': SLOTS,
+                'state': 'ready',
+                'sequence': sequence,
+                'born': born_ms,
+            }
+            for host in self._control:
+                answer = await call(host, 'PUT', f'/instances/{instance}', json.dumps(content).encode())
+                if answer is not None and answer.status == 200:
+                    break
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                await self._answer(await read_message(reader), writer)
+        except (BrokenError, OSError):
+            reset(writer.transport)
+        finally:
+            self._writers.discard(writer)
+
+    async def _answer(self, req: Message, writer: asyncio.StreamWriter) -> None:
+        is_deadly = f'{self._deadly_part}:' in req.header('x-basilcove-prefix-hash')
+        if is_deadly:
+            self._arrivals.deadly.append(time.monotonic())
+        await asyncio.sleep(READING_S)
+        headers = {
+            'X-Basilcove-Attempt-Id': req.header('x-basilcove-attempt-id'),
+            'Transfer-Encoding': 'chunked',
+        }
+        writer.write(write_message('HTTP/1.1 200 OK', headers, None))
+        if is_deadly:
+            await writer.drain()
+            self._arrivals.crashes.append(time.monotonic())
+            self._crashed.set()
+            await asyncio.sleep(DOWN_S)
+            return
+        for number in range(1, EVENTS + 1):
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            writer.write(chunk(f'id: {number}\ndata: x\n\n'.encode()))
+        writer.write(chunk(b''))
+        await writer.drain()
+
+
+class CrashingEngines:
+    """Engines on an event loop in a thread of their own."""
+
+    def __init__(self, addresses: list[str], control: list[str], deadly_part: str) -> None:
+        """Start the engines."""
+        self.arrivals = Arrivals()
+        self._engines = [
+            CrashingEngine(address, control, deadly_part, self.arrivals) for address in addresses
+        ]
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop all engines and their thread."""
+        self._loop.call_soon_threadsafe(self._main.cancel)
+        self._thread.join()
+
+    def _run(self) -> None:
+        self._main = self._loop.create_task(self._run_engines())
+        with contextlib.suppress(asyncio.CancelledError):
+            self._loop.run_until_complete(self._main)
+        self._loop.close()
+
+    async def _run_engines(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            for engine in self._engines:
+                group.create_task(engine.run())
