Quarantine the part of a prompt that crashes upstreams

Cause: nothing connected the end of an upstream with what its requests carried. The class of fault: a request that fails its server is retried (by the gateway 2 ms later, by its caller, by others like it) without a bound that outlives the server.

Change: a gateway that loses an answer checks whether the upstream still listens. If not, it reports the request to the control hosts, and doesn't send it on if its answer had begun. Control hosts blame the last part without any known answer, or, after more crashes, parts that were in them without an answer in between; gateways that have seen an answer say so, which releases the part. A blamed part is refused with 503 and no Retry-After for 30 s, four times as long after each further crash, then tried in stages by 1, 2, 4 ... gateways, one request at a time. What is known survives restarts of gateways and of all control hosts, as each side tells the other when they link. A crash costs messages in proportion to gateways times control hosts. Planned ends and upstreams that crash within 1 s of each other don't count as several.

--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from basilcove.core.events import Count, Effect, Log
+from basilcove.core.ids import PartId
 from basilcove.core.reducer import Context
 from basilcove.environment.models import RouteKind
 from basilcove.gateway.const import (
@@ -18,6 +19,7 @@
     AttemptEnded,
     AttemptResult,
     CancelAttempt,
+    CheckUpstream,
     DeliverBuffered,
     StartAttempt,
 )
@@ -29,10 +31,12 @@
     NO_UPSTREAM,
     NOT_STARTED,
     TIMED_OUT,
+    end_quarantined,
     end_refused,
     progress_fields,
 )
 from basilcove.gateway.pools import Choice, PooledUpstream
+from basilcove.registry.messages import Registration
 
 EndHandler = Callable[[GatewayState, OpenRequest, AttemptEnded, Context], list[Effect]]
 
@@ -58,15 +62,31 @@
 def start_attempt(state: GatewayState, req: OpenRequest, ctx: Context) -> list[Effect]:
     """Send a request to the best upstream that it has not tried yet, or refuse it."""
     if req.deadline - ctx.now < MIN_ATTEMPT_S:
-        return _give_up(state, req, ctx) if req.may_have_run else end_refused(state, req, NOT_STARTED, ctx)
+        return give_up(state, req, ctx) if req.may_have_run else end_refused(state, req, NOT_STARTED, ctx)
+    blocked = find_blocked_part(state, req, ctx.now)
+    if blocked is not None:
+        return give_up(state, req, ctx) if req.may_have_run else end_quarantined(state, req, blocked, ctx)
     chosen = state.pools.choose(req.service, ctx.now, req.tried, req.request_id)
     if chosen is None:
-        return _give_up(state, req, ctx)
+        return give_up(state, req, ctx)
     if not req.sent and not _admit(state, req, chosen, ctx):
         return end_refused(state, req, NO_ROOM, ctx, ('utilisation', f'{chosen.utilisation:.2f}'))
     return _send(req, chosen.upstream, chosen.load, ctx)
 
 
+def find_blocked_part(state: GatewayState, req: OpenRequest, now: float) -> PartId | None:
+    """Return a part of the prompt of a request that may not be sent to an upstream; None if all may."""
+    for part in state.quarantine.find_listed(req.parts, now):
+        if state.quarantine.is_refused(part, now) or _is_on_trial(state, req, part):
+            return part
+    return None
+
+
+def _is_on_trial(state: GatewayState, req: OpenRequest, part: PartId) -> bool:
+    others = (other for other in state.requests.values() if other is not req)
+    return any(part in other.parts for other in others)
+
+
 def _admit(state: GatewayState, req: OpenRequest, chosen: Choice, ctx: Context) -> bool:
     is_stream = req.named_route.route.kind is RouteKind.STREAM
     allowance = STREAM_QUEUE_ALLOWANCE if is_stream and chosen.is_sampled else QUEUE_ALLOWANCE
@@ -81,6 +101,7 @@
     req.sent += 1
     req.tried.add(registration.instance)
     req.instance = registration.instance
+    req.registration = registration
     fields = (
         ('request', req.request_id),
         ('attempt', str(req.number)),
@@ -159,13 +180,13 @@
 def _after_unsent(state: GatewayState, req: OpenRequest, event: AttemptEnded, ctx: Context) -> list[Effect]:
     req.sent -= 1
     if req.number >= MAX_UNSENT_ATTEMPTS or not _has_candidate(state, req, ctx):
-        return _give_up(state, req, ctx)
+        return give_up(state, req, ctx)
     return start_attempt(state, req, ctx)
 
 
 @handles_result(AttemptResult.NOT_RUN, AttemptResult.MISDIRECTED)
 def _after_not_run(state: GatewayState, req: OpenRequest, event: AttemptEnded, ctx: Context) -> list[Effect]:
-    return start_attempt(state, req, ctx) if spend_retry(state, req, ctx) else _give_up(state, req, ctx)
+    return start_attempt(state, req, ctx) if spend_retry(state, req, ctx) else give_up(state, req, ctx)
 
 
 @handles_result(AttemptResult.FAILED)
@@ -174,20 +195,48 @@
     req.has_buffered_failure = True
     if req.is_retryable and spend_retry(state, req, ctx):
         return start_attempt(state, req, ctx)
-    return _give_up(state, req, ctx)
+    return give_up(state, req, ctx)
 
 
-@handles_result(AttemptResult.LOST, AttemptResult.BROKEN)
+@handles_result(AttemptResult.LOST)
 def _after_loss(state: GatewayState, req: OpenRequest, event: AttemptEnded, ctx: Context) -> list[Effect]:
     req.may_have_run = True
-    if event.result is AttemptResult.BROKEN:
-        req.has_begun = True
-        req.last_event = event.last_event
+    registration = req.registration
+    if registration is None or not req.parts or not _is_crash_possible(state, registration, ctx.now):
+        return retry_after_loss(state, req, ctx)
+    check = CheckUpstream(
+        req.key,
+        req.number,
+        registration.instance,
+        registration.address,
+        registration.born_ms,
+        req.parts,
+        has_answer_head=bool(event.status),
+    )
+    return [check]
+
+
+def _is_crash_possible(state: GatewayState, registration: Registration, now: float) -> bool:
+    """Return whether the end of an upstream would be a crash: one that leaves ends as planned."""
+    upstream = state.pools.by_instance.get(registration.instance)
+    return upstream is not None and upstream.is_ready and now >= upstream.leaving_until
+
+
+@handles_result(AttemptResult.BROKEN)
+def _after_break(state: GatewayState, req: OpenRequest, event: AttemptEnded, ctx: Context) -> list[Effect]:
+    req.may_have_run = True
+    req.has_begun = True
+    req.last_event = event.last_event
+    return retry_after_loss(state, req, ctx)
+
+
+def retry_after_loss(state: GatewayState, req: OpenRequest, ctx: Context) -> list[Effect]:
+    """Send a request whose answer was lost to another upstream if it may run again, or end it."""
     # Another upstream can resume a stream only after an event with an id.
     can_resume = req.is_retryable and (not req.has_begun or bool(req.last_event))
     if can_resume and spend_retry(state, req, ctx):
         return start_attempt(state, req, ctx)
-    return _give_up(state, req, ctx)
+    return give_up(state, req, ctx)
 
 
 @handles_result(AttemptResult.MOVED)
@@ -212,7 +261,7 @@
     return state.pools.has_candidate(req.service, ctx.now, req.tried)
 
 
-def _give_up(state: GatewayState, req: OpenRequest, ctx: Context) -> list[Effect]:
+def give_up(state: GatewayState, req: OpenRequest, ctx: Context) -> list[Effect]:
     """End a request that gets no further attempt."""
     if req.has_begun:
         state.requests.pop(req.key, None)
@@ -237,7 +286,7 @@
     was_sent = req.instance is not None
     release_upstream(state, req)
     if req.has_buffered_failure or req.has_begun:
-        return [CancelAttempt(req.key), *_give_up(state, req, ctx)]
+        return [CancelAttempt(req.key), *give_up(state, req, ctx)]
     is_unknown = was_sent or req.may_have_run
     return [
         CancelAttempt(req.key),
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -58,6 +58,11 @@
 MAX_PROMPT_PARTS: Final = 64
 MAX_PART_ID_LENGTH: Final = 64
 
+# Parts of prompts of which a gateway remembers the last answer.
+MAX_SOUND_PARTS: Final = 8192
+# Limit on the check whether an upstream has ended: one that has refuses the connection at once.
+CHECK_TIMEOUT_S: Final = 0.1
+
 # No attempt is started with less time left than this, since no answer can arrive within it.
 MIN_ATTEMPT_S: Final = 0.03
 # After an unsent attempt, a request with this many attempts gets no further one. Unsent attempts don't count
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -4,6 +4,7 @@
 from basilcove.core.ids import Role, TeamName
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.environment.events import EnvironmentChanged
+from basilcove.gateway import crashes as _crashes  # noqa: F401
 from basilcove.gateway import relief as _relief  # noqa: F401
 from basilcove.gateway import sharing as _sharing  # noqa: F401
 from basilcove.gateway.attempts import end_attempt, expire_if_due, release_upstream, start_attempt
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 
 from loguru import logger
@@ -13,6 +13,7 @@
 from basilcove.core.runtime import carries_out
 from basilcove.gateway.config import GatewayConfig
 from basilcove.gateway.const import (
+    CHECK_TIMEOUT_S,
     CONNECT_TIMEOUT_S,
     DEFAULT_KEEP_ALIVE_S,
     DEFAULT_RETRY_AFTER_S,
@@ -28,18 +29,21 @@
     AttemptResult,
     CallerLeft,
     CancelAttempt,
+    CheckUpstream,
     DeliverBuffered,
     MoveAttempt,
     Refuse,
     RequestArrived,
     RequestHead,
     StartAttempt,
+    UpstreamChecked,
     UpstreamHinted,
 )
 from basilcove.gateway.exchange import Attempt, Exchange
 from basilcove.gateway.prompts import parse_shared_parts
 from basilcove.http1.client import ClientConfig, UpstreamConnections
 from basilcove.http1.headers import Headers, HttpRequest, encode_request, remove_hop_by_hop
+from basilcove.http1.probes import is_refused
 from basilcove.http1.server import CallerConnection, ConnectionLimits, HttpServer
 
 _CLIENT = ClientConfig(
@@ -122,9 +126,11 @@
             attempt.conn = conn
             conn.send(content, exchange.request.method, attempt)
             return
-        task = asyncio.get_running_loop().create_task(self._connect(effect, attempt, content, exchange))
-        self._connecting.add(task)
-        task.add_done_callback(self._connecting.discard)
+        self._run(self._connect(effect, attempt, content, exchange))
+
+    def check(self, effect: CheckUpstream) -> None:
+        """Find out whether an upstream has ended."""
+        self._run(self._check(effect))
 
     def cancel(self, key: int) -> None:
         """Cancel the attempt of a request."""
@@ -191,6 +197,15 @@
             self._request_bytes -= len(exchange.request.body)
         return exchange
 
+    def _run(self, coroutine: Coroutine[object, object, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+
+    async def _check(self, effect: CheckUpstream) -> None:
+        has_ended = await is_refused(effect.address, CHECK_TIMEOUT_S)
+        self._apply_for(effect.key, UpstreamChecked(effect, has_ended))
+
     async def _connect(
         self, effect: StartAttempt, attempt: Attempt, content: bytes, exchange: Exchange
     ) -> None:
@@ -276,6 +291,11 @@
     driver.cancel(effect.key)
 
 
+@carries_out(CheckUpstream, GatewayDriver)
+def _check(driver: GatewayDriver, effect: CheckUpstream) -> None:
+    driver.check(effect)
+
+
 @carries_out(MoveAttempt, GatewayDriver)
 def _move(driver: GatewayDriver, effect: MoveAttempt) -> None:
     driver.move(effect.key)
--- a/basilcove/gateway/events.py
+++ b/basilcove/gateway/events.py
@@ -121,6 +121,31 @@
     last_event: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class CheckUpstream(Effect):
+    """Finds out whether an upstream has ended, after it lost the answer to an attempt.
+
+    ``born_ms`` identifies the start of the instance; ``parts`` are those of the request's prompt, and
+    ``has_answer_head`` tells whether the head of the answer had arrived.
+    """
+
+    key: int
+    number: int
+    instance: InstanceId
+    address: str
+    born_ms: int
+    parts: tuple[PartId, ...]
+    has_answer_head: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamChecked(Event):
+    """The result of a check; ``has_ended`` if nothing listens at the address any more."""
+
+    check: CheckUpstream
+    has_ended: bool
+
+
 @dataclass(frozen=True, slots=True)
 class CancelAttempt(Effect):
     """Cancels the attempt of a request at its upstream."""
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -9,7 +9,9 @@
 from basilcove.gateway.budget import RetryBudget
 from basilcove.gateway.config import GatewayConfig, RetryConfig
 from basilcove.gateway.pools import Pools
+from basilcove.gateway.quarantine import Quarantine
 from basilcove.gateway.routes import NamedRoute, RouteTable
+from basilcove.registry.messages import Registration
 
 _NO_REVISION = Revision(0)
 
@@ -19,7 +21,8 @@
     """A request whose answer is not complete; times are monotonic seconds.
 
     ``number`` is that of its last attempt, ``sent`` counts the attempts that reached an upstream, and
-    ``tried`` holds all upstreams that were chosen.
+    ``tried`` holds all upstreams that were chosen. ``instance`` is the upstream of its open attempt, and
+    ``registration`` that of its last one.
     """
 
     key: int
@@ -35,6 +38,7 @@
     sent: int = 0
     tried: set[InstanceId] = field(default_factory=set)
     instance: InstanceId | None = None
+    registration: Registration | None = None
     may_have_run: bool = False
     has_buffered_failure: bool = False
     has_begun: bool = False
@@ -74,6 +78,7 @@
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
     sharing: Sharing = field(default_factory=Sharing)
     admission: Admission = field(default_factory=Admission)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     stopping_since: float | None = None
     is_stopped: bool = False
 
--- a/basilcove/gateway/outcomes.py
+++ b/basilcove/gateway/outcomes.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from basilcove.core.events import Count, Effect, Log
+from basilcove.core.ids import PartId
 from basilcove.core.reducer import Context
 from basilcove.gateway.const import (
     DEFAULT_RETRY_AFTER_S,
@@ -27,12 +28,16 @@
 
     status: HTTPStatus
     reason: str
-    # Time after which a retry by the caller may succeed; sent with 429 and 503 only.
-    retry_after_s: float = DEFAULT_RETRY_AFTER_S
+    # Time after which a retry by the caller may succeed; sent with 429 and 503 only. None if none will.
+    retry_after_s: float | None = DEFAULT_RETRY_AFTER_S
 
     @property
-    def has_retry_after(self) -> bool:
-        """Return whether the answer has a Retry-After header."""
+    def stated_retry_after_s(self) -> float | None:
+        """Return the time for the Retry-After header; None if the answer has no such header."""
+        return self.retry_after_s if self._promises_not_run else None
+
+    @property
+    def _promises_not_run(self) -> bool:
         return self.status in {HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS}
 
 
@@ -45,6 +50,9 @@
 NO_UPSTREAM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no upstream takes the request')
 HELD: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the upstreams hold requests off')
 NO_ROOM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the upstreams have no room')
+QUARANTINED: Final = Refusal(
+    HTTPStatus.SERVICE_UNAVAILABLE, 'a part of the prompt crashes upstreams', retry_after_s=None
+)
 NOT_STARTED: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the deadline passed before the request ran')
 ANSWER_LOST: Final = Refusal(HTTPStatus.BAD_GATEWAY, 'the answer of the upstream was lost')
 TIMED_OUT: Final = Refusal(HTTPStatus.GATEWAY_TIMEOUT, 'the deadline passed')
@@ -59,10 +67,10 @@
     *extra_fields: tuple[str, str],
 ) -> list[Effect]:
     """Refuse a request, log and count the refusal."""
-    retry_after_s = None
-    if refusal.has_retry_after:
+    retry_after_s = refusal.stated_retry_after_s
+    if retry_after_s is not None:
         spread = 1 + RETRY_AFTER_SPREAD * stable_fraction(request_id)
-        retry_after_s = round(refusal.retry_after_s * spread, 3)
+        retry_after_s = round(retry_after_s * spread, 3)
     fields = (
         ('request', request_id),
         ('status', str(refusal.status.value)),
@@ -87,6 +95,11 @@
     return refuse(state, req.key, req.request_id, refusal, ctx, *fields)
 
 
+def end_quarantined(state: GatewayState, req: OpenRequest, part: PartId, ctx: Context) -> list[Effect]:
+    """End a request that has not run because of a part of its prompt."""
+    return end_refused(state, req, QUARANTINED, ctx, ('part', part))
+
+
 def progress_fields(req: OpenRequest, now: float) -> tuple[tuple[str, str], ...]:
     """Return the log fields that describe the progress of a request."""
     return (
--- /dev/null
+++ b/basilcove/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Finds the part of a prompt that crashes upstreams, and keeps requests with it away from them."""
--- a/basilcove/roles/control.py
+++ b/basilcove/roles/control.py
@@ -7,6 +7,8 @@
 from basilcove.core.ids import Role
 from basilcove.daemon import Assembly, builds
 from basilcove.gateway.totals import AttemptTotals
+from basilcove.quarantine import coordinator as _quarantine  # noqa: F401
+from basilcove.quarantine.models import QuarantineState
 from basilcove.registry import coordinator as _registry  # noqa: F401
 from basilcove.registry.models import RegistryState
 from basilcove.roles.common import add_common
@@ -40,6 +42,11 @@
     node.add(CatchUp(identity.node))
     node.add(RegistryState())
     node.add(AttemptTotals())
+    quarantine = QuarantineState()
+    node.add(quarantine)
+    assembly.metrics.gauge(
+        'quarantined_parts', 'Parts of prompts that are refused or on trial.', lambda: len(quarantine.records)
+    )
     storage = StorageDriver(journal, assembly.runtime.post)
     assembly.runtime.add_driver(storage)
     assembly.setups.append(storage.setup)
--- /dev/null
+++ b/tests/quarantine/test_models.py
@@ -0,0 +1,130 @@
+from basilcove.core.ids import InstanceId, PartId
+from basilcove.quarantine.const import EVIDENCE_LIFETIME_S, FIRST_QUARANTINE_S, TRIAL_S
+from basilcove.quarantine.messages import CrashReport, LostRequest
+from basilcove.quarantine.models import QuarantineState
+
+DEADLY = PartId('dead')
+POPULAR = PartId('popular')
+RARE = PartId('rare')
+# Time between crashes of one group, which is down in the meantime.
+GAP_S = 5.0
+
+
+class Evidence:
+    """A control host's state with a clock; crashes are of a new instance each."""
+
+    def __init__(self) -> None:
+        self.state = QuarantineState()
+        self.now = 100.0
+        self.crashes = 0
+
+    def crash(self, *parts: PartId, has_answer_head: bool = True) -> list[PartId]:
+        """Return the parts that a new crash brings the blame to."""
+        self.now += GAP_S
+        self.crashes += 1
+        return self.report(*parts, has_answer_head=has_answer_head)
+
+    def report(self, *parts: PartId, has_answer_head: bool = True) -> list[PartId]:
+        """Return the parts that another request of the last crash brings the blame to."""
+        report = CrashReport(InstanceId(f'up-{self.crashes}'), 1, LostRequest(parts, has_answer_head))
+        return self.state.add_crash(report, self.now)
+
+    def answer(self, part: PartId, age_s: float = 0) -> list[PartId]:
+        return self.state.add_answer(part, self.now - age_s, self.now)
+
+    def refused(self) -> set[PartId]:
+        entries = self.state.current_entries(self.now)
+        return {entry.part for entry in entries if entry.remaining_s and not entry.is_released}
+
+
+class TestBlame:
+    def test_part_without_answers_is_blamed_for_one_crash(self) -> None:
+        """Guards against a part that crashes several upstreams before it is refused."""
+        evidence = Evidence()
+        assert evidence.crash(POPULAR, DEADLY) == [DEADLY]
+        assert evidence.refused() == {DEADLY}
+
+    def test_request_without_an_answer_head_is_not_blamed_for_one_crash(self) -> None:
+        """Guards against a caller who is refused since an upstream crashed while its request waited."""
+        evidence = Evidence()
+        assert not evidence.crash(RARE, has_answer_head=False)
+        assert evidence.report(DEADLY) == [DEADLY]
+
+    def test_answered_part_is_not_blamed_for_one_crash(self) -> None:
+        """Guards against a popular part that is refused after a crash with another cause."""
+        evidence = Evidence()
+        assert evidence.crash(POPULAR) == [POPULAR]
+        assert evidence.answer(POPULAR, age_s=3) == [POPULAR]
+        assert not evidence.refused()
+
+    def test_part_that_was_sound_before(self) -> None:
+        """Guards against a part that goes on crashing upstreams because it was answered earlier."""
+        evidence = Evidence()
+        evidence.crash(POPULAR, DEADLY)
+        evidence.answer(DEADLY, age_s=20)
+        evidence.answer(POPULAR)
+        evidence.crash(POPULAR, DEADLY)
+        assert evidence.refused() == {DEADLY}
+        assert not evidence.answer(DEADLY, age_s=25)
+
+    def test_first_part_is_deadly(self) -> None:
+        """Guards against blaming the last part only, while each request has another one."""
+        evidence = Evidence()
+        for number in range(2):
+            evidence.crash(DEADLY, PartId(f'own-{number}'))
+        assert DEADLY in evidence.refused()
+
+    def test_answer_since_the_first_crash_speaks_for_a_part(self) -> None:
+        """Guards against a popular part that is blamed for two crashes with other causes."""
+        evidence = Evidence()
+        evidence.crash(POPULAR)
+        evidence.answer(POPULAR, age_s=2)
+        evidence.crash(POPULAR)
+        assert evidence.answer(POPULAR, age_s=1) == [POPULAR]
+        assert not evidence.refused()
+
+    def test_blame_passes_on_when_a_part_is_sound(self) -> None:
+        """Guards against a crash without consequences since the first part that was blamed is sound."""
+        evidence = Evidence()
+        evidence.crash(DEADLY, POPULAR)
+        assert evidence.answer(POPULAR, age_s=1) == [POPULAR, DEADLY]
+        assert evidence.refused() == {DEADLY}
+
+    def test_upstreams_that_crash_together_count_once(self) -> None:
+        """Guards against a part that is blamed because a host with many upstreams was lost."""
+        evidence = Evidence()
+        for _ in range(8):
+            assert not evidence.crash(RARE, has_answer_head=False)
+            evidence.now -= GAP_S
+        assert not evidence.refused()
+
+    def test_lost_heads(self) -> None:
+        """Guards against a part that is never blamed because a reset drops the heads of the answers."""
+        evidence = Evidence()
+        for _ in range(4):
+            evidence.crash(DEADLY, has_answer_head=False)
+        assert evidence.refused() == {DEADLY}
+
+
+class TestDuration:
+    def test_trial_and_longer_quarantine(self) -> None:
+        """Guards against a part that is refused forever, and one that is tried again and again."""
+        evidence = Evidence()
+        evidence.crash(DEADLY)
+        evidence.now += FIRST_QUARANTINE_S + 1
+        assert not evidence.refused()
+        evidence.crash(DEADLY)
+        evidence.now += FIRST_QUARANTINE_S + 1
+        assert evidence.refused() == {DEADLY}
+        assert evidence.answer(DEADLY) == [DEADLY]
+        assert not evidence.refused()
+
+    def test_evidence_expires(self) -> None:
+        """Guards against tables that grow, and crashes of an hour ago that count."""
+        evidence = Evidence()
+        evidence.crash(DEADLY)
+        evidence.answer(POPULAR)
+        evidence.now += EVIDENCE_LIFETIME_S + FIRST_QUARANTINE_S + TRIAL_S
+        evidence.state.drop_expired(evidence.now)
+        state = evidence.state
+        assert (state.crashes, state.sound_at, state.records) == ({}, {}, {})
