--- a/basilcove/gateway/config.py
+++ b/basilcove/gateway/config.py
@@ -16,6 +16,7 @@
     not_run: str = 'Basilcove-Not-Run'
     load: str = 'Basilcove-Load'
     leaving: str = 'Basilcove-Leaving'
+    limit: str = 'Basilcove-Limit'
     prompt_parts: str = 'Basilcove-Prompt-Parts'
 
 
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -1,14 +1,15 @@
 """Handles the events of a gateway: requests, ends of attempts, registrations and the stop."""
 
-from basilcove.core.events import Count, Effect, Log, PeerFound, PeerLost, Received, StopRequested, Tick
+from basilcove.core.events import Effect, Log, PeerFound, PeerLost, Received, StopRequested, Tick
 from basilcove.core.ids import Role, TeamName
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.gateway import crashes as _crashes  # noqa: F401
+from basilcove.gateway import hinting as _hinting  # noqa: F401
 from basilcove.gateway import relief as _relief  # noqa: F401
 from basilcove.gateway import sharing as _sharing  # noqa: F401
 from basilcove.gateway.attempts import end_attempt, expire_if_due, release_upstream, start_attempt
-from basilcove.gateway.const import HOLD_SPREAD, LEAVING_LIFETIME_S, STOP_NOTICE_S
+from basilcove.gateway.const import STOP_NOTICE_S
 from basilcove.gateway.events import (
     AnswerBegun,
     AttemptEnded,
@@ -16,12 +17,10 @@
     CancelAttempt,
     RequestArrived,
     RequestHead,
-    UpstreamHinted,
 )
 from basilcove.gateway.models import GatewayState, OpenRequest
 from basilcove.gateway.outcomes import NO_DOCUMENT, NO_ROUTE, STOPPING, UNKNOWN_KEY, refuse
 from basilcove.gateway.routes import NamedRoute, RouteTable, pick_service
-from basilcove.helpers.hashing import stable_fraction
 from basilcove.registry.messages import Registrations
 from basilcove.requests.events import StopCompleted
 
@@ -134,30 +133,6 @@
     return []
 
 
-@handles(UpstreamHinted, GatewayState)
-def _on_hinted(state: GatewayState, event: UpstreamHinted, ctx: Context) -> list[Effect]:
-    """Send no new requests to an upstream that leaves or holds them off; open ones go on."""
-    upstream = state.pools.by_instance.get(event.instance)
-    if upstream is None or upstream.registration.born_ms != event.born_ms:
-        return []
-    hints = event.hints
-    was_leaving = ctx.now < upstream.leaving_until
-    if hints.is_leaving:
-        upstream.leaving_until = ctx.now + LEAVING_LIFETIME_S
-    if hints.retry_after_s:
-        spread = HOLD_SPREAD * stable_fraction(event.instance, event.key, ctx.now)
-        upstream.hold(hints.retry_after_s, spread, ctx.now)
-    elif was_leaving:
-        return []
-    fields = (
-        ('instance', event.instance),
-        ('is_leaving', str(hints.is_leaving)),
-        ('retry_after_s', f'{hints.retry_after_s:g}'),
-        ('held_s', f'{max(0, upstream.held_until - ctx.now):.2f}'),
-    )
-    return [Log('info', 'upstream takes no new requests', fields), Count('gateway_upstream_hints')]
-
-
 @handles(AttemptEnded, GatewayState)
 def _on_attempt_ended(state: GatewayState, event: AttemptEnded, ctx: Context) -> list[Effect]:
     req = state.requests.get(event.key)
--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -16,7 +16,7 @@
     UpstreamHinted,
 )
 from basilcove.gateway.eventstream import EventSplitter, EventTooLargeError
-from basilcove.gateway.hints import read_hints
+from basilcove.gateway.hints import NO_HINTS, Hints, read_hints
 from basilcove.http1.client import AnswerHead, UpstreamConnection
 from basilcove.http1.headers import HttpRequest, find_header, parse_count, remove_hop_by_hop
 from basilcove.http1.server import CallerConnection
@@ -104,13 +104,17 @@
 
     def accepts(self, head: AnswerHead) -> bool:
         """Return whether the answer names this request or no request at all."""
-        self._report_hints(head)
+        hints = read_hints(head, self._names)
+        if hints is not None:
+            self._report_hints(hints)
         echoed = find_header(head.headers, self._names.request_id.lower().encode())
         return not echoed or echoed == self._exchange.request.header(self._names.request_id.lower().encode())
 
     def on_interim(self, head: AnswerHead) -> None:
-        """Report the hints of an interim answer."""
-        self._report_hints(head)
+        """Report the hints of an interim answer; only a final one tells that there is no limit."""
+        hints = read_hints(head, self._names)
+        if hints is not None and hints != NO_HINTS:
+            self._report_hints(hints)
 
     def on_head(self, head: AnswerHead) -> None:
         """Prepare to forward a successful stream as it arrives, or to buffer any other answer."""
@@ -160,11 +164,9 @@
 
     # Helpers.
 
-    def _report_hints(self, head: AnswerHead) -> None:
-        hints = read_hints(head, self._names)
-        if hints:
-            start = self._start
-            self._report(UpstreamHinted(start.key, start.number, start.instance, start.born_ms, hints))
+    def _report_hints(self, hints: Hints) -> None:
+        start = self._start
+        self._report(UpstreamHinted(start.key, start.number, start.instance, start.born_ms, hints))
 
     def _buffer(self, part: bytes) -> None:
         buffered = self._buffered
--- a/basilcove/gateway/hints.py
+++ b/basilcove/gateway/hints.py
@@ -1,5 +1,6 @@
 """Reads what an upstream says about itself in the head of an answer."""
 
+import math
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -16,23 +17,36 @@
     """What an upstream asks of this gateway.
 
     ``is_leaving``: it wants no new requests until it starts again. ``retry_after_s``: it wants no requests
-    for this many seconds; 0 if it doesn't say so.
+    for this many seconds; 0 if it doesn't say so. ``limit_per_s``: it takes this many requests a second from
+    all gateways together; 0 if it doesn't state a limit.
     """
 
     is_leaving: bool = False
     retry_after_s: float = 0
+    limit_per_s: float = 0
 
-    def __bool__(self) -> bool:
-        """Return whether the upstream asks for anything."""
+    @property
+    def holds_requests_off(self) -> bool:
+        """Return whether the upstream wants no new requests for now."""
         return self.is_leaving or self.retry_after_s > 0
 
 
 NO_HINTS = Hints()
 
 
-def read_hints(head: AnswerHead, names: HeaderNames) -> Hints:
-    """Return the hints in a head; an answer of another instance at the address has none."""
+def read_hints(head: AnswerHead, names: HeaderNames) -> Hints | None:
+    """Return the hints in a head; None for an answer of another instance at the address."""
     if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-        return NO_HINTS
+        return None
     is_leaving = find_header(head.headers, names.leaving.lower().encode()).lower() not in _NO_FLAG
-    return Hints(is_leaving, read_retry_after_s(head.status, head.headers))
+    limit_per_s = parse_limit_per_s(find_header(head.headers, names.limit.lower().encode()))
+    return Hints(is_leaving, read_retry_after_s(head.status, head.headers), limit_per_s)
+
+
+def parse_limit_per_s(text: str) -> float:
+    """Return a limit in requests a second; 0 if the text isn't a positive number."""
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        return 0
+    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s > 0 else 0
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -32,6 +32,7 @@
     ``others_load`` is the number of requests that it had from other gateways when it last reported its
     load. ``failure_average`` is the share of failures at the time of the last result. No request is sent
     before ``held_until``, and then only one at a time until ``hold_stated_until`` or an answer.
+    ``stated_limit_per_s`` is the limit in its last answer to this gateway, 0 if that had none.
     """
 
     registration: Registration
@@ -46,6 +47,7 @@
     leaving_until: float = 0
     held_until: float = 0
     hold_stated_until: float = 0
+    stated_limit_per_s: float = 0
 
     @property
     def is_silent(self) -> bool:
--- a/tests/gateway/test_hints.py
+++ b/tests/gateway/test_hints.py
@@ -6,7 +6,7 @@
 from basilcove.core.events import Effect
 from basilcove.gateway.const import MAX_HELD_RETRY_AFTER_S, MAX_HOLD_S
 from basilcove.gateway.events import AttemptResult, Refuse, StartAttempt, UpstreamHinted
-from basilcove.gateway.hints import Hints
+from basilcove.gateway.hints import Hints, parse_limit_per_s
 from basilcove.http1.retry_after import parse_retry_after_s
 from tests.gateway.loopback import TIMEOUT_S, Gateway, Upstream, UpstreamCall, request
 from tests.gateway.test_driver import answers, event, run
@@ -178,3 +178,13 @@
     def test_seconds_and_dates(self, text: str, seconds: float) -> None:
         """Guards against a wait that a text other than seconds or a date brings about."""
         assert parse_retry_after_s(text, 10) == seconds
+
+
+class TestStatedLimit:
+    @pytest.mark.parametrize(
+        ('text', 'limit_per_s'),
+        [('1.2', 1.2), ('30', 30), ('0', 0), ('-1', 0), ('nan', 0), ('inf', 0), ('many', 0), ('', 0)],
+    )
+    def test_decimal_numbers(self, text: str, limit_per_s: float) -> None:
+        """Guards against a limit that a text other than a positive number brings about."""
+        assert parse_limit_per_s(text) == limit_per_s
