Show with real processes that an upstream gets more requests than its limit

Three of six engines state a limit of 1.2 requests a second; three gateways send them 22 requests in 4 s, where one and a half times the limit and five more (12.2) are the most. The stand-in of the crashing engines can state limits, and the deployment of both tests moves to a module that they share.

--- a/tests/standins/crashing.py
+++ b/tests/standins/streaming.py
@@ -1,10 +1,11 @@
-"""Stand-in engines that crash when they begin to answer a request with a certain part in its prompt."""
+"""Stand-in engines that serve streams, crash at a certain part of prompts, or state a limit on requests."""
 
 import asyncio
 import contextlib
 import json
 import threading
 import time
+from collections import defaultdict
 from dataclasses import dataclass, field
 from itertools import count
 from typing import Final
@@ -25,20 +26,29 @@
 
 @dataclass
 class Arrivals:
-    """What all engines have seen; times are monotonic seconds."""
+    """What all engines have seen, ``limited`` by address; times are monotonic seconds."""
 
     deadly: list[float] = field(default_factory=list)
     crashes: list[float] = field(default_factory=list)
+    limited: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
 
 
-class CrashingEngine:
+@dataclass(frozen=True)
+class Faults:
+    """The part that crashes all engines, and the limits that engines on some hosts state."""
+
+    deadly_part: str = ''
+    limits_per_s: dict[str, float] = field(default_factory=dict)
+
+
+class StreamingEngine:
     """An engine on one address that announces itself to control hosts and starts again after a crash."""
 
-    def __init__(self, address: str, control: list[str], deadly_part: str, arrivals: Arrivals) -> None:
+    def __init__(self, address: str, control: list[str], faults: Faults, arrivals: Arrivals) -> None:
         """Announce ``address`` to the first of the control hosts that answers."""
         self._address = address
         self._control = control
-        self._deadly_part = deadly_part
+        self._faults = faults
         self._arrivals = arrivals
         self._starts = count(1)
         self._writers: set[asyncio.StreamWriter] = set()
@@ -89,7 +99,11 @@
             self._writers.discard(writer)
 
     async def _answer(self, req: Message, writer: asyncio.StreamWriter) -> None:
-        is_deadly = f'{self._deadly_part}:' in req.header('x-basilcove-prefix-hash')
+        deadly_part = self._faults.deadly_part
+        is_deadly = bool(deadly_part) and f'{deadly_part}:' in req.header('x-basilcove-prefix-hash')
+        limit_per_s = self._faults.limits_per_s.get(self._address.partition(':')[0])
+        if limit_per_s:
+            self._arrivals.limited[self._address].append(time.monotonic())
         if is_deadly:
             self._arrivals.deadly.append(time.monotonic())
         await asyncio.sleep(READING_S)
@@ -97,6 +111,8 @@
             'X-Basilcove-Attempt-Id': req.header('x-basilcove-attempt-id'),
             'Transfer-Encoding': 'chunked',
         }
+        if limit_per_s:
+            headers['Server-Limit'] = f'{limit_per_s:g}'
         writer.write(write_message('HTTP/1.1 200 OK', headers, None))
         if is_deadly:
             await writer.drain()
@@ -111,15 +127,13 @@
         await writer.drain()
 
 
-class CrashingEngines:
+class StreamingEngines:
     """Engines on an event loop in a thread of their own."""
 
-    def __init__(self, addresses: list[str], control: list[str], deadly_part: str) -> None:
+    def __init__(self, addresses: list[str], control: list[str], faults: Faults) -> None:
         """Start the engines."""
         self.arrivals = Arrivals()
-        self._engines = [
-            CrashingEngine(address, control, deadly_part, self.arrivals) for address in addresses
-        ]
+        self._engines = [StreamingEngine(address, control, faults, self.arrivals) for address in addresses]
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
