Divide the limit that an upstream states among a few gateways

Upstreams in need got as many requests as all others: 13 in 4 s at a limit of 1.2 a second, 12 allowed.

Cause: no gateway read the limit; it held as long as the even spread of the load happened to stay below it. The class of fault: a bound on the sum over all gateways that no one divides; each gateway for itself can't keep it.

Change: gateways tell the control hosts what an upstream states, at once if it changes and each 2 s while it stays. Each control host divides the limit among the same few of its gateways, chosen by hash: two and one more for each request a second, so that even requests sent at the same moment stay within a small limit. These send at even intervals, a new one an interval after it is chosen; all others leave the upstream alone, and their load goes to the other upstreams. The lowest share of several hosts holds. Hosts that start are told by the gateways, gateways by the hosts. A limit ends with an answer that states none, or 10 s after the last that did.

--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -111,6 +111,7 @@
         *progress_fields(req, ctx.now),
     )
     chosen.open_attempts += 1
+    chosen.throttle.count_request(ctx.now)
     start = StartAttempt(
         req.key,
         req.number,
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -8,6 +8,7 @@
 from basilcove.gateway import hinting as _hinting  # noqa: F401
 from basilcove.gateway import relief as _relief  # noqa: F401
 from basilcove.gateway import sharing as _sharing  # noqa: F401
+from basilcove.gateway import throttling as _throttling  # noqa: F401
 from basilcove.gateway.attempts import end_attempt, expire_if_due, release_upstream, start_attempt
 from basilcove.gateway.const import STOP_NOTICE_S
 from basilcove.gateway.events import (
--- a/basilcove/gateway/hinting.py
+++ b/basilcove/gateway/hinting.py
@@ -14,20 +14,7 @@
     upstream = state.pools.by_instance.get(event.instance)
     if upstream is None or upstream.registration.born_ms != event.born_ms:
         return []
-    return [*_update_limit(upstream, event), *_hold(upstream, event, ctx.now)]
-
-
-def _update_limit(upstream: PooledUpstream, event: UpstreamHinted) -> list[Effect]:
-    former, stated = upstream.stated_limit_per_s, event.hints.limit_per_s
-    if former == stated:
-        return []
-    upstream.stated_limit_per_s = stated
-    fields = (
-        ('instance', event.instance),
-        ('limit_per_s', f'{stated:g}'),
-        ('former_limit_per_s', f'{former:g}'),
-    )
-    return [Log('info', 'limit of an upstream changed', fields)]
+    return _hold(upstream, event, ctx.now)
 
 
 def _hold(upstream: PooledUpstream, event: UpstreamHinted, now: float) -> list[Effect]:
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -20,6 +20,7 @@
     SLOW_LIFETIME_S,
 )
 from basilcove.gateway.events import ReportedLoad
+from basilcove.gateway.throttles import Throttle
 from basilcove.helpers.hashing import stable_hash
 from basilcove.registry.messages import Registration, RegistrationState
 
@@ -32,7 +33,6 @@
     ``others_load`` is the number of requests that it had from other gateways when it last reported its
     load. ``failure_average`` is the share of failures at the time of the last result. No request is sent
     before ``held_until``, and then only one at a time until ``hold_stated_until`` or an answer.
-    ``stated_limit_per_s`` is the limit in its last answer to this gateway, 0 if that had none.
     """
 
     registration: Registration
@@ -47,7 +47,7 @@
     leaving_until: float = 0
     held_until: float = 0
     hold_stated_until: float = 0
-    stated_limit_per_s: float = 0
+    throttle: Throttle = field(default_factory=Throttle)
 
     @property
     def is_silent(self) -> bool:
@@ -60,11 +60,20 @@
         return self.registration.standing is RegistrationState.READY and not self.is_misdirected
 
     def is_usable(self, now: float) -> bool:
-        """Return whether the upstream is ready, has not said that it leaves and holds no requests off."""
+        """Return whether the upstream is ready, doesn't leave and holds off no requests of this gateway."""
         if not self.is_ready or now < max(self.leaving_until, self.held_until):
             return False
+        if self.throttle.limit_per_s and self.throttle.wait_s(now) != 0:
+            return False
         return now >= self.hold_stated_until or not self.open_attempts
 
+    def return_s(self, now: float) -> float | None:
+        """Return the time until requests may be sent to an upstream that isn't usable; None if never."""
+        wait_s = self.throttle.wait_s(now)
+        if not self.is_ready or now < self.leaving_until or wait_s is None:
+            return None
+        return max(wait_s, self.held_until - now) or DEFAULT_RETRY_AFTER_S
+
     def hold(self, retry_after_s: float, spread: float, now: float) -> None:
         """Hold requests off for the stated time, lengthened by a fraction, up to ``MAX_HOLD_S``."""
         hold_s = retry_after_s * (1 + spread)
@@ -221,8 +230,7 @@
         for upstream in self.by_service.get(service, {}).values():
             if upstream.is_usable(now):
                 return None
-            if upstream.is_ready and now >= upstream.leaving_until:
-                returns.append(
-                    upstream.held_until - now if now < upstream.held_until else DEFAULT_RETRY_AFTER_S
-                )
+            return_s = upstream.return_s(now)
+            if return_s is not None:
+                returns.append(return_s)
         return min(returns, default=None)
--- a/basilcove/roles/control.py
+++ b/basilcove/roles/control.py
@@ -14,6 +14,8 @@
 from basilcove.roles.common import add_common
 from basilcove.storage.driver import StorageDriver
 from basilcove.storage.journal import Journal
+from basilcove.throttling import coordinator as _throttling  # noqa: F401
+from basilcove.throttling.models import ThrottlingState
 from basilcove.wiring.documents import CatchUp
 
 
@@ -42,6 +44,7 @@
     node.add(CatchUp(identity.node))
     node.add(RegistryState())
     node.add(AttemptTotals())
+    node.add(ThrottlingState())
     quarantine = QuarantineState()
     node.add(quarantine)
     assembly.metrics.gauge(
--- /dev/null
+++ b/basilcove/throttling/__init__.py
@@ -0,0 +1,1 @@
+"""Divides the limit on requests that an upstream states among gateways."""
--- /dev/null
+++ b/basilcove/throttling/coordinator.py
@@ -0,0 +1,77 @@
+"""Divides the limits that upstreams state among gateways, on a control host."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from basilcove.core.events import Count, Effect, Log, PeerFound, PeerLost, Received, Send, Tick
+from basilcove.core.ids import InstanceId, NodeId, Role
+from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.throttling.messages import LimitShare, LimitShares, StatedLimit
+from basilcove.throttling.models import ThrottlingState
+
+
+@handles(PeerFound, ThrottlingState)
+def _on_peer_found(state: ThrottlingState, event: PeerFound, ctx: Context) -> list[Effect]:
+    node = event.peer.node
+    if Role.GATEWAY not in event.peer.roles:
+        return []
+    state.gateways.add(node)
+    changed = state.choose_again()
+    entries = tuple(_share(state, instance, node) for instance in state.records)
+    own = [Send(node, LimitShares(entries))] if entries else []
+    return [*own, *_announce(state, changed, state.gateways - {node})]
+
+
+@handles(PeerLost, ThrottlingState)
+def _on_peer_lost(state: ThrottlingState, event: PeerLost, ctx: Context) -> list[Effect]:
+    if event.peer.node not in state.gateways:
+        return []
+    state.gateways.discard(event.peer.node)
+    return _announce(state, state.choose_again(), state.gateways)
+
+
+@handles_message(StatedLimit, ThrottlingState)
+def _on_stated_limit(state: ThrottlingState, event: Received, ctx: Context) -> list[Effect]:
+    stated = event.message
+    assert isinstance(stated, StatedLimit)
+    if not state.update(stated, ctx.now):
+        return []
+    return [*_log(state, stated.instance), *_announce(state, [stated.instance], state.gateways)]
+
+
+@handles(Tick, ThrottlingState)
+def _on_tick(state: ThrottlingState, event: Tick, ctx: Context) -> list[Effect]:
+    effects: list[Effect] = []
+    for instance in state.find_expired(ctx.now):
+        record = state.records[instance]
+        if record.limit_per_s:
+            record.limit_per_s = 0
+            effects.extend(_log(state, instance))
+            effects.extend(_announce(state, [instance], state.gateways))
+        del state.records[instance]
+    return effects
+
+
+def _announce(
+    state: ThrottlingState, instances: Iterable[InstanceId], nodes: Iterable[NodeId]
+) -> list[Effect]:
+    entries: dict[NodeId, list[LimitShare]] = defaultdict(list)
+    for instance in instances:
+        for node in nodes:
+            entries[node].append(_share(state, instance, node))
+    return [Send(receiver, LimitShares(tuple(shares))) for receiver, shares in sorted(entries.items())]
+
+
+def _share(state: ThrottlingState, instance: InstanceId, node: NodeId) -> LimitShare:
+    record = state.records[instance]
+    return LimitShare(instance, record.born_ms, record.limit_per_s, record.share_per_s(node))
+
+
+def _log(state: ThrottlingState, instance: InstanceId) -> list[Effect]:
+    record = state.records[instance]
+    fields = (
+        ('instance', instance),
+        ('limit_per_s', f'{record.limit_per_s:g}'),
+        ('senders', ' '.join(sorted(record.senders))),
+    )
+    return [Log('info', 'limit of an upstream divided', fields), Count('limits_divided')]
