Take no answer on a kept connection that names no request

Callers were told that a request had not run while it ran, or it ran at a second upstream, when an upstream wrote an earlier refusal once more on a kept connection and that refusal named no request.

Cause: an answer without an id was taken for that of the latest request; only ids of other requests were skipped. Change: an answer that names no request counts only as the first of its connection, and the connection isn't kept then. On a kept connection, whose earlier answers all named theirs, such an answer is skipped like that of another request, and the upstream's own answer is awaited.

--- a/basilcove/experts/remote/driver.py
+++ b/basilcove/experts/remote/driver.py
@@ -25,7 +25,7 @@
     ReleaseStep,
     Reply,
 )
-from basilcove.http1.client import AnswerHead, UpstreamConnection, UpstreamConnections
+from basilcove.http1.client import AnswerHead, Attribution, UpstreamConnection, UpstreamConnections
 from basilcove.http1.headers import Headers, encode_request
 from basilcove.http1.retry_after import read_retry_after_s
 
@@ -44,9 +44,9 @@
     size_bytes: int = 0
     retry_after_s: float = 0
 
-    def accepts(self, head: AnswerHead) -> bool:
+    def attribute(self, head: AnswerHead) -> Attribution:
         """Accept the first answer: a call has no id that an answer could refer to."""
-        return True
+        return Attribution.OWN
 
     def on_interim(self, head: AnswerHead) -> None:
         """Wait for the final answer."""
--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -17,7 +17,7 @@
 )
 from basilcove.gateway.eventstream import EventSplitter, EventTooLargeError
 from basilcove.gateway.hints import NO_HINTS, Hints, read_hints
-from basilcove.http1.client import AnswerHead, UpstreamConnection
+from basilcove.http1.client import AnswerHead, Attribution, UpstreamConnection
 from basilcove.http1.headers import HttpRequest, find_header, parse_count, remove_hop_by_hop
 from basilcove.http1.server import CallerConnection
 
@@ -102,13 +102,16 @@
 
     # Methods of AnswerReader.
 
-    def accepts(self, head: AnswerHead) -> bool:
-        """Return whether the answer names this request or no request at all."""
+    def attribute(self, head: AnswerHead) -> Attribution:
+        """Return whether the answer names this request, another one or none."""
         hints = read_hints(head, self._names)
         if hints is not None:
             self._report_hints(hints)
         echoed = find_header(head.headers, self._names.request_id.lower().encode())
-        return not echoed or echoed == self._exchange.request.header(self._names.request_id.lower().encode())
+        if not echoed:
+            return Attribution.UNNAMED
+        own = self._exchange.request.header(self._names.request_id.lower().encode())
+        return Attribution.OWN if echoed == own else Attribution.FOREIGN
 
     def on_interim(self, head: AnswerHead) -> None:
         """Report the hints of an interim answer; only a final one tells that there is no limit."""
--- a/basilcove/http1/client.py
+++ b/basilcove/http1/client.py
@@ -1,6 +1,7 @@
 """Connections to upstreams: one request at a time, reused while their state is certain."""
 
 import asyncio
+import enum
 import socket
 import time
 from collections import deque
@@ -42,11 +43,22 @@
     unacknowledged_timeout_ms: int
 
 
+class Attribution(enum.Enum):
+    """Whether an answer belongs to the request that was sent last."""
+
+    # It does.
+    OWN = 'own'
+    # It names no request. Earlier answers of its connection may come once more, so only the first one counts.
+    UNNAMED = 'unnamed'
+    # It belongs to another request.
+    FOREIGN = 'foreign'
+
+
 class AnswerReader(Protocol):
     """Receives an answer; all methods run on the loop's thread."""
 
-    def accepts(self, head: AnswerHead) -> bool:
-        """Return whether this answer belongs to the request; otherwise it is skipped."""
+    def attribute(self, head: AnswerHead) -> Attribution:
+        """Return to which request this answer belongs; it may be skipped."""
 
     def on_interim(self, head: AnswerHead) -> None:
         """Handle the head of an interim answer (1xx), which the final one follows."""
@@ -98,6 +110,7 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._pending: _PendingAnswer | None = None
         self._allows_reuse = True
+        self._is_reused = False
         self._keep_alive_s = cfg.default_keep_alive_s
         self._idle_since = 0.0
         self._is_unusable = False
@@ -149,6 +162,7 @@
     def send(self, request: bytes, method: bytes, reader: AnswerReader) -> None:
         """Send a request; its answer is passed to the reader."""
         assert self._transport is not None
+        self._is_reused = self._parser is not None
         self._parser = httptools.HttpResponseParser(self)
         self._pending = _PendingAnswer(reader, method)
         self._allows_reuse = True
@@ -213,7 +227,12 @@
         answer_has_body = has_body(pending.method, head.status)
         pending.ends_with_connection = answer_has_body and head.size is None and not is_chunked
         self._update_keep_alive(head, is_framed=answer_has_body and not pending.ends_with_connection)
-        pending.is_skipped = not pending.reader.accepts(head)
+        attribution = pending.reader.attribute(head)
+        if attribution is not Attribution.OWN:
+            # Only answers that name their requests can be told apart.
+            self._allows_reuse = False
+        is_unattributable = attribution is Attribution.UNNAMED and self._is_reused
+        pending.is_skipped = is_unattributable or attribution is Attribution.FOREIGN
         if pending.is_skipped:
             # The connection also carries answers to other requests, so it isn't reused.
             self._is_unusable = True
