Take no other kind of answer for the rest of a stream

A stream had begun and broke off, and the next upstream answered 204, or 200 with an empty page: the caller's stream ended as if it were complete.

Cause: any success was taken for the rest of the stream. Change: the rest must have the status and the media type of the head that the caller was sent; anything else counts as a loss, and the caller's connection is broken off. The two cases fail on the former code.

--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -34,16 +34,27 @@
     key: int
     caller: CallerConnection
     request: HttpRequest
-    has_begun: bool = False
+    # The head that the caller was sent.
+    first_head: AnswerHead | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     buffered: 'BufferedAnswer | None' = None
     attempt: 'Attempt | None' = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the caller was sent a part of an answer."""
+        return self.first_head is not None
+
     def begin(self, head: AnswerHead, size: int | None) -> None:
         """Send the caller the head of an answer; ``size`` in bytes is None if it isn't known."""
-        self.has_begun = True
+        self.first_head = head
         self.caller.begin(head.status, remove_hop_by_hop(head.headers), head.reason, size)
 
+    def continues_with(self, head: AnswerHead) -> bool:
+        """Return whether an answer may go on with what the caller was sent; any may if that is nothing."""
+        first = self.first_head
+        return first is None or (first.status, _media_type(first)) == (head.status, _media_type(head))
+
     def deliver(self, buffered: 'BufferedAnswer') -> None:
         """Send the caller a complete answer."""
         body = b''.join(buffered.parts)
@@ -52,6 +63,10 @@
         self.caller.end()
 
 
+def _media_type(head: AnswerHead) -> str:
+    return find_header(head.headers, b'content-type').partition(';')[0].strip().lower()
+
+
 @dataclass(slots=True)
 class BufferedAnswer:
     """An answer that is forwarded only when it is complete."""
@@ -123,7 +138,7 @@
         """Prepare to forward a successful stream as it arrives, or to buffer any other answer."""
         self._head = head
         is_success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
-        self._is_stream = self._start.is_stream and is_success
+        self._is_stream = self._start.is_stream and is_success and self._exchange.continues_with(head)
         if not self._is_stream:
             self._buffered = BufferedAnswer(head)
 
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -74,9 +74,11 @@
             answers(b'x' * 2_000_000, status='500 Internal Server Error'),
             answers(b'moved', 'Location: /other', status='302 Found'),
             answers(b'no more', 'Content-Type: text/html'),
+            answers(b'', 'Content-Type: text/html'),
+            answers(b'', status='204 No Content'),
             answers(b'id: 1\n', 'Content-Type: text/event-stream'),
         ],
-        ids=['500', '404', 'large', '302', 'page', 'part'],
+        ids=['500', '404', 'large', '302', 'page', 'empty-page', '204', 'part'],
     )
     def test_error_instead_of_the_rest_of_a_stream(self, script: Script) -> None:
         """Guards against the text of an error within a stream, and a stream that ends as if it were whole."""
