Split the connection to an upstream, its readers and its pool, and the headers of a gateway

The first and the last have modules of their own now (http1/answers.py, http1/pool.py). gateway/driver.py loses the headers of requests (gateway/headers.py); the method that was called like the function it calls is now build_request, and the field of UpstreamHinted that nobody read is gone. No change in behaviour.

--- a/basilcove/experts/remote/driver.py
+++ b/basilcove/experts/remote/driver.py
@@ -25,8 +25,10 @@
     ReleaseStep,
     Reply,
 )
-from basilcove.http1.client import AnswerHead, Attribution, UpstreamConnection, UpstreamConnections
+from basilcove.http1.answers import AnswerHead, Attribution
+from basilcove.http1.client import UpstreamConnection
 from basilcove.http1.headers import Headers, encode_request
+from basilcove.http1.pool import UpstreamConnections
 from basilcove.http1.retry_after import read_retry_after_s
 
 # A rank may answer an earlier call once more, and its answers bear no id. Preparing is confirmed by a report,
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import itertools
-import math
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 
 from loguru import logger
 
-from basilcove.const import MILLISECONDS_PER_S
 from basilcove.core.events import Event
 from basilcove.core.runtime import carries_out
 from basilcove.gateway.config import GatewayConfig
@@ -34,15 +32,15 @@
     MoveAttempt,
     Refuse,
     RequestArrived,
-    RequestHead,
     StartAttempt,
     UpstreamChecked,
     UpstreamHinted,
 )
 from basilcove.gateway.exchange import Attempt, Exchange
-from basilcove.gateway.prompts import parse_shared_parts
-from basilcove.http1.client import ClientConfig, UpstreamConnections
-from basilcove.http1.headers import Headers, HttpRequest, encode_request, remove_hop_by_hop
+from basilcove.gateway.headers import GatewayHeaders
+from basilcove.http1.client import ClientConfig
+from basilcove.http1.headers import Headers, HttpRequest
+from basilcove.http1.pool import UpstreamConnections
 from basilcove.http1.probes import is_refused
 from basilcove.http1.server import CallerConnection, ConnectionLimits, HttpServer
 
@@ -66,10 +64,10 @@
         self._exchanges: dict[int, Exchange] = {}
         self._by_caller: dict[CallerConnection, int] = {}
         self._request_bytes = 0
-        self._connecting: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self.upstreams = UpstreamConnections(_CLIENT)
         self.server = HttpServer(cfg.listen, self)
-        self._headers = _GatewayHeaders(cfg)
+        self._headers = GatewayHeaders(cfg)
 
     @classmethod
     def from_config(cls, cfg: GatewayConfig, apply: Callable[[Event], bool]) -> 'GatewayDriver':
@@ -120,7 +118,7 @@
             return
         attempt = Attempt(exchange, effect, self._cfg.headers, self._report)
         exchange.attempt = attempt
-        content = self._headers.encode_request(exchange.request, effect)
+        content = self._headers.build_request(exchange.request, effect)
         conn = self.upstreams.pop_idle(effect.address)
         if conn is not None:
             attempt.conn = conn
@@ -199,8 +197,8 @@
 
     def _run(self, coroutine: Coroutine[object, object, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
-        self._connecting.add(task)
-        task.add_done_callback(self._connecting.discard)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _check(self, effect: CheckUpstream) -> None:
         has_ended = await is_refused(effect.address, CHECK_TIMEOUT_S)
@@ -226,61 +224,6 @@
         conn.send(content, exchange.request.method, attempt)
 
 
-class _GatewayHeaders:
-    """Reads the headers that a decision needs, and replaces those that a gateway sets."""
-
-    def __init__(self, cfg: GatewayConfig) -> None:
-        names = cfg.headers
-        self._scheme = f'{cfg.key_scheme} '.lower()
-        self._request_id = names.request_id.lower().encode()
-        self._timeout_ms = names.timeout_ms.lower().encode()
-        self._prompt_parts = names.prompt_parts.lower().encode()
-        self._names = names
-        self._replaced_names = frozenset(
-            name.lower().encode()
-            for name in (names.timeout_ms, names.expected_instance, names.team, names.priority)
-        )
-
-    def read(self, request: HttpRequest) -> RequestHead:
-        """Return the parts of a request on which the gateway decides."""
-        credential = request.header(b'authorization')
-        has_scheme = credential.lower().startswith(self._scheme)
-        return RequestHead(
-            request.header(self._request_id),
-            request.header(b'host').partition(':')[0],
-            request.path,
-            credential[len(self._scheme) :].strip() if has_scheme else '',
-            _parse_timeout_s(request.header(self._timeout_ms)),
-            parse_shared_parts(request.header(self._prompt_parts)),
-        )
-
-    def encode_request(self, request: HttpRequest, start: StartAttempt) -> bytes:
-        """Return the bytes of the request for the upstream, without the caller's key."""
-        dropped = {*self._replaced_names, b'authorization', b'expect'}
-        if start.last_event:
-            dropped.add(b'last-event-id')
-        headers = remove_hop_by_hop(request.headers, dropped)
-        timeout_ms = max(1, math.floor(start.timeout_s * MILLISECONDS_PER_S))
-        headers.append((self._names.timeout_ms.encode(), b'%d' % timeout_ms))
-        headers.append((self._names.expected_instance.encode(), start.instance.encode()))
-        headers.append((self._names.priority.encode(), b'%d' % start.urgency))
-        if start.team:
-            headers.append((self._names.team.encode(), start.team.encode()))
-        if start.last_event:
-            headers.append((b'Last-Event-Id', start.last_event.encode()))
-        return encode_request(request.method, request.target, headers, request.body)
-
-
-def _parse_timeout_s(text: str) -> float | None:
-    try:
-        duration_s = float(text) / MILLISECONDS_PER_S
-    except ValueError:
-        if text:
-            logger.warning('the timeout header of a request is not a number')
-        return None
-    return duration_s if math.isfinite(duration_s) and duration_s >= 0 else None
-
-
 @carries_out(StartAttempt, GatewayDriver)
 def _start(driver: GatewayDriver, effect: StartAttempt) -> None:
     driver.start(effect)
--- a/basilcove/gateway/events.py
+++ b/basilcove/gateway/events.py
@@ -82,7 +82,6 @@
     """The upstream of an attempt stated something about itself in the head of an answer."""
 
     key: int
-    number: int
     instance: InstanceId
     born_ms: int
     hints: Hints
--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -17,7 +17,8 @@
 )
 from basilcove.gateway.eventstream import EventSplitter, EventTooLargeError
 from basilcove.gateway.hints import NO_HINTS, Hints, read_hints
-from basilcove.http1.client import AnswerHead, Attribution, UpstreamConnection
+from basilcove.http1.answers import AnswerHead, Attribution
+from basilcove.http1.client import UpstreamConnection
 from basilcove.http1.headers import HttpRequest, find_header, parse_count, remove_hop_by_hop
 from basilcove.http1.server import CallerConnection
 
@@ -184,7 +185,7 @@
 
     def _report_hints(self, hints: Hints) -> None:
         start = self._start
-        self._report(UpstreamHinted(start.key, start.number, start.instance, start.born_ms, hints))
+        self._report(UpstreamHinted(start.key, start.instance, start.born_ms, hints))
 
     def _buffer(self, part: bytes) -> None:
         buffered = self._buffered
--- a/basilcove/gateway/hints.py
+++ b/basilcove/gateway/hints.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 
 from basilcove.gateway.config import HeaderNames
-from basilcove.http1.client import AnswerHead
+from basilcove.http1.answers import AnswerHead
 from basilcove.http1.headers import find_header
 from basilcove.http1.retry_after import read_retry_after_s
 
--- a/basilcove/http1/client.py
+++ b/basilcove/http1/client.py
@@ -1,33 +1,22 @@
-"""Connections to upstreams: one request at a time, reused while their state is certain."""
+"""A connection to an upstream: one request at a time."""
 
 import asyncio
-import enum
 import socket
 import time
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final, Protocol
+from typing import Final
 
 import httptools
 from loguru import logger
 
+from basilcove.http1.answers import AnswerHead, AnswerReader, Attribution
 from basilcove.http1.const import MAX_ANSWER_OVERHEAD_BYTES, MAX_SKIPPED_BYTES, WRITE_BUFFER_BYTES
 from basilcove.http1.headers import Headers, find_header, has_body, parse_count
 
 _OK: Final = 200
 
 
-@dataclass(slots=True)
-class AnswerHead:
-    """Status and headers of an answer; ``size`` is None if there is no valid Content-Length."""
-
-    status: int
-    reason: bytes
-    headers: Headers
-    size: int | None = None
-
-
 @dataclass(slots=True)
 class ClientConfig:
     """Limits of connections to upstreams; the suffixes of the names state the units.
@@ -43,39 +32,6 @@
     unacknowledged_timeout_ms: int
 
 
-class Attribution(enum.Enum):
-    """Whether an answer belongs to the request that was sent last."""
-
-    # It does.
-    OWN = 'own'
-    # It names no request. Earlier answers of its connection may come once more, so only the first one counts.
-    UNNAMED = 'unnamed'
-    # It belongs to another request.
-    FOREIGN = 'foreign'
-
-
-class AnswerReader(Protocol):
-    """Receives an answer; all methods run on the loop's thread."""
-
-    def attribute(self, head: AnswerHead) -> Attribution:
-        """Return to which request this answer belongs; it may be skipped."""
-
-    def on_interim(self, head: AnswerHead) -> None:
-        """Handle the head of an interim answer (1xx), which the final one follows."""
-
-    def on_head(self, head: AnswerHead) -> None:
-        """Handle the head."""
-
-    def on_part(self, part: bytes) -> None:
-        """Handle a part of the body."""
-
-    def on_end(self) -> None:
-        """Handle the end of a complete answer."""
-
-    def on_broken(self, reason: str) -> None:
-        """Handle the loss of the rest of the answer."""
-
-
 @dataclass(slots=True)
 class _PendingAnswer:
     """The answer that is being parsed.
@@ -292,52 +248,5 @@
             pending.reader.on_broken(reason)
 
 
-class UpstreamConnections:
-    """Idle connections by address, for reuse."""
-
-    def __init__(self, cfg: ClientConfig) -> None:
-        """Start without connections."""
-        self._cfg = cfg
-        self._idle: dict[str, deque[UpstreamConnection]] = {}
-        self.opened = 0
-
-    def pop_idle(self, address: str) -> UpstreamConnection | None:
-        """Remove and return a reusable connection, the most recently used first; None if there is none."""
-        idle = self._idle.get(address)
-        now = time.monotonic()
-        while idle:
-            conn = idle.pop()
-            if conn.is_reusable(now):
-                return conn
-            conn.close()
-        return None
-
-    async def open(self, address: str) -> UpstreamConnection:
-        """Open a connection; OSError or TimeoutError if the upstream is unreachable."""
-        host, _, port = address.rpartition(':')
-        loop = asyncio.get_running_loop()
-        self.opened += 1
-        async with asyncio.timeout(self._cfg.connect_timeout_s):
-            _, conn = await loop.create_connection(lambda: UpstreamConnection(self._cfg), host, int(port))
-        conn.on_idle = lambda idle: self._store_idle(address, idle)
-        return conn
-
-    def close_all(self) -> None:
-        """Close all idle connections."""
-        for idle in self._idle.values():
-            for conn in idle:
-                conn.close()
-        self._idle.clear()
-
-    def _store_idle(self, address: str, conn: UpstreamConnection) -> None:
-        if not conn.is_reusable(time.monotonic()):
-            conn.close()
-            return
-        idle = self._idle.setdefault(address, deque())
-        idle.append(conn)
-        if len(idle) > self._cfg.max_idle_connections:
-            idle.popleft().close()
-
-
 def _do_nothing(idle: UpstreamConnection) -> None:
     """Do nothing; the default of ``on_idle`` until ``UpstreamConnections`` sets it."""
--- a/tests/experts/remote/test_driver.py
+++ b/tests/experts/remote/test_driver.py
@@ -16,7 +16,7 @@
     ReadReport,
     Reply,
 )
-from basilcove.http1.client import UpstreamConnections
+from basilcove.http1.pool import UpstreamConnections
 from tests.gateway.loopback import Script, Upstream, UpstreamCall
 
 TIMEOUT_S = 10
--- a/tests/gateway/test_hints.py
+++ b/tests/gateway/test_hints.py
@@ -18,7 +18,7 @@
 def hint(world: World, start: StartAttempt, **hints: float) -> None:
     """Receive hints in the answer to an attempt."""
     said = Hints(**hints)  # type: ignore[arg-type]
-    world.apply(UpstreamHinted(start.key, start.number, start.instance, start.born_ms, said))
+    world.apply(UpstreamHinted(start.key, start.instance, start.born_ms, said))
 
 
 def refusal(effects: list[Effect]) -> Refuse:
--- a/tests/gateway/test_throttling.py
+++ b/tests/gateway/test_throttling.py
@@ -19,7 +19,7 @@
 
     def state_limit(self, limit_per_s: float) -> list[StatedLimit]:
         """Return what control hosts are told after an answer that states a limit."""
-        hinted = UpstreamHinted(1, 1, InstanceId('up-1'), 1, Hints(limit_per_s=limit_per_s))
+        hinted = UpstreamHinted(1, InstanceId('up-1'), 1, Hints(limit_per_s=limit_per_s))
         sends = [effect for effect in self.apply(hinted) if isinstance(effect, Send)]
         return [send.message for send in sends if isinstance(send.message, StatedLimit)]
 
