--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -9,7 +9,7 @@
 from basilcove.gateway import relief as _relief  # noqa: F401
 from basilcove.gateway import sharing as _sharing  # noqa: F401
 from basilcove.gateway import throttling as _throttling  # noqa: F401
-from basilcove.gateway.attempts import end_attempt, expire_if_due, release_upstream, start_attempt
+from basilcove.gateway.attempts import expire_if_due, release_upstream, start_attempt
 from basilcove.gateway.const import STOP_NOTICE_S
 from basilcove.gateway.events import (
     AnswerBegun,
@@ -21,6 +21,7 @@
 )
 from basilcove.gateway.models import GatewayState, OpenRequest
 from basilcove.gateway.outcomes import NO_DOCUMENT, NO_ROUTE, STOPPING, UNKNOWN_KEY, refuse
+from basilcove.gateway.results import end_attempt
 from basilcove.gateway.routes import NamedRoute, RouteTable, pick_service
 from basilcove.registry.messages import Registrations
 from basilcove.requests.events import StopCompleted
--- a/basilcove/gateway/crashes.py
+++ b/basilcove/gateway/crashes.py
@@ -9,9 +9,10 @@
 from basilcove.core.events import Effect, Log, Message, PeerFound, Received, Send, Tick
 from basilcove.core.ids import Role
 from basilcove.core.reducer import Context, handles, handles_message
-from basilcove.gateway.attempts import give_up, retry_after_loss
+from basilcove.gateway.attempts import give_up
 from basilcove.gateway.events import AnswerBegun, UpstreamChecked
 from basilcove.gateway.models import GatewayState
+from basilcove.gateway.results import retry_after_loss
 from basilcove.quarantine.messages import CrashReport, LostRequest, QuarantinedParts, SoundPart, SoundParts
 
 
