Choose the senders of a limit again only where a gateway comes or goes

A repeated limit no longer ranks anything. The test counts the messages; the senders are the same in whichever order gateways come and go.

--- a/basilcove/throttling/coordinator.py
+++ b/basilcove/throttling/coordinator.py
@@ -1,7 +1,7 @@
 """Divides the limits that upstreams state among gateways, on a control host."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Collection, Mapping
 
 from basilcove.core.events import Count, Effect, Log, PeerFound, PeerLost, Received, Send, Tick
 from basilcove.core.ids import InstanceId, NodeId, Role
@@ -15,19 +15,14 @@
     node = event.peer.node
     if Role.GATEWAY not in event.peer.roles:
         return []
-    state.gateways.add(node)
-    changed = state.choose_again()
-    entries = tuple(_share(state, instance, node) for instance in state.records)
-    own = [Send(node, LimitShares(entries))] if entries else []
-    return [*own, *_announce(state, changed, state.gateways - {node})]
+    changed = state.add_gateway(node)
+    # A gateway that has just been linked knows no limits, also those that it has no share of.
+    return _announce(state, {instance: nodes | {node} for instance, nodes in changed.items()})
 
 
 @handles(PeerLost, ThrottlingState)
 def _on_peer_lost(state: ThrottlingState, event: PeerLost, ctx: Context) -> list[Effect]:
-    if event.peer.node not in state.gateways:
-        return []
-    state.gateways.discard(event.peer.node)
-    return _announce(state, state.choose_again(), state.gateways)
+    return _announce(state, state.remove_gateway(event.peer.node))
 
 
 @handles_message(StatedLimit, ThrottlingState)
@@ -36,7 +31,7 @@
     assert isinstance(stated, StatedLimit)
     if not state.update(stated, ctx.now):
         return []
-    return [*_log(state, stated.instance), *_announce(state, [stated.instance], state.gateways)]
+    return [*_log(state, stated.instance), *_announce(state, {stated.instance: state.gateways})]
 
 
 @handles(Tick, ThrottlingState)
@@ -47,16 +42,15 @@
         if record.limit_per_s:
             record.limit_per_s = 0
             effects.extend(_log(state, instance))
-            effects.extend(_announce(state, [instance], state.gateways))
+            effects.extend(_announce(state, {instance: state.gateways}))
         del state.records[instance]
     return effects
 
 
-def _announce(
-    state: ThrottlingState, instances: Iterable[InstanceId], nodes: Iterable[NodeId]
-) -> list[Effect]:
+def _announce(state: ThrottlingState, changed: Mapping[InstanceId, Collection[NodeId]]) -> list[Effect]:
+    """Tell gateways their shares; ``changed`` has those to be told by upstream."""
     entries: dict[NodeId, list[LimitShare]] = defaultdict(list)
-    for instance in instances:
+    for instance, nodes in changed.items():
         for node in nodes:
             entries[node].append(_share(state, instance, node))
     return [Send(receiver, LimitShares(tuple(shares))) for receiver, shares in sorted(entries.items())]
--- a/basilcove/throttling/models.py
+++ b/basilcove/throttling/models.py
@@ -1,5 +1,6 @@
 """The limits that upstreams state, as one control host knows them."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from basilcove.core.ids import InstanceId, NodeId
@@ -20,6 +21,15 @@
     stated_at: float
     senders: frozenset[NodeId] = frozenset()
 
+    def is_repeated_by(self, stated: StatedLimit) -> bool:
+        """Return whether this is what the upstream states."""
+        return (self.born_ms, self.limit_per_s) == (stated.born_ms, stated.limit_per_s)
+
+    def replace_senders(self, senders: frozenset[NodeId]) -> frozenset[NodeId]:
+        """Set the senders; return the gateways whose share changes."""
+        former, self.senders = self.senders, senders
+        return frozenset() if senders == former else former | senders
+
     def share_per_s(self, node: NodeId) -> float:
         """Return how many requests a second a gateway may send."""
         return self.limit_per_s / len(self.senders) if node in self.senders else 0
@@ -39,19 +49,31 @@
             return False
         if record is None and (not stated.limit_per_s or len(self.records) >= MAX_LIMITS):
             return False
-        latest = LimitRecord(stated.born_ms, stated.limit_per_s, now)
-        self.records[stated.instance] = latest
-        latest.senders = self._choose_senders(stated.instance, stated.limit_per_s)
-        return record is None or record.born_ms != latest.born_ms or record.limit_per_s != latest.limit_per_s
-
-    def choose_again(self) -> list[InstanceId]:
-        """Choose the senders after gateways have come or gone; return the upstreams whose senders change."""
-        changed = []
+        if record is not None and record.is_repeated_by(stated):
+            record.stated_at = now
+            return False
+        senders = self._choose_senders(stated.instance, stated.limit_per_s, self.gateways)
+        self.records[stated.instance] = LimitRecord(stated.born_ms, stated.limit_per_s, now, senders)
+        return True
+
+    def add_gateway(self, node: NodeId) -> dict[InstanceId, frozenset[NodeId]]:
+        """Add a gateway; return the gateways whose share of a limit changes, by upstream."""
+        self.gateways.add(node)
+        changed = {}
+        for instance, record in self.records.items():
+            # The others that don't send rank behind the senders, so they need no comparison.
+            senders = self._choose_senders(instance, record.limit_per_s, record.senders | {node})
+            changed[instance] = record.replace_senders(senders)
+        return changed
+
+    def remove_gateway(self, node: NodeId) -> dict[InstanceId, frozenset[NodeId]]:
+        """Remove a gateway; return the gateways whose share of a limit changes, by upstream."""
+        self.gateways.discard(node)
+        changed = {}
         for instance, record in self.records.items():
-            senders = self._choose_senders(instance, record.limit_per_s)
-            if senders != record.senders:
-                record.senders = senders
-                changed.append(instance)
+            if node in record.senders:
+                senders = self._choose_senders(instance, record.limit_per_s, self.gateways)
+                changed[instance] = record.replace_senders(senders) - {node}
         return changed
 
     def find_expired(self, now: float) -> list[InstanceId]:
@@ -59,8 +81,10 @@
         records = self.records.items()
         return [name for name, record in records if now - record.stated_at > LIMIT_LIFETIME_S]
 
-    def _choose_senders(self, instance: InstanceId, limit_per_s: float) -> frozenset[NodeId]:
-        """Return the gateways that send to an upstream; a lost one changes at most one of them."""
+    def _choose_senders(
+        self, instance: InstanceId, limit_per_s: float, nodes: Collection[NodeId]
+    ) -> frozenset[NodeId]:
+        """Return those of the gateways that send to an upstream."""
         count = min(MAX_SENDERS, BASE_SENDERS + int(limit_per_s))
-        ranked = sorted(self.gateways, key=lambda node: stable_hash(instance, node))
+        ranked = sorted(nodes, key=lambda node: stable_hash(instance, node))
         return frozenset(ranked[:count])
--- a/tests/throttling/test_coordinator.py
+++ b/tests/throttling/test_coordinator.py
@@ -71,6 +71,28 @@
         host.apply(PeerFound(gateway(1)))
         assert host.shares[gateway(1).node].limit_per_s
 
+    def test_order_in_which_gateways_come_and_go(self) -> None:
+        """Guards against control hosts that divide a limit among different gateways."""
+        hosts = [Host(20), Host(0)]
+        hosts[1].state_limit(3.5)
+        for number in reversed(range(30)):
+            hosts[1].apply(PeerFound(gateway(number)))
+        for number in range(20, 30):
+            hosts[1].apply(PeerLost(gateway(number)))
+        hosts[0].state_limit(3.5)
+        senders = [host.node.part(ThrottlingState).records[UPSTREAM].senders for host in hosts]
+        assert senders[0] == senders[1]
+        assert len(senders[0]) == 5
+
+    def test_gateway_that_comes_changes_few_shares(self) -> None:
+        """Guards against a restart of a control host at which each gateway is told of each other one."""
+        host = Host(0)
+        host.state_limit(1.2)
+        for number in range(400):
+            host.apply(PeerFound(gateway(number)))
+        assert len(host.shares) == 400
+        assert host.sent < 2 * 400
+
     def test_repeated_limit_is_not_announced(self) -> None:
         """Guards against messages to all gateways for each answer of an upstream."""
         host = Host(50)
