Remember a part of prompts longer at control hosts than at gateways

A part whose trial had ended crashed an upstream again, and 99 of 100 gateways ignored it: hosts had forgotten the part and counted from version 1, while gateways whose trials begin later still held that version. Hosts now remember it for 120 s after the quarantine.

--- a/basilcove/quarantine/const.py
+++ b/basilcove/quarantine/const.py
@@ -11,6 +11,9 @@
 TRIAL_STAGE_S: Final = 2.0
 # Time after the quarantine for which a part is tried with one request at a time, then it is forgotten.
 TRIAL_S: Final = 60.0
+# Control hosts remember a part for this long after its quarantine: longer than gateways, whose trials begin
+# some stages later, so that the versions of a part only grow.
+RECORD_LIFETIME_S: Final = 120.0
 # Answers and crashes count for this long.
 EVIDENCE_LIFETIME_S: Final = 120.0
 # Crashes within this time may have one cause, such as a host that is lost; they count once.
--- a/basilcove/quarantine/models.py
+++ b/basilcove/quarantine/models.py
@@ -16,7 +16,7 @@
     MAX_REQUESTS_PER_CRASH,
     NO_HEAD_WEIGHT,
     QUARANTINE_FACTOR,
-    TRIAL_S,
+    RECORD_LIFETIME_S,
 )
 from basilcove.quarantine.messages import CrashReport, LostRequest, QuarantinedPart
 
@@ -101,7 +101,7 @@
             yield record.to_entry(part, now)
 
     def drop_expired(self, now: float) -> None:
-        """Forget old evidence, and parts whose trial is over."""
+        """Forget old evidence, and parts whose trial is over at all gateways."""
         oldest = now - EVIDENCE_LIFETIME_S
         for key, crash in tuple(self.crashes.items()):
             if crash.crashed_at < oldest:
@@ -110,7 +110,7 @@
             if answered_at < oldest:
                 del self.sound_at[part]
         for name, record in tuple(self.records.items()):
-            if record.refused_until + TRIAL_S < now:
+            if record.refused_until + RECORD_LIFETIME_S < now:
                 del self.records[name]
 
     def _open_crash(self, key: CrashKey, now: float) -> Crash:
--- a/tests/quarantine/test_coordinator.py
+++ b/tests/quarantine/test_coordinator.py
@@ -8,7 +8,7 @@
 from basilcove.gateway.events import CheckUpstream, UpstreamChecked
 from basilcove.gateway.models import GatewayState
 from basilcove.quarantine import coordinator as _quarantine  # noqa: F401
-from basilcove.quarantine.const import FIRST_QUARANTINE_S, TRIAL_STAGE_S
+from basilcove.quarantine.const import FIRST_QUARANTINE_S, TRIAL_S, TRIAL_STAGE_S
 from basilcove.quarantine.models import QuarantineState
 
 DEADLY = PartId('dead')
@@ -143,6 +143,16 @@
             fleet.now += TRIAL_STAGE_S
         assert tried == [1, 3, 7, 15, 31, 63, 100, 100]
 
+    def test_crash_after_the_trial(self) -> None:
+        """Guards against a gateway that ignores a crash since it remembers a higher version than hosts."""
+        fleet = Fleet(hosts=3, gateways=100)
+        fleet.crash('g0', DEADLY)
+        fleet.now += FIRST_QUARANTINE_S + TRIAL_S + 1
+        for node in fleet.nodes:
+            fleet.apply(node, Tick())
+        fleet.crash('g1', DEADLY)
+        assert len(fleet.refusing()) == 100
+
     def test_crash_in_the_trial(self) -> None:
         """Guards against a part that is tried by further gateways after it has crashed an upstream again."""
         fleet = Fleet(hosts=3, gateways=100)
--- a/tests/quarantine/test_models.py
+++ b/tests/quarantine/test_models.py
@@ -1,5 +1,5 @@
 from basilcove.core.ids import InstanceId, PartId
-from basilcove.quarantine.const import EVIDENCE_LIFETIME_S, FIRST_QUARANTINE_S, TRIAL_S
+from basilcove.quarantine.const import EVIDENCE_LIFETIME_S, FIRST_QUARANTINE_S, RECORD_LIFETIME_S
 from basilcove.quarantine.messages import CrashReport, LostRequest
 from basilcove.quarantine.models import QuarantineState
 
@@ -124,7 +124,7 @@
         evidence = Evidence()
         evidence.crash(DEADLY)
         evidence.answer(POPULAR)
-        evidence.now += EVIDENCE_LIFETIME_S + FIRST_QUARANTINE_S + TRIAL_S
+        evidence.now += EVIDENCE_LIFETIME_S + FIRST_QUARANTINE_S + RECORD_LIFETIME_S
         evidence.state.drop_expired(evidence.now)
         state = evidence.state
         assert (state.crashes, state.sound_at, state.records) == ({}, {}, {})
