Let the share of a limit end when all control hosts are lost

If all control hosts were lost while an upstream's limit ended, gateways without a share left the upstream alone for good: the last share was kept, the new hosts knew of no limit, and so nobody told the gateways that it had ended. Both tests fail on the former code (0 requests where 10 and 15 were expected). Found by reading the change.

--- a/basilcove/gateway/throttling.py
+++ b/basilcove/gateway/throttling.py
@@ -67,5 +67,5 @@
 @handles(PeerLost, GatewayState)
 def _on_peer_lost(state: GatewayState, event: PeerLost, ctx: Context) -> list[Effect]:
     for upstream in state.pools.by_instance.values():
-        upstream.throttle.forget_host(event.peer.node)
+        upstream.throttle.forget_host(event.peer.node, ctx.now)
     return []
--- a/tests/gateway/test_throttling.py
+++ b/tests/gateway/test_throttling.py
@@ -2,7 +2,7 @@
 from basilcove.core.ids import InstanceId
 from basilcove.gateway.events import AttemptResult, Refuse, UpstreamHinted
 from basilcove.gateway.hints import Hints
-from basilcove.throttling.const import REPEAT_INTERVAL_S
+from basilcove.throttling.const import LIMIT_LIFETIME_S, REPEAT_INTERVAL_S
 from basilcove.throttling.messages import LimitShare, LimitShares, StatedLimit
 from tests.gateway.world import CONTROL, OTHER_CONTROL, World, only_start, registration, starts
 
@@ -64,6 +64,25 @@
         world.share(0, limit_per_s=0)
         assert world.count_sent(5) > 10
 
+    def test_limit_ends_while_all_control_hosts_are_lost(self) -> None:
+        """Guards against an upstream that is left alone forever since no host knows that its limit ended."""
+        world = Limited('up-1', 'up-2')
+        world.share(0)
+        world.apply(PeerLost(CONTROL))
+        assert world.count_sent(5) == 0
+        world.apply(PeerFound(CONTROL))
+        world.now += LIMIT_LIFETIME_S
+        assert world.count_sent(5) > 10
+
+    def test_share_of_a_host_that_takes_the_place_of_all_lost_ones(self) -> None:
+        """Guards against the share from a lost host that holds beside that from a new one."""
+        world = Limited('up-1', 'up-2')
+        world.share(0)
+        world.apply(PeerLost(CONTROL))
+        world.apply(PeerFound(OTHER_CONTROL))
+        world.share(1, source=OTHER_CONTROL)
+        assert world.count_sent(20) >= 15
+
     def test_new_start_has_no_limit(self) -> None:
         """Guards against a restarted upstream that is throttled for what its former start stated."""
         world = Limited('up-1', 'up-2')
