--- a/tests/system/streams.py
+++ b/tests/system/streams.py
@@ -16,7 +16,7 @@
 FIRST_PART = 'aa'
 
 
-class Plant(Deployment):
+class StreamingDeployment(Deployment):
     """Three control hosts, three gateways and six engines with faults."""
 
     gateways = GATEWAYS
@@ -67,10 +67,10 @@
 class Load(threading.Thread):
     """Sends requests with the same shared parts, one after the other, to each gateway in turn."""
 
-    def __init__(self, plant: Plant, interval_s: float, *parts: str) -> None:
+    def __init__(self, deployment: StreamingDeployment, interval_s: float, *parts: str) -> None:
         """Send a request each ``interval_s`` at most."""
         super().__init__(daemon=True)
-        self._plant = plant
+        self._deployment = deployment
         self._interval_s = interval_s
         self._parts = parts
         self._is_ended = threading.Event()
@@ -81,7 +81,7 @@
         for number in count():
             if self._is_ended.wait(self._interval_s):
                 return
-            self.statuses[self._plant.ask(GATEWAYS[number % len(GATEWAYS)], *self._parts)] += 1
+            self.statuses[self._deployment.ask(GATEWAYS[number % len(GATEWAYS)], *self._parts)] += 1
 
     def end(self) -> Counter[int]:
         """Stop sending and return the number of answers by status."""
--- a/tests/system/test_crashes.py
+++ b/tests/system/test_crashes.py
@@ -6,7 +6,7 @@
 
 from tests.harness.processes import wait_for
 from tests.standins.streaming import Faults
-from tests.system.streams import FIRST_PART, GATEWAYS, Load, Plant
+from tests.system.streams import FIRST_PART, GATEWAYS, Load, StreamingDeployment
 
 DEADLY_PART = 'bb'
 # Time after which all gateways must know what some of them have seen.
@@ -17,8 +17,8 @@
 
 
 @pytest.fixture
-def plant(tmp_path: Path) -> Iterator[Plant]:
-    running = Plant(tmp_path, Faults(deadly_part=DEADLY_PART))
+def deployment(tmp_path: Path) -> Iterator[StreamingDeployment]:
+    running = StreamingDeployment(tmp_path, Faults(deadly_part=DEADLY_PART))
     try:
         running.setup()
         yield running
@@ -27,25 +27,28 @@
 
 
 class TestDeadlyPart:
-    def test_requests_with_one_part_crash_engines_one_after_the_other(self, plant: Plant) -> None:
+    def test_requests_with_one_part_crash_engines_one_after_the_other(
+        self, deployment: StreamingDeployment
+    ) -> None:
         """Guards against requests that share a part of their prompt and crash engine after engine."""
-        sound = Load(plant, 0.05, FIRST_PART)
-        deadly = [Load(plant, 0.1, FIRST_PART, DEADLY_PART) for _ in range(2)]
+        sound = Load(deployment, 0.05, FIRST_PART)
+        deadly = [Load(deployment, 0.1, FIRST_PART, DEADLY_PART) for _ in range(2)]
         for load in (sound, *deadly):
             load.start()
         time.sleep(8)
-        restarted = plant.processes[GATEWAYS[0]]
+        restarted = deployment.processes[GATEWAYS[0]]
         restarted.kill()
         restarted.wait()
-        plant.start(GATEWAYS[0], first=False)
-        wait_for(lambda: plant.ask(GATEWAYS[0], FIRST_PART) == 200, 'the restarted gateway to serve')
+        deployment.start(GATEWAYS[0], first=False)
+        wait_for(lambda: deployment.ask(GATEWAYS[0], FIRST_PART) == 200, 'the restarted gateway to serve')
         time.sleep(2)
         served = sound.end()
         for load in deadly:
             assert not load.end()[200]
-        crashes = plant.engines.arrivals.crashes
+        crashes = deployment.engines.arrivals.crashes
+        assert crashes, 'no request with the part has begun'
         if len(crashes) >= MAX_CRASHES:
             bound_s = crashes[MAX_CRASHES - 1] + CONTACT_S
-            late = [at for at in plant.engines.arrivals.deadly if at > bound_s]
+            late = [at for at in deployment.engines.arrivals.deadly if at > bound_s]
             assert len(late) <= MAX_LATE_REQUESTS, f'{len(crashes)} crashes, {len(late)} late requests'
         assert served[200] > served.total() / 2
--- a/tests/system/test_limits.py
+++ b/tests/system/test_limits.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.standins.streaming import Faults
-from tests.system.streams import ENGINES, FIRST_PART, Load, Plant
+from tests.system.streams import ENGINES, FIRST_PART, Load, StreamingDeployment
 
 LIMIT_PER_S = 1.2
 # Time after which all gateways must know what some of them have seen.
@@ -18,8 +18,8 @@
 
 
 @pytest.fixture
-def plant(tmp_path: Path) -> Iterator[Plant]:
-    running = Plant(tmp_path, Faults(limits_per_s=dict.fromkeys(ENGINES[:3], LIMIT_PER_S)))
+def deployment(tmp_path: Path) -> Iterator[StreamingDeployment]:
+    running = StreamingDeployment(tmp_path, Faults(limits_per_s=dict.fromkeys(ENGINES[:3], LIMIT_PER_S)))
     try:
         running.setup()
         yield running
@@ -28,9 +28,11 @@
 
 
 class TestStatedLimit:
-    def test_engine_gets_more_requests_than_the_limit_that_it_states(self, plant: Plant) -> None:
+    def test_engine_gets_more_requests_than_the_limit_that_it_states(
+        self, deployment: StreamingDeployment
+    ) -> None:
         """Guards against a limit that each gateway heeds for itself, or none; the load goes elsewhere."""
-        loads = [Load(plant, 0.1, FIRST_PART) for _ in range(4)]
+        loads = [Load(deployment, 0.1, FIRST_PART) for _ in range(4)]
         for load in loads:
             load.start()
         time.sleep(CONTACT_S)
@@ -39,8 +41,8 @@
         statuses: Counter[int] = Counter()
         for ended in loads:
             statuses.update(ended.end())
-        assert plant.engines.arrivals.limited
-        for times in plant.engines.arrivals.limited.values():
+        assert deployment.engines.arrivals.limited
+        for times in deployment.engines.arrivals.limited.values():
             late = [at for at in times if at > begun_at]
             most = max((bisect_left(late, at + WINDOW_S) - index for index, at in enumerate(late)), default=0)
             assert 0 < most <= MOST_REQUESTS
