--- a/review/2/case.py
+++ b/review/2/case.py
@@ -86,7 +86,8 @@
     system = dep.Deployment(record)
     desks = [dep.Engine(system, address, 'desk', f'i-{address}') for address in dep.ENGINES[:2]]
     troubled = dep.Engine(system, dep.ENGINES[2], 'model', 'i-trouble')
-    arguments = [sys.executable, str(Path(__file__).parent / 'endless.py'), troubled.address, str(troubled.port)]
+    program = Path(__file__).parent / 'endless.py'
+    arguments = [sys.executable, str(program), troubled.address, str(troubled.port)]
     process = subprocess.Popen(arguments)
     try:
         await _start(system, desks)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,8 @@
-"""A control machine loses power right after it has acknowledged that an engine is gone."""
+"""A control machine is killed while it stores the first snapshot of its new disk; later it never starts."""
 
 import asyncio
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -9,85 +10,123 @@
 
 import deployment as dep
 
-DEADLINE_MS = 4000
-INTERVAL_S = 0.05
-# How long the machine has no power; the engine serves on a little longer.
-DARK_S = 5.0
-LINGER_S = 7.0
-# Time from the engine's last heartbeat to its departure: less than between two heartbeats.
-LAST_BEAT_S = 0.3
-SETTLED_S = dep.CONTACT_S + 2
-LEAVER = 'i-leaver'
-
-
-async def _start(system: dep.Deployment, engines: list[dep.Engine]) -> None:
-    for address in (*dep.CONTROL, *system.gateways):
-        system.start(address, first=True)
-    content = dep.configuration(1, [dep.route('book', 'unsafe', 'desk', DEADLINE_MS)])
-    if await system.put(content, dep.CONTROL) is None:
-        raise dep.NotRunError('no configuration')
-    for engine in engines:
-        await engine.setup()
-    await system.wait_until_ready()
-
-
-async def _leave(system: dep.Deployment, leaver: dep.Engine) -> float:
-    """Announce the end of an engine; return when a control host acknowledged it."""
-    host = dep.CONTROL[2]
-    leaver.stop_beats()
-    if not await leaver.beat_once(host):
-        raise dep.NotRunError('the last heartbeat was not acknowledged')
-    await asyncio.sleep(LAST_BEAT_S)
-    answer = await system.call(host, 'DELETE', f'/instances/{LEAVER}')
-    if answer is None or answer.status != 200:
-        raise dep.NotRunError('the departure was not acknowledged')
-    acknowledged_at = time.monotonic()
-    if dep.has_trouble():
-        system.kill(host)
-    system.record.add(f'{host} acknowledged that {LEAVER} is gone')
-    return acknowledged_at
-
-
-def _judge(record: dep.Record, client: dep.Client, leaver: dep.Engine, acknowledged_at: float) -> int:
-    """Count the requests that reached the engine too late, while the core was stable.
-
-    The kill makes the core unstable for ``contact_ms``, and so does the start of the machine afterwards.
-    """
-    first = acknowledged_at + (max(dep.CONTACT_S, dep.DRAIN_S) if dep.has_trouble() else dep.DRAIN_S)
-    last = acknowledged_at + DARK_S
-    late = [
-        (request_id, reached_at)
-        for request_id, reached_at in leaver.runs
-        if client.sent_at[request_id] > first and reached_at < last
-    ]
-    for request_id, reached_at in late:
-        record.add(f'{request_id} reached {LEAVER} {reached_at - acknowledged_at:.2f} s after the acknowledgement')
-    record.add(f'{len(client.sent_at)} requests, answers by status {dict(client.statuses)}')
-    record.add(f'{len(leaver.runs)} ran at {LEAVER}, {len(late)} of them too late')
-    return dep.BROKEN if late else dep.HELD
+FIRST, SECOND, JOINER = dep.CONTROL
+# A snapshot is taken after 64 entries of the log.
+CHANGES = 80
+ATTEMPTS = 3
+JOIN_TIMEOUT_S = 8
+SETTLED_S = dep.CATCH_UP_S + dep.CONTACT_S
+READ_BACK_S = 20
+RESTART_DELAY_S = 1
+
+
+class _Changes:
+    """Sends configurations with growing versions."""
+
+    def __init__(self, system: dep.Deployment) -> None:
+        self._system = system
+        self.version = 0
+
+    async def send(self, hosts: tuple[str, ...]) -> None:
+        self.version += 1
+        content = dep.configuration(self.version, [dep.route('book', 'unsafe', 'desk', 3000 + self.version)])
+        if await self._system.put(content, hosts) is None:
+            raise dep.NotRunError(f'version {self.version} was not acknowledged')
+
+
+def _kill_at_snapshot(system: dep.Deployment, started: threading.Event) -> bool:
+    """Kill the joining process once its snapshot file exists; return whether that was in time."""
+    folder = system.folder / f'data-{JOINER}'
+    deadline = time.monotonic() + JOIN_TIMEOUT_S
+    started.set()
+    while time.monotonic() < deadline:
+        if any(folder.glob('*.snapshot')):
+            system.kill(JOINER)
+            journals = sorted(folder.glob('*.journal'))
+            system.record.add(
+                f'files: {sorted((each.name, each.stat().st_size) for each in folder.iterdir())}'
+            )
+            return len(journals) == 1 or not journals[-1].stat().st_size
+    return False
+
+
+async def _join_and_kill(system: dep.Deployment) -> bool:
+    """Lose the disk of a machine, and kill it again while it receives the state."""
+    system.kill(JOINER)
+    system.wipe(JOINER)
+    await asyncio.sleep(1)
+    started = threading.Event()
+    watching = asyncio.create_task(asyncio.to_thread(_kill_at_snapshot, system, started))
+    await asyncio.to_thread(started.wait)
+    system.start(JOINER, first=False)
+    return await watching
+
+
+async def _join_until_hit(system: dep.Deployment) -> None:
+    """Repeat the loss until the kill comes between the two files of a snapshot."""
+    for attempt in range(1, ATTEMPTS + 1):
+        is_hit = await _join_and_kill(system)
+        system.record.add(f'attempt {attempt}: killed between the files: {is_hit}')
+        if JOINER not in system.processes:
+            system.start(JOINER, first=False)
+        await asyncio.sleep(SETTLED_S)
+        if is_hit:
+            return
+    raise dep.NotRunError('no kill came between the files')
+
+
+async def _keep_running(system: dep.Deployment) -> None:
+    """Restart a process that has ended, as the platform does."""
+    while True:
+        await asyncio.sleep(RESTART_DELAY_S)
+        process = system.processes.get(JOINER)
+        if process is not None and process.poll() is not None:
+            system.record.add(f'{JOINER} ended by itself with {process.returncode}')
+            system.start(JOINER, first=False)
+
+
+async def _lose_disk(system: dep.Deployment) -> None:
+    system.kill(SECOND)
+    system.wipe(SECOND)
+    await asyncio.sleep(1.5)
+    system.start(SECOND, first=False)
+
+
+async def _read_back(system: dep.Deployment, version: int) -> int:
+    """Read until a host answers with the newest acknowledged version or time is up."""
+    deadline = time.monotonic() + READ_BACK_S
+    while time.monotonic() < deadline:
+        for host in dep.CONTROL:
+            if await system.read_version(host) == version:
+                return dep.HELD
+        await asyncio.sleep(0.5)
+    return dep.BROKEN
 
 
 async def _case(record: dep.Record) -> int:
     system = dep.Deployment(record)
-    leaver = dep.Engine(system, dep.ENGINES[0], 'desk', LEAVER)
-    engines = [leaver, *(dep.Engine(system, each, 'desk', f'i-{each}') for each in dep.ENGINES[1:])]
+    changes = _Changes(system)
     try:
-        await _start(system, engines)
-        client = dep.Client(system, system.gateways[0], '/book/x', DEADLINE_MS)
-        sending = asyncio.create_task(client.send_steadily(INTERVAL_S))
+        for address in (*dep.CONTROL, *system.gateways):
+            system.start(address, first=True)
+        for _ in range(CHANGES):
+            await changes.send(dep.CONTROL)
+        for address in dep.CONTROL:
+            await system.restart(address)
+            await asyncio.sleep(dep.CATCH_UP_S)
+        if dep.has_trouble():
+            await _join_until_hit(system)
+        await changes.send((JOINER,))
+        await system.restart(JOINER)
+        keeping = asyncio.create_task(_keep_running(system))
         await asyncio.sleep(SETTLED_S)
-        acknowledged_at = await _leave(system, leaver)
-        await asyncio.sleep(DARK_S)
+        await changes.send((SECOND,))
         if dep.has_trouble():
-            system.start(dep.CONTROL[2], first=False)
-        await asyncio.sleep(LINGER_S - DARK_S)
-        await leaver.unload()
-        sending.cancel()
-        await client.join()
-        return _judge(record, client, leaver, acknowledged_at)
+            await _lose_disk(system)
+        status = await _read_back(system, changes.version)
+        keeping.cancel()
+        return status
     finally:
-        for engine in engines:
-            await engine.unload()
         system.stop()
 
 
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -36,6 +36,7 @@
 CONTACT_S = 3.0
 CATCH_UP_S = 4.0
 DRAIN_S = 2.0
+GRACE_S = 8.0
 HEARTBEAT_S = 1.2
 HOST = 'desk.example'
 KEY = 'k-1'
@@ -167,6 +168,18 @@
         process.wait()
         self.record.add(f'kill {address}')
 
+    async def restart(self, address: str) -> None:
+        """Stop a process with SIGTERM, as for planned work, and start it again."""
+        process = self.processes.pop(address)
+        process.send_signal(signal.SIGTERM)
+        deadline = time.monotonic() + GRACE_S
+        while process.poll() is None and time.monotonic() < deadline:
+            await asyncio.sleep(0.05)
+        process.kill()
+        process.wait()
+        self.record.add(f'SIGTERM {address}, ended with {process.returncode}')
+        self.start(address, first=False)
+
     def wipe(self, address: str) -> None:
         """Empty the disk of a machine."""
         shutil.rmtree(self.folder / f'data-{address}')
@@ -190,9 +203,7 @@
         except (OSError, EOFError, TimeoutError, ValueError):
             return None
 
-    async def put(
-        self, content: dict[str, Any], hosts: tuple[str, ...], timeout_s: float = 30
-    ) -> str | None:
+    async def put(self, content: dict[str, Any], hosts: tuple[str, ...], timeout_s: float = 30) -> str | None:
         """Send a configuration to one host after another; return the host that acknowledged it."""
         deadline = time.monotonic() + timeout_s
         for host in itertools.cycle(hosts):
@@ -267,6 +278,8 @@
             self._server.close()
         for writer in tuple(self._connections):
             writer.close()
+        # Lets the connections end before the loop does.
+        await asyncio.sleep(0.1)
 
     def stop_beats(self) -> None:
         """Send no more heartbeats."""
