--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,6 +9,8 @@
 
 import deployment as dep
 
+RECORD = Path(__file__).parent / 'record.txt'
+
 REPLACED, LOST, KEPT = dep.CONTROL
 SUCCESSOR = dep.SPARE[0]
 SEEDS = (LOST, KEPT, SUCCESSOR)
@@ -73,4 +75,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(dep.run(Path(__file__).parent, _case))
+    sys.exit(dep.run(RECORD, _case))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,6 +9,8 @@
 
 import deployment as dep
 
+RECORD = Path(__file__).parent / 'record.txt'
+
 TIMEOUT_MS = 1000
 # Half a second after the timeout of its route, a request counts as one without an answer.
 SLACK_S = 0.5
@@ -88,7 +90,7 @@
     troubled = dep.Engine(system, dep.ENGINES[2], 'model', 'i-trouble')
     program = Path(__file__).parent / 'endless.py'
     arguments = [sys.executable, str(program), troubled.address, str(troubled.port)]
-    process = subprocess.Popen(arguments)
+    process = subprocess.Popen(arguments, stdout=subprocess.PIPE, text=True)
     try:
         await _start(system, desks)
         beats = asyncio.create_task(_beat(troubled))
@@ -101,7 +103,8 @@
             await desk.unload()
         system.stop()
         process.kill()
-        process.wait()
+        for line in process.communicate()[0].splitlines():
+            record.add(f'the engine in trouble wrote: {line}')
 
 
 async def _beat(engine: dep.Engine) -> None:
@@ -111,4 +114,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(dep.run(Path(__file__).parent, _case))
+    sys.exit(dep.run(RECORD, _case))
--- a/review/2/endless.py
+++ b/review/2/endless.py
@@ -19,6 +19,7 @@
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     headers = dict(line.lower().split(': ', 1) for line in head.split('\r\n')[1:] if line)
     await reader.readexactly(int(headers.get('content-length', 0)))
+    print('i-trouble runs', headers['x-basilcove-attempt-id'], flush=True)
     writer.write(
         b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n'
         b'X-Basilcove-Server-Signature: i-trouble.1\r\n'
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,6 +10,8 @@
 
 import deployment as dep
 
+RECORD = Path(__file__).parent / 'record.txt'
+
 FIRST, SECOND, JOINER = dep.CONTROL
 # A snapshot is taken after 64 entries of the log.
 CHANGES = 80
@@ -131,4 +133,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(dep.run(Path(__file__).parent, _case))
+    sys.exit(dep.run(RECORD, _case))
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -61,11 +61,11 @@
 
 
 class Record:
-    """Writes what happens to ``record.txt`` in the folder of the case."""
+    """Writes what is sent, answered and run, and what else happens, to the record of a case."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         """Start an empty record."""
-        self._file = (folder / 'record.txt').open('w')
+        self._file = path.open('w')
         self._started_at = time.monotonic()
 
     def add(self, text: str) -> None:
@@ -207,7 +207,9 @@
         """Send a configuration to one host after another; return the host that acknowledged it."""
         deadline = time.monotonic() + timeout_s
         for host in itertools.cycle(hosts):
+            self.record.add(f'version {content["version"]} sent to {host}')
             answer = await self.call(host, 'PUT', '/config', content)
+            self.record.add(f'{host} answered: {answer.status if answer else "nothing"}')
             if answer is not None and answer.status == 200:
                 self.record.add(f'version {content["version"]} acknowledged by {host}')
                 return host
@@ -329,6 +331,7 @@
             writer.write(f'HTTP/1.1 421 Misdirected Request\r\n{answer_headers}\r\n..'.encode())
             return
         self.runs.append((request_id, time.monotonic()))
+        self.deployment.record.add(f'{self.instance} runs {request_id}')
         await asyncio.sleep(self.work_s)
         signature = f'X-Basilcove-Server-Signature: {self.instance}.{len(self.runs)}\r\n'
         writer.write(f'HTTP/1.1 200 OK\r\n{answer_headers}{signature}\r\nok'.encode())
@@ -373,14 +376,17 @@
         }
         target = f'{self.gateway}:{self.deployment.ports["http"]}'
         self.sent_at[request_id] = time.monotonic()
+        self.deployment.record.add(f'{request_id} sent to {self.gateway}{self.path}')
         try:
             async with asyncio.timeout(self.deadline_ms / 1000):
                 answer = await exchange(target, 'POST', self.path, headers, b'x')
         except (OSError, EOFError, TimeoutError, ValueError):
             self.statuses[0] += 1
+            self.deployment.record.add(f'{request_id} not answered')
             return
         self.statuses[answer.status] += 1
         self.answered_at[request_id] = time.monotonic()
+        self.deployment.record.add(f'{request_id} answered: {answer.status}')
 
 
 def route(name: str, kind: str, service: str, timeout_ms: int, **extra: Any) -> dict[str, Any]:
@@ -419,9 +425,9 @@
     }
 
 
-def run(folder: Path, case: Callable[[Record], Awaitable[int]]) -> int:
-    """Run a case and return its exit status."""
-    record = Record(folder)
+def run(path: Path, case: Callable[[Record], Awaitable[int]]) -> int:
+    """Run a case with its record at a path and return its exit status."""
+    record = Record(path)
     # A case that is stopped from outside still ends its processes.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
