Remove control hosts that were lost as learners

An operator who replaced hosts that died before they had become voters would have found that no further host is admitted: learners that are gone stayed members for ever, and the group takes nine.

A learner that was silent for 8 s is removed, as a voter is. A learner counts for no majority, so its removal needs no condition. The test (nine hosts lost as learners, then a new one) didn't admit the new host in 30 s before; passes now.

--- a/basilcove/consensus/membership.py
+++ b/basilcove/consensus/membership.py
@@ -62,7 +62,7 @@
 
 
 def remove_lost(state: ConsensusState, ctx: Context) -> list[Effect]:
-    """Remove a voter that has sent nothing for some time, if the group tolerates as many losses without it.
+    """Remove a member that has sent nothing for some time, if the group tolerates as many losses without it.
 
     Only in a group that admits every host: there a replaced host would remain a member for ever, and a host
     that was only cut off joins again.
@@ -72,12 +72,13 @@
     lost = _find_lost(state, ctx.now)
     if lost is None:
         return []
-    log = Log('warning', 'lost voter is removed', (('member', lost.member),))
+    text = 'lost voter is removed' if lost.voter else 'lost learner is removed'
+    log = Log('warning', text, (('member', lost.member),))
     return [log, *_append_members(state, state.members.replace_member(lost.node, None), ctx)]
 
 
 def _find_lost(state: ConsensusState, now: float) -> Member | None:
-    """Return the voter to remove.
+    """Return the member to remove.
 
     If a majority of the others is smaller, each voter that was silent for a short time is removed: the group
     has successors of lost voters, or lost so many that it would bear no further loss.
@@ -87,10 +88,12 @@
     others = len(voters) - len(silent)
     if silent and others >= _TARGET_VOTERS and others // 2 < len(voters) // 2:
         return silent[0]
-    lost = [member for member in voters if _silent_s(state, member, now) > LOST_AFTER_S]
-    if not lost or len(voters) - len(lost) < _TARGET_VOTERS:
-        return None
-    return lost[0]
+    lost = [member for member in state.members.members if _silent_s(state, member, now) > LOST_AFTER_S]
+    remaining = [voter for voter in voters if voter not in lost]
+    for member in lost:
+        if not member.voter or len(remaining) >= _TARGET_VOTERS:
+            return member
+    return None
 
 
 def _silent_s(state: ConsensusState, member: Member, now: float) -> float:
--- a/tests/consensus/test_open_group.py
+++ b/tests/consensus/test_open_group.py
@@ -1,7 +1,7 @@
 import pytest
 
 from basilcove.catalog.outcomes import ClaimGranted
-from basilcove.consensus.const import LOST_AFTER_S
+from basilcove.consensus.const import LOST_AFTER_S, MAX_MEMBERS
 from basilcove.core.ids import NodeId
 from tests.consensus.cluster import Cluster, claim
 
@@ -17,6 +17,15 @@
     return {member.node for member in leader.consensus.members.members if member.voter}
 
 
+def _lose_learner(cluster: Cluster, name: NodeId) -> None:
+    cluster.add_host(name)
+    # It can't confirm what a voter must have on its disk.
+    cluster.disks[name].sync_time = 5.0
+    cluster.run_until(lambda: cluster.elect().consensus.members.find(name))
+    cluster.kill(name)
+    cluster.run(2.0)
+
+
 class TestOpenGroup:
     def test_replacement_host_is_admitted_and_the_lost_one_removed(self) -> None:
         """Guards against a group that tolerates no further loss after a host was replaced by another."""
@@ -69,6 +78,15 @@
             cluster.start(name)
         assert cluster.ask('two', claim(2)) == ClaimGranted()
 
+    def test_hosts_that_are_lost_as_learners(self) -> None:
+        """Guards against a group that is full of hosts which were lost before they became voters."""
+        cluster = Cluster(admits_unknown=True)
+        for number in range(MAX_MEMBERS):
+            _lose_learner(cluster, NodeId(f'host-2{number}'))
+        cluster.run(LOST_AFTER_S)
+        cluster.add_host(NEW)
+        cluster.run_until(lambda: NEW in voters(cluster))
+
     def test_host_that_is_down_briefly_remains_a_voter(self) -> None:
         """Guards against a group that shrinks with every restart."""
         cluster = Cluster(admits_unknown=True)
