Write the beginning of the log that a crash lost before any later entry

The next start saw a gap.

It works because a batch with a start replaces all earlier ones at the replay. The simulated disk of the group's fuzz does the same.

--- a/basilcove/storage/journal.py
+++ b/basilcove/storage/journal.py
@@ -52,6 +52,8 @@
         # Offset at which the durable frames of the segment end.
         self._durable_end = 0
         self._has_failed = False
+        # The beginning of the log after a snapshot whose segment is missing.
+        self._missing_start: Batch | None = None
 
     def open(self) -> Recovered:
         """Lock the folder, truncate a torn tail and return the durable state.
@@ -73,7 +75,9 @@
             self._replay_segment(segment, replay, is_last=segment == segments[-1])
         self._segment = int(segments[-1].stem) if segments else 1
         self._open_segment()
-        return replay.finish(self._newest_snapshot())
+        recovered = replay.finish(self._newest_snapshot())
+        self._missing_start = replay.find_missing_start(recovered)
+        return recovered
 
     def close(self) -> None:
         """Close the files and release the folder."""
@@ -85,8 +89,14 @@
 
     def append(self, batch: Batch) -> None:
         """Write a batch as one frame and sync it; StorageFailedError if that fails."""
-        frame = pack_frame(self._sequence + 1, _to_bytes(batch, pb.Batch))
         self._check_usable()
+        if self._missing_start is not None:
+            self._append_frame(self._missing_start)
+            self._missing_start = None
+        self._append_frame(batch)
+
+    def _append_frame(self, batch: Batch) -> None:
+        frame = pack_frame(self._sequence + 1, _to_bytes(batch, pb.Batch))
         try:
             _write(self._file, frame)
         except OSError as exc:
@@ -102,15 +112,19 @@
         """Replace all data with a snapshot and the tail of the log; StorageFailedError if that fails.
 
         A crash in between leaves the old segments beside the new snapshot; the
-        replay then keeps only the entries that follow the snapshot.
+        replay then keeps only the entries that follow the snapshot, and the next
+        ``append`` writes the beginning of the segment that is missing.
         """
         self._check_usable()
+        start = LogStart(snapshot.index, snapshot.term)
         try:
             self._write_snapshot(snapshot)
         except OSError as exc:
             raise self._convert_error('write a snapshot', exc) from exc
+        self._missing_start = Batch(hard_state, start, tail)
         try:
-            self._rotate(Batch(hard_state, LogStart(snapshot.index, snapshot.term), tail))
+            self._rotate(self._missing_start)
+            self._missing_start = None
             self._drop_older()
         except OSError as exc:
             raise self._convert_error('start a segment', exc) from exc
--- a/basilcove/storage/replay.py
+++ b/basilcove/storage/replay.py
@@ -45,6 +45,17 @@
             tail = tuple(self._entries[position:])
         return Recovered(self._hard_state, snapshot, tail)
 
+    def find_missing_start(self, recovered: Recovered) -> Batch | None:
+        """Return the batch with which the log after a snapshot begins, if a crash lost it; otherwise None.
+
+        It must be written before any later entry, which would otherwise continue the log that the snapshot
+        replaced.
+        """
+        snapshot = recovered.snapshot
+        if snapshot is None or snapshot.index == self._start.index:
+            return None
+        return Batch(recovered.hard_state, LogStart(snapshot.index, snapshot.term), recovered.entries)
+
     def _term_at(self, position: int) -> int | None:
         if position == 0:
             return self._start.term
--- a/tests/storage/fake_disk.py
+++ b/tests/storage/fake_disk.py
@@ -55,6 +55,9 @@
         for batch in self._synced:
             replay.add(batch)
         recovered = replay.finish(self._snapshot)
+        missing = replay.find_missing_start(recovered)
+        if missing is not None:
+            self._synced.append(missing)
         if recovered.entries:
             self.last_index = recovered.entries[-1].index
         elif recovered.snapshot is not None:
