Read a body in small chunks in time that grows with its size

Cause: for each chunk of a body that never ends an event, the splitter copied and searched all bytes since the last event, up to 1 MiB. Besides, each chunk was a call of the reader and a write to the caller of its own. Ruled out: places that bookings wait for (other engines had room), memory (the limit on an event held).

Change: one buffer of events for gateways and agents, which looks at the new bytes and the two before; agents had the same copies and no limit on an event. A connection passes on the chunks that arrived together as one part.

--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -15,8 +15,9 @@
     StartAttempt,
     UpstreamHinted,
 )
-from basilcove.gateway.eventstream import EventSplitter, EventTooLargeError
+from basilcove.gateway.eventstream import EventSplitter
 from basilcove.gateway.hints import NO_HINTS, Hints, read_hints
+from basilcove.helpers.events import EventTooLargeError
 from basilcove.http1.answers import AnswerHead, Attribution
 from basilcove.http1.client import UpstreamConnection
 from basilcove.http1.headers import HttpRequest, find_header, parse_count, remove_hop_by_hop
--- a/basilcove/http/sse.py
+++ b/basilcove/http/sse.py
@@ -3,7 +3,9 @@
 import re
 from typing import Final
 
-_BOUNDARY: Final = re.compile(rb'\r?\n\r?\n')
+from basilcove.helpers.events import EventBuffer
+
+_BOUNDARY: Final = re.compile(rb'\r?\n\r?\n|\r\r')
 _DONE: Final = re.compile(rb'^data: ?\[DONE\]\s*$')
 DONE_EVENT: Final = b'data: [DONE]\n\n'
 
@@ -14,16 +16,19 @@
     def __init__(self) -> None:
         """Start with nothing buffered."""
         self.is_done = False
-        self._buffered = b''
+        self._buffer = EventBuffer()
 
     @property
     def is_clean(self) -> bool:
         """Return whether no partial event is buffered."""
-        return not self._buffered.strip()
+        return self._buffer.is_between_events
 
     def feed(self, received: bytes) -> tuple[bytes, int]:
-        """Add received bytes; return the events that are now complete, as bytes, and their number."""
-        *events, self._buffered = _BOUNDARY.split(self._buffered + received)
+        """Add received bytes; return the events that are now complete, as bytes, and their number.
+
+        Raises EventTooLargeError if an incomplete event is too large.
+        """
+        *events, _ = _BOUNDARY.split(self._buffer.add(received))
         whole = bytearray()
         count = 0
         for event in events:
--- a/basilcove/http1/client.py
+++ b/basilcove/http1/client.py
@@ -36,7 +36,8 @@
 class _PendingAnswer:
     """The answer that is being parsed.
 
-    ``unread_bytes`` counts what arrived since the reader was last passed a part of a body.
+    ``unread_bytes`` counts what arrived since the last part of a body. ``parts`` are those that the reader
+    hasn't been passed yet.
     """
 
     reader: AnswerReader
@@ -48,6 +49,13 @@
     has_skipped: bool = False
     ends_with_connection: bool = False
     unread_bytes: int = 0
+    parts: list[bytes] = field(default_factory=list)
+
+    def pass_body(self) -> None:
+        """Pass the reader what has arrived of the body as one part, however small its chunks are."""
+        parts, self.parts = self.parts, []
+        if parts:
+            self.reader.on_part(b''.join(parts))
 
     @property
     def is_oversized(self) -> bool:
@@ -94,26 +102,39 @@
         pending.reader.on_broken(f'connection lost: {exc}' if exc else 'connection closed')
 
     def data_received(self, chunk: bytes) -> None:
-        """Parse a part of the answer."""
-        if self._pending is None or self._parser is None:
+        """Parse a part of the answer, and pass on what it holds of the body."""
+        pending = self._pending
+        if pending is None:
             # No request is in flight, so these bytes belong to none.
             self.close()
             return
-        pending = self._pending
         pending.unread_bytes += len(chunk)
         try:
-            self._parser.feed_data(chunk)
-        except httptools.HttpParserCallbackError as exc:
+            fault = self._parse(chunk)
+            if pending is self._pending:
+                pending.pass_body()
+        except Exception as exc:
             # The reader may have failed after the answer was complete, when it is no longer pending.
             self._pending = pending
             logger.opt(exception=exc).error('an answer could not be handled')
-            self._fail('the answer could not be handled')
+            fault = 'the answer could not be handled'
+        if fault:
+            self._fail(fault)
+        elif pending is self._pending and pending.is_oversized:
+            self._fail('the head, the trailers or skipped answers are too large')
+
+    def _parse(self, chunk: bytes) -> str:
+        """Return why the chunk is no part of an answer; empty if it is one."""
+        assert self._parser is not None
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserCallbackError:
+            raise
         except httptools.HttpParserError as exc:
-            self._fail(f'not an answer: {exc}')
+            return f'not an answer: {exc}'
         except httptools.HttpParserUpgrade:
-            self._fail('the upstream changes the protocol')
-        if pending is self._pending and pending.is_oversized:
-            self._fail('the head, the trailers or skipped answers are too large')
+            return 'the upstream changes the protocol'
+        return ''
 
     def send(self, request: bytes, method: bytes, reader: AnswerReader) -> None:
         """Send a request; its answer is passed to the reader."""
@@ -199,11 +220,11 @@
             self._finish()
 
     def on_body(self, part: bytes) -> None:
-        """Pass on a part of the body."""
+        """Add a part of the body."""
         pending = self._pending
         if pending is not None and pending.head is not None and not pending.is_skipped:
             pending.unread_bytes = 0
-            pending.reader.on_part(part)
+            pending.parts.append(part)
 
     def on_message_complete(self) -> None:
         """End the answer, or wait for the next one if this one was skipped."""
@@ -213,6 +234,7 @@
         if pending.is_skipped:
             pending.is_skipped = False
             return
+        pending.pass_body()
         self._finish()
 
     def _update_keep_alive(self, head: AnswerHead, *, is_framed: bool) -> None:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import resource
+import time
+from http import HTTPStatus
 
 import pytest
 
@@ -17,6 +19,8 @@
 # Bytes that an upstream got rid of beyond the limit stand in buffers of the kernel and the transports.
 BUFFERS_BYTES = 16 * 1024 * 1024
 DEADLINE_MS = 4000
+# Callers get their answers half a second after the timeout of a request at the latest.
+MAX_DELAY_S = 0.5
 
 
 class Endless:
@@ -112,6 +116,23 @@
 
         run(check, Upstream([endless]))
 
+    @pytest.mark.parametrize('chunk', [b'x' * 16, b'x', b'data: x\n\n', b'data: x\n'])
+    def test_other_requests_go_on_beside_a_stream_of_small_chunks(self, chunk: bytes) -> None:
+        """Guards against a gateway that does nothing else while it reads a body without end."""
+        block = (b'%x\r\n%s\r\n' % (len(chunk), chunk)) * (BUFFERS_BYTES // 64 // len(chunk))
+        endless = Endless(CHUNKED_HEAD, block)
+
+        async def check(gateway: Gateway) -> None:
+            asked = asyncio.create_task(gateway.ask('/once/x', Basilcove_Timeout_Ms='3000'))
+            while not asked.done():
+                sent_at = time.monotonic()
+                await asyncio.sleep(0.01)
+                assert time.monotonic() - sent_at < MAX_DELAY_S
+            answer = await asked
+            assert answer.status == HTTPStatus.BAD_GATEWAY or not answer.is_whole
+
+        run(check, Upstream([endless]))
+
     def test_trickled_head_ends_with_the_deadline(self) -> None:
         """Guards against an upstream that keeps a request for ever with a byte now and then."""
 
