Limit what all unfinished answers of a gateway hold together

Report of another operator: bytes without end in a body filled the memory of a machine, and other callers' requests ended with its process.

Change: attempts count what they hold. Above 32 MiB in all, an answer that grows is forwarded at the pace of its caller, and a stream whose event grows is ended; a metric shows the sum. Nothing else holds a body: what was forwarded waits in a buffer that stops reading from the upstream.

--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -38,6 +38,7 @@
 )
 from basilcove.gateway.exchange import Attempt, Exchange
 from basilcove.gateway.headers import GatewayHeaders
+from basilcove.gateway.held import HeldBytes
 from basilcove.http1.client import ClientConfig
 from basilcove.http1.headers import Headers, HttpRequest
 from basilcove.http1.pool import UpstreamConnections
@@ -64,6 +65,7 @@
         self._exchanges: dict[int, Exchange] = {}
         self._by_caller: dict[CallerConnection, int] = {}
         self._request_bytes = 0
+        self._held = HeldBytes()
         self._tasks: set[asyncio.Task[None]] = set()
         self.upstreams = UpstreamConnections(_CLIENT)
         self.server = HttpServer(cfg.listen, self)
@@ -88,6 +90,11 @@
         """Return the number of requests whose answer is not complete."""
         return len(self._exchanges)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the number of bytes that incomplete answers hold."""
+        return self._held.total
+
     # Handler of the server.
 
     def on_request(self, conn: CallerConnection, request: HttpRequest) -> None:
@@ -116,7 +123,7 @@
         exchange = self._exchanges.get(effect.key)
         if exchange is None:
             return
-        attempt = Attempt(exchange, effect, self._cfg.headers, self._report)
+        attempt = Attempt(exchange, effect, self._cfg.headers, self._report, self._held)
         exchange.attempt = attempt
         content = self._headers.build_request(exchange.request, effect)
         conn = self.upstreams.pop_idle(effect.address)
--- a/basilcove/gateway/eventstream.py
+++ b/basilcove/gateway/eventstream.py
@@ -19,6 +19,11 @@
             self._update_last_event(events)
         return events
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the number of bytes of the incomplete event."""
+        return len(self._buffer)
+
     @property
     def is_between_events(self) -> bool:
         """Return whether no incomplete event is buffered."""
--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -16,6 +16,7 @@
     UpstreamHinted,
 )
 from basilcove.gateway.eventstream import EventSplitter
+from basilcove.gateway.held import HeldBytes, HeldShare
 from basilcove.gateway.hints import NO_HINTS, Hints, read_hints
 from basilcove.helpers.events import EventTooLargeError
 from basilcove.http1.answers import AnswerHead, Attribution
@@ -86,7 +87,9 @@
 class Attempt:
     """Reads the answer of one upstream; the reader of ``UpstreamConnection``."""
 
-    def __init__(self, exchange: Exchange, start: StartAttempt, names: HeaderNames, report: Report) -> None:
+    def __init__(
+        self, exchange: Exchange, start: StartAttempt, names: HeaderNames, report: Report, held: HeldBytes
+    ) -> None:
         """Read the answer for an exchange; ``report`` gets a stream's start and the attempt's end."""
         self._exchange = exchange
         self._start = start
@@ -96,6 +99,7 @@
         self._buffered: BufferedAnswer | None = None
         self._is_stream = False
         self._is_over = False
+        self._held = HeldShare(held)
         self.conn: UpstreamConnection | None = None
 
     @property
@@ -106,6 +110,7 @@
     def cancel(self) -> None:
         """Close the connection to the upstream, which stops its work on the request."""
         self._is_over = True
+        self._held.release()
         self._close()
 
     def move(self, reason: str) -> None:
@@ -160,8 +165,11 @@
         except EventTooLargeError as exc:
             self._abort(str(exc))
             return
+        self._held.resize(self._exchange.splitter.size_bytes)
         if events:
             self._forward(events)
+        elif self._held.held.is_exhausted:
+            self._abort('all answers together hold too many bytes')
 
     def on_end(self) -> None:
         """Finish the answer and report the end of the attempt."""
@@ -194,10 +202,11 @@
         refusal = self._find_refusal(buffered.head)
         if refusal is None:
             buffered.add(part)
+            self._held.resize(buffered.size_bytes)
         else:
             # The body of a refusal is not used.
             buffered.size_bytes += len(part)
-        if buffered.size_bytes <= MAX_BUFFERED_BYTES:
+        if buffered.size_bytes <= MAX_BUFFERED_BYTES and not self._held.held.is_exhausted:
             return
         if refusal is not None:
             self._finish(refusal, 'the body of a refusal is too large')
@@ -209,6 +218,7 @@
             for buffered_part in buffered.parts:
                 self._exchange.caller.write(buffered_part)
             self._buffered = None
+            self._held.release()
             self._apply_backpressure()
 
     def _end_buffered(self) -> None:
@@ -282,6 +292,7 @@
         load = self._read_load()
         ended = AttemptEnded(self._start.key, self._start.number, result, reason, status, load, last_event)
         self._is_over = True
+        self._held.release()
         self._report(ended)
 
     def _read_load(self) -> ReportedLoad | None:
--- a/basilcove/helpers/events.py
+++ b/basilcove/helpers/events.py
@@ -37,6 +37,10 @@
             raise EventTooLargeError(f'an event exceeds {MAX_EVENT_BYTES} bytes')
         return b''
 
+    def __len__(self) -> int:
+        """Return the number of buffered bytes."""
+        return len(self._partial)
+
     @property
     def is_between_events(self) -> bool:
         """Return whether no incomplete event is buffered."""
--- a/basilcove/roles/gateway.py
+++ b/basilcove/roles/gateway.py
@@ -25,6 +25,7 @@
     assembly.metrics.gauge('gateway_revision', 'Revision that routes requests.', lambda: state.revision)
     assembly.metrics.gauge('gateway_upstreams', 'Upstreams known.', lambda: len(state.pools.by_instance))
     assembly.metrics.gauge('gateway_connections_opened', 'To upstreams.', lambda: driver.upstreams.opened)
+    assembly.metrics.gauge('gateway_held_bytes', 'Held of incomplete answers.', lambda: driver.held_bytes)
     assembly.readiness.append(lambda: None if state.table is not None else 'no document is in effect')
     assembly.idle_checks.append(lambda: driver.open_exchanges == 0)
     assembly.setups.append(driver.server.setup)
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -7,9 +7,11 @@
 
 import pytest
 
+from basilcove.gateway.const import MAX_BUFFERED_BYTES, MAX_HELD_BYTES
 from basilcove.http1.const import MAX_ANSWER_OVERHEAD_BYTES
 from tests.gateway.loopback import Gateway, Upstream, UpstreamCall, request
 from tests.gateway.test_driver import answers, run, streams
+from tests.gateway.world import SLOTS
 
 BLOCK = b'x' * 16_384
 LINE = b'X-Filler: ' + b'x' * 8000 + b'\r\n'
@@ -19,6 +21,9 @@
 # Bytes that an upstream got rid of beyond the limit stand in buffers of the kernel and the transports.
 BUFFERS_BYTES = 16 * 1024 * 1024
 DEADLINE_MS = 4000
+CONNECTIONS = 150
+# Read from a connection at once.
+READ_BYTES = 256 * 1024
 # Callers get their answers half a second after the timeout of a request at the latest.
 MAX_DELAY_S = 0.5
 
@@ -162,6 +167,42 @@
         assert grown_bytes < 100 * 4 * MAX_ANSWER_OVERHEAD_BYTES + 2 * BUFFERS_BYTES
 
 
+class TestHeldBytes:
+    @pytest.mark.parametrize('path', ['/lookup/x', '/book/x', '/brief/x'])
+    def test_large_bodies_on_many_connections(self, path: str) -> None:
+        """Guards against a gateway whose memory fills although each answer keeps to its own limit."""
+
+        async def check(gateway: Gateway) -> None:
+            callers = []
+            for number in range(CONNECTIONS):
+                _, caller = await gateway.connect()
+                caller.write(request(path, Basilcove_Request_Id=f'r-{number}', Basilcove_Timeout_Ms='4000'))
+                callers.append(caller)
+            held = []
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                held.append(gateway.driver.held_bytes)
+            assert max(held) > MAX_HELD_BYTES / 2
+            # An answer is held no longer once it has exceeded the limit with what it read at once.
+            assert max(held) < MAX_HELD_BYTES + CONNECTIONS * READ_BYTES
+            assert held[-1] <= MAX_HELD_BYTES
+            for caller in callers:
+                caller.transport.abort()
+            await asyncio.sleep(0.2)
+            assert not gateway.driver.held_bytes
+
+        run(check, *(Upstream([_send_large_body]) for _ in range(CONNECTIONS // SLOTS)))
+
+
+async def _send_large_body(call: UpstreamCall) -> None:
+    """Send a body almost as large as a held answer may be, a part at a time, and never its end."""
+    await call.send(CHUNKED_HEAD)
+    for _ in range(MAX_BUFFERED_BYTES // len(BLOCK) - 1):
+        await call.chunk(BLOCK)
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(DEADLINE_MS / 1000)
+
+
 class TestMalformedHeaders:
     @pytest.mark.parametrize('load', ['²,0,4', '9' * 5000 + ',0,4', '1,2', '-1,0,4', ',,'])
     def test_load_that_is_no_number(self, load: str) -> None:
