Answer each open request before a stopping gateway ends

Report of another operator: requests that came late in the grace of a planned stop were passed on, and at its end cut with no answer, among them requests that may not be repeated.

Cause: the end of the process was no deadline of its requests. A booking sent 2.5 s after SIGTERM to an engine that needs 8 s ran, and its connection was closed without an answer 6.9 s after SIGTERM (real processes).

Change: a request whose answer hasn't begun 0.25 s before the end gets 504, or 503 if it surely didn't run. Requests that may run only once are refused during a stop if the slowest answer of their route in the last minute took longer than what is left. What concerns a stop moved from the coordinator into a module of its own.

Before: test_late_booking_gets_an_answer failed with a closed connection. After: 504; nothing else of TestStops changed.

--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -20,6 +20,8 @@
     NO_ROOM,
     NO_UPSTREAM,
     NOT_STARTED,
+    STOPPED,
+    STOPPING,
     TIMED_OUT,
     end_quarantined,
     end_refused,
@@ -139,15 +141,14 @@
 
 
 def expire_if_due(state: GatewayState, req: OpenRequest, ctx: Context) -> list[Effect]:
-    """End a request whose deadline has passed."""
-    if ctx.now < req.deadline:
+    """End a request whose deadline has passed, or whose answer can't begin before the process ends."""
+    is_expired = ctx.now >= req.deadline
+    if not is_expired and (req.has_begun or not state.stop.is_due(ctx.now)):
         return []
     was_sent = req.instance is not None
     release_upstream(state, req)
     if req.has_buffered_failure or req.has_begun:
         return [CancelAttempt(req.key), *give_up(state, req, ctx)]
-    is_unknown = was_sent or req.may_have_run
-    return [
-        CancelAttempt(req.key),
-        *end_refused(state, req, TIMED_OUT if is_unknown else NOT_STARTED, ctx),
-    ]
+    unknown, not_run = (TIMED_OUT, NOT_STARTED) if is_expired else (STOPPED, STOPPING)
+    refusal = unknown if was_sent or req.may_have_run else not_run
+    return [CancelAttempt(req.key), *end_refused(state, req, refusal, ctx)]
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -86,6 +86,10 @@
 # Time between a stop request and the refusal of new requests. A load balancer that probes each second stops
 # sending new connections after two failed probes.
 STOP_NOTICE_S: Final = 2.8
+# Time before the end of a stop at which open requests get their final answer.
+STOP_MARGIN_S: Final = 0.25
+# The slowest answer of a route is remembered for this long.
+ANSWER_TIME_LIFETIME_S: Final = 60.0
 
 # Requests that urgent work may add beyond an upstream's slots; each waits for a slot. Where many gateways
 # decide on the same counts, more streams wait than these show.
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -10,7 +10,6 @@
 from basilcove.gateway import sharing as _sharing  # noqa: F401
 from basilcove.gateway import throttling as _throttling  # noqa: F401
 from basilcove.gateway.attempts import expire_if_due, release_upstream, start_attempt
-from basilcove.gateway.const import STOP_NOTICE_S
 from basilcove.gateway.events import (
     AnswerBegun,
     AttemptEnded,
@@ -83,8 +82,7 @@
     head = event.head
     if state.table is None:
         return refuse(state, event.key, head.request_id, NO_DOCUMENT, ctx)
-    if state.stopping_since is not None and ctx.now - state.stopping_since >= STOP_NOTICE_S:
-        # A request that arrives this late could not end before the process does.
+    if state.stop.is_notice_over(ctx.now):
         return refuse(state, event.key, head.request_id, STOPPING, ctx)
     named_route = state.table.find(head.host, head.path)
     if named_route is None:
@@ -93,6 +91,8 @@
     if team is None:
         return refuse(state, event.key, head.request_id, UNKNOWN_KEY, ctx)
     req = _open_request(state, event.key, head, named_route, team, ctx.now)
+    if not req.is_retryable and not state.stop.has_time_for(named_route.name, ctx.now):
+        return refuse(state, event.key, head.request_id, STOPPING, ctx)
     state.requests[event.key] = req
     state.budget(req.service).count_request(ctx.now)
     return start_attempt(state, req, ctx)
@@ -163,15 +163,13 @@
     effects: list[Effect] = []
     for req in tuple(state.requests.values()):
         effects.extend(expire_if_due(state, req, ctx))
-    if state.stopping_since is not None and not state.is_stopped:
-        is_notice_over = ctx.now - state.stopping_since >= STOP_NOTICE_S
-        if is_notice_over and not state.requests:
-            state.is_stopped = True
-            effects.append(StopCompleted(Role.GATEWAY))
+    if state.stop.is_notice_over(ctx.now) and not state.requests and not state.stop.is_complete:
+        state.stop.is_complete = True
+        effects.append(StopCompleted(Role.GATEWAY))
     return effects
 
 
 @handles(StopRequested, GatewayState)
 def _on_stop(state: GatewayState, event: StopRequested, ctx: Context) -> list[Effect]:
-    state.stopping_since = ctx.now
+    state.stop.requested_at = ctx.now
     return []
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -11,6 +11,7 @@
 from basilcove.gateway.pools import Pools
 from basilcove.gateway.quarantine import Quarantine
 from basilcove.gateway.routes import NamedRoute, RouteTable
+from basilcove.gateway.stopping import Stop
 from basilcove.registry.messages import Registration
 
 _NO_REVISION = Revision(0)
@@ -72,6 +73,7 @@
 
     retries: RetryConfig
     pools: Pools
+    stop: Stop
     revision: Revision = _NO_REVISION
     table: RouteTable | None = None
     requests: dict[int, OpenRequest] = field(default_factory=dict)
@@ -79,13 +81,11 @@
     sharing: Sharing = field(default_factory=Sharing)
     admission: Admission = field(default_factory=Admission)
     quarantine: Quarantine = field(default_factory=Quarantine)
-    stopping_since: float | None = None
-    is_stopped: bool = False
 
     @classmethod
-    def from_config(cls, cfg: GatewayConfig, zone: Zone) -> Self:
+    def from_config(cls, cfg: GatewayConfig, zone: Zone, stop_timeout_s: float) -> Self:
         """Return the state of a process that has just started."""
-        return cls(cfg.retries, Pools(zone))
+        return cls(cfg.retries, Pools(zone), Stop(stop_timeout_s))
 
     def budget(self, service: ServiceName) -> RetryBudget:
         """Return the retry budget of a service, creating it if needed."""
--- a/basilcove/gateway/outcomes.py
+++ b/basilcove/gateway/outcomes.py
@@ -45,6 +45,7 @@
     HTTPStatus.SERVICE_UNAVAILABLE, 'no document is in effect', STARTING_RETRY_AFTER_S
 )
 STOPPING: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the gateway is stopping', STOPPING_RETRY_AFTER_S)
+STOPPED: Final = Refusal(HTTPStatus.GATEWAY_TIMEOUT, 'the gateway stopped before the answer came')
 NO_ROUTE: Final = Refusal(HTTPStatus.NOT_FOUND, 'no route matches')
 UNKNOWN_KEY: Final = Refusal(HTTPStatus.UNAUTHORIZED, 'the key is unknown')
 NO_UPSTREAM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no upstream takes the request')
--- a/basilcove/gateway/results.py
+++ b/basilcove/gateway/results.py
@@ -70,6 +70,7 @@
 @handles_result(AttemptResult.ANSWERED)
 def _finish(state: GatewayState, req: OpenRequest, event: AttemptEnded, ctx: Context) -> list[Effect]:
     state.requests.pop(req.key, None)
+    state.stop.answer_times.record(req.named_route.name, ctx.now - req.arrived_at, ctx.now)
     return []
 
 
--- a/basilcove/roles/gateway.py
+++ b/basilcove/roles/gateway.py
@@ -16,7 +16,7 @@
     assert cfg is not None
     add_common(assembly)
     runtime = assembly.runtime
-    state = GatewayState.from_config(cfg, assembly.settings.zone)
+    state = GatewayState.from_config(cfg, assembly.settings.zone, assembly.settings.stop_timeout_s)
     driver = GatewayDriver.from_config(cfg, runtime.apply)
     for part in (state, CallerLimits()):
         runtime.node.add(part)
--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -19,7 +19,7 @@
 from basilcove.helpers.metrics import Metrics
 from basilcove.http1.resets import reset
 from basilcove.registry.messages import Registrations
-from tests.gateway.world import CONTROL, HOST, KEY, document, registration
+from tests.gateway.world import CONTROL, HOST, KEY, STOP_TIMEOUT_S, document, registration
 
 TIMEOUT_S = 10
 
@@ -168,7 +168,7 @@
     """Run a gateway in front of upstreams."""
     servers = [await asyncio.start_server(each.serve, '127.0.0.1', 0) for each in upstreams]
     cfg = GatewayConfig(listen='127.0.0.1:0')
-    state = GatewayState.from_config(cfg, Zone('a'))
+    state = GatewayState.from_config(cfg, Zone('a'), STOP_TIMEOUT_S)
     runtime = Runtime(Node(state))
     driver = GatewayDriver.from_config(cfg, runtime.apply)
     for each in (driver, Metrics(), LogDriver('gateway', 'CRITICAL')):
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -21,7 +21,17 @@
 from basilcove.gateway.models import GatewayState
 from basilcove.registry.messages import RegistrationState
 from basilcove.requests.events import StopCompleted
-from tests.gateway.world import HOST, KEY, SLOTS, World, document, only_start, registration, starts
+from tests.gateway.world import (
+    HOST,
+    KEY,
+    SLOTS,
+    STOP_TIMEOUT_S,
+    World,
+    document,
+    only_start,
+    registration,
+    starts,
+)
 
 
 def refusal(effects: list[Effect]) -> Refuse:
@@ -33,7 +43,9 @@
 class TestRefusals:
     def test_without_document_requests_are_unavailable(self) -> None:
         """Guards against 404 or 401 from a process that has no document yet."""
-        state = GatewayState.from_config(GatewayConfig(listen='127.0.0.1:0'), registration('x').zone)
+        state = GatewayState.from_config(
+            GatewayConfig(listen='127.0.0.1:0'), registration('x').zone, STOP_TIMEOUT_S
+        )
         head = RequestHead('r', HOST, '/lookup/x', KEY, None)
         effects = reduce(Node(state), RequestArrived(1, head), 0, 0)
         answer = refusal(effects)
@@ -41,7 +53,9 @@
 
     def test_without_document_retry_after_covers_the_start(self) -> None:
         """Guards against a Retry-After so short that a gateway that has just started refuses twice."""
-        state = GatewayState.from_config(GatewayConfig(listen='127.0.0.1:0'), registration('x').zone)
+        state = GatewayState.from_config(
+            GatewayConfig(listen='127.0.0.1:0'), registration('x').zone, STOP_TIMEOUT_S
+        )
         head = RequestHead('r', HOST, '/lookup/x', KEY, None)
         answer = refusal(reduce(Node(state), RequestArrived(1, head), 0, 0))
         assert answer.retry_after_s is not None
@@ -267,6 +281,39 @@
         assert answer.retry_after_s is not None
         assert answer.retry_after_s < DEFAULT_RETRY_AFTER_S / 2
 
+    def test_booking_that_would_be_cut_off_is_refused(self) -> None:
+        """Guards against a booking that is taken late, runs, and ends without an answer."""
+        world = World('up-1')
+        start = only_start(world.ask('/book/x', timeout_s=8))
+        world.now += STOP_TIMEOUT_S - 2
+        world.end(start, AttemptResult.ANSWERED)
+        world.apply(StopRequested())
+        assert only_start(world.ask('/book/x', timeout_s=8))
+        world.now += 2.5
+        assert refusal(world.ask('/book/x', timeout_s=8)).status == HTTPStatus.SERVICE_UNAVAILABLE
+        assert only_start(world.ask('/lookup/x', timeout_s=8))
+
+    def test_open_booking_is_answered_before_the_end(self) -> None:
+        """Guards against a connection that is closed without an answer at the end of a stop."""
+        world = World('up-1')
+        world.apply(StopRequested())
+        world.now += 2
+        only_start(world.ask('/book/x', timeout_s=8))
+        world.now += STOP_TIMEOUT_S - 2.1
+        effects = world.apply(Tick())
+        assert refusal(effects).status == HTTPStatus.GATEWAY_TIMEOUT
+        assert StopCompleted(Role.GATEWAY) in effects
+
+    def test_stream_that_has_begun_goes_on_until_the_end(self) -> None:
+        """Guards against a stream that is cut off before the process has to end."""
+        world = World('up-1')
+        start = only_start(world.ask('/brief/x', timeout_s=8))
+        world.apply(AnswerBegun(start.key, start.number))
+        world.apply(StopRequested())
+        world.now += STOP_TIMEOUT_S - 0.1
+        effects = world.apply(Tick())
+        assert not any(isinstance(effect, AbortAnswer | CancelAttempt) for effect in effects)
+
     def test_stop_waits_for_open_requests(self) -> None:
         """Guards against a planned stop that aborts requests in flight."""
         world = World('up-1')
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -22,6 +22,8 @@
 HOST = 'desk.example'
 KEY = 'key-1'
 SLOTS = 4
+# Time that a planned stop may take.
+STOP_TIMEOUT_S = 6.9
 
 
 def document(**changes: Any) -> dict[str, Any]:
@@ -67,7 +69,7 @@
 
     def __init__(self, *upstreams: str, retries: RetryConfig | None = None) -> None:
         cfg = GatewayConfig(listen='127.0.0.1:0', retries=retries or RetryConfig(base=1000))
-        self.state = GatewayState.from_config(cfg, Zone('a'))
+        self.state = GatewayState.from_config(cfg, Zone('a'), STOP_TIMEOUT_S)
         self.node = Node(self.state)
         self.now = 100.0
         self._keys = itertools.count(1)
--- a/tests/quarantine/test_coordinator.py
+++ b/tests/quarantine/test_coordinator.py
@@ -10,6 +10,7 @@
 from basilcove.quarantine import coordinator as _quarantine  # noqa: F401
 from basilcove.quarantine.const import FIRST_QUARANTINE_S, TRIAL_S, TRIAL_STAGE_S
 from basilcove.quarantine.models import QuarantineState
+from tests.gateway.world import STOP_TIMEOUT_S
 
 DEADLY = PartId('dead')
 POPULAR = PartId('popular')
@@ -39,7 +40,11 @@
         for name in linked if former else ():
             self.apply(name, PeerLost(peer))
         cfg = GatewayConfig(listen='127.0.0.1:0')
-        state = QuarantineState() if role is Role.CONTROL else GatewayState.from_config(cfg, Zone('a'))
+        state = (
+            QuarantineState()
+            if role is Role.CONTROL
+            else GatewayState.from_config(cfg, Zone('a'), STOP_TIMEOUT_S)
+        )
         self.peers[node] = peer
         self.nodes[node] = Node(state)
         for name in linked:
--- a/tests/system/test_reports.py
+++ b/tests/system/test_reports.py
@@ -18,6 +18,10 @@
 LOAD_S = 1.5
 # After SIGTERM a gateway ends its work within the grace period of the platform.
 GRACE_S = 8
+# A new request comes so long after SIGTERM; load balancers may not have noticed the stop yet.
+LATE_S = 2.5
+# The engine answers requests for it after the grace period only.
+HANGING_PATH = '/book/hanging'
 
 
 class SlowEngine(Engine):
@@ -28,7 +32,7 @@
 
     def do_POST(self) -> None:
         self.ran.add(self.headers['X-Basilcove-Attempt-Id'])
-        time.sleep(self.rng.uniform(0.02, 0.3))
+        time.sleep(GRACE_S if self.path == HANGING_PATH else self.rng.uniform(0.02, 0.3))
         super().do_POST()
 
 
@@ -60,16 +64,20 @@
         return HTTPConnection(GATEWAY, self.deployment.ports['http'], timeout=6)
 
     def _ask(self, conn: HTTPConnection, request_id: str) -> None:
+        self.answered += self.send(conn, request_id, '/book/x') == 200
+
+    def send(self, conn: HTTPConnection, request_id: str, path: str, deadline_ms: int = 5000) -> int:
+        """Return the status of the answer; OSError or HTTPException without one."""
         headers = {
             'Host': 'desk.example',
             'Authorization': 'Token k-1',
             'X-Basilcove-Attempt-Id': request_id,
-            'X-Basilcove-Deadline-Ms': '5000',
+            'X-Basilcove-Deadline-Ms': str(deadline_ms),
         }
-        conn.request('POST', '/book/x', b'x', headers)
+        conn.request('POST', path, b'x', headers)
         answer = conn.getresponse()
         answer.read()
-        self.answered += answer.status == 200
+        return answer.status
 
 
 @pytest.fixture
@@ -108,6 +116,20 @@
         unanswered: set[str] = set().union(*(each.unanswered for each in callers))
         assert not unanswered & SlowEngine.ran
 
+    def test_late_booking_gets_an_answer(self, deployment: Deployment) -> None:
+        """Guards against a booking that is taken after the stop request and ends without an answer."""
+        content = configuration(4)
+        content['routes'][0]['timeout_ms'] = 1000 * GRACE_S
+        assert deployment.put(content) == 200
+        caller = Caller(deployment, 'late')
+        process = deployment.processes[GATEWAY]
+        process.send_signal(signal.SIGTERM)
+        time.sleep(LATE_S)
+        conn = HTTPConnection(GATEWAY, deployment.ports['http'], timeout=GRACE_S)
+        assert caller.send(conn, 'late-1', HANGING_PATH, 1000 * GRACE_S) == 504
+        assert process.wait(GRACE_S) == 0
+        assert 'late-1' in SlowEngine.ran
+
 
 class TestRestarts:
     @pytest.mark.parametrize('restarted', [(GATEWAY,), CONTROL, (GATEWAY, *CONTROL)])
