Go on writing after a full disk showed at a sync or a truncation

With a full disk that shows there, each control host that had one acknowledged nothing any more.

Change: at the next retry the durable part of the segment is written to a new one and synced, which doesn't depend on what the failed sync left behind. A start accepts a segment with an uncertain end if a later batch replaces all before it.

--- a/basilcove/storage/journal.py
+++ b/basilcove/storage/journal.py
@@ -38,8 +38,9 @@
 class Journal:
     """Files of one control host; used by one thread at a time.
 
-    After a failed sync the content of the page cache is unknown, so the journal refuses every later write
-    until the process restarts. A write for which there was no space is undone and can be retried.
+    A write for which there was no space is undone and can be retried. After a failed sync it isn't known what
+    follows the durable frames on the disk: if the disk was full, these are written to a new segment before
+    the next append; after any other failure the journal refuses every later write until a restart.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -52,6 +53,10 @@
         # Offset at which the durable frames of the segment end.
         self._durable_end = 0
         self._has_failed = False
+        # Where a segment is damaged whose records no later one has replaced so far.
+        self._damage = ''
+        # The sync of the segment found no space.
+        self._is_segment_uncertain = False
         # The beginning of the log after a snapshot whose segment is missing.
         self._missing_start: Batch | None = None
 
@@ -73,6 +78,8 @@
         segments = self._list_files(SEGMENT_SUFFIX)
         for segment in segments:
             self._replay_segment(segment, replay, is_last=segment == segments[-1])
+        if self._damage:
+            raise StorageDamagedError(self._damage)
         self._segment = int(segments[-1].stem) if segments else 1
         self._open_segment()
         recovered = replay.finish(self._newest_snapshot())
@@ -90,6 +97,8 @@
     def append(self, batch: Batch) -> None:
         """Write a batch as one frame and sync it; StorageFailedError if that fails."""
         self._check_usable()
+        if self._is_segment_uncertain:
+            self._replace_segment()
         if self._missing_start is not None:
             self._append_frame(self._missing_start)
             self._missing_start = None
@@ -104,10 +113,27 @@
         try:
             os.fsync(self._file)
         except OSError as exc:
-            raise self._mark_failed('sync the journal', exc) from exc
+            self._is_segment_uncertain = True
+            raise self._convert_error('sync the journal', exc) from exc
         self._sequence += 1
         self._durable_end += len(frame)
 
+    def _replace_segment(self) -> None:
+        """Write what is durable to a new segment; StorageFailedError if that fails."""
+        replay = Replay()
+        try:
+            os.ftruncate(self._file, self._durable_end)
+            for segment in self._list_files(SEGMENT_SUFFIX):
+                for frame in scan_frames(segment.read_bytes()):
+                    replay.add(_from_bytes(Batch, pb.Batch, frame.body))
+            # The frame whose sync failed may be found again after a loss of power, so its number is left out.
+            self._sequence += 1
+            self._rotate(replay.to_batch())
+            self._is_segment_uncertain = False
+            self._drop_older()
+        except OSError as exc:
+            raise self._convert_error('start a segment', exc) from exc
+
     def save(self, snapshot: Snapshot, hard_state: HardState, tail: tuple[LogEntry, ...]) -> None:
         """Replace all data with a snapshot and the tail of the log; StorageFailedError if that fails.
 
@@ -154,7 +180,8 @@
         try:
             os.ftruncate(self._file, self._durable_end)
         except OSError as failure:
-            return self._mark_failed('cut off a part of a frame', failure)
+            self._is_segment_uncertain = True
+            return self._convert_error('cut off a part of a frame', failure)
         return error
 
     def _list_files(self, suffix: str) -> list[Path]:
@@ -168,22 +195,32 @@
         end = 0
         for frame in scan_frames(content):
             batch = _from_bytes(Batch, pb.Batch, frame.body)
-            # A batch with a start replaces all earlier ones, so records missing before it are no damage:
-            # after a crash one deleted segment may still exist while the next is gone.
-            is_replacement = batch.start is not None and frame.sequence > self._sequence
-            if self._sequence and frame.sequence != self._sequence + 1 and not is_replacement:
-                raise StorageDamagedError(f'{segment}: record {self._sequence + 1} is missing')
+            self._check_order(segment, frame.sequence, batch)
             replay.add(batch)
             self._sequence = frame.sequence
             end = frame.end
         if end == len(content):
             return
         if not is_last:
-            raise StorageDamagedError(f'{segment}: damaged record at byte {end}')
+            self._damage = f'{segment}: damaged record at byte {end}'
+            return
         with segment.open('r+b') as torn:
             torn.truncate(end)
             os.fsync(torn.fileno())
 
+    def _check_order(self, segment: Path, sequence: int, batch: Batch) -> None:
+        """Raise StorageDamagedError if records before this one are missing or damaged.
+
+        A batch with a start replaces all earlier ones, so it may follow a gap: after a crash one deleted
+        segment may still exist while the next is gone, and a segment whose sync failed may end anyhow.
+        """
+        if batch.start is not None and sequence > self._sequence:
+            self._damage = ''
+        elif self._sequence and sequence != self._sequence + 1:
+            raise StorageDamagedError(f'{segment}: record {self._sequence + 1} is missing')
+        if self._damage:
+            raise StorageDamagedError(self._damage)
+
     def _open_segment(self) -> None:
         path = self._path(self._segment, SEGMENT_SUFFIX)
         self._file = os.open(path, _APPEND_FLAGS, FILE_MODE)
--- a/basilcove/storage/replay.py
+++ b/basilcove/storage/replay.py
@@ -27,6 +27,10 @@
             del self._entries[position:]
             self._entries.append(entry)
 
+    def to_batch(self) -> Batch:
+        """Return one batch that replaces all that were applied."""
+        return Batch(self._hard_state, self._start, tuple(self._entries))
+
     def finish(self, snapshot: Snapshot | None) -> Recovered:
         """Return the durable state.
 
