Refuse a request that crashed an upstream by itself, not only by its parts

Cause: evidence was kept for shared parts only. Answers to other requests with the part released it at once, and rightly, so the same request was sent again; its repeated crashes then weighed against the part.

Change: a digest of target, body and list of parts is quarantined after one crash after an answer's head, like a part. Only an answer to the same request releases it, and crashes with one request count once against its parts.

Of the new tests those of TestIdenticalRequests and the gateway's have no counterpart before: the digest did not exist.

--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -46,8 +46,8 @@
 
 
 def find_blocked_part(state: GatewayState, req: OpenRequest, now: float) -> PartId | None:
-    """Return a part of the prompt of a request that may not be sent to an upstream; None if all may."""
-    for part in state.quarantine.find_listed(req.parts, now):
+    """Return what forbids to send a request, a part of its prompt or its digest; None if nothing does."""
+    for part in state.quarantine.find_listed(req.blamable, now):
         if state.quarantine.is_refused(part, now) or _is_on_trial(state, req, part):
             return part
     return None
@@ -55,7 +55,7 @@
 
 def _is_on_trial(state: GatewayState, req: OpenRequest, part: PartId) -> bool:
     others = (other for other in state.requests.values() if other is not req)
-    return any(part in other.parts for other in others)
+    return any(part in other.blamable for other in others)
 
 
 def _admit(state: GatewayState, req: OpenRequest, chosen: Choice, ctx: Context) -> bool:
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -124,6 +124,7 @@
         now,
         now + timeout_s,
         head.parts,
+        head.digest,
     )
 
 
--- a/basilcove/gateway/crashes.py
+++ b/basilcove/gateway/crashes.py
@@ -24,10 +24,11 @@
         fields = (
             ('instance', check.instance),
             ('parts', ' '.join(check.parts)),
+            ('digest', check.digest),
             ('has_answer_head', str(check.has_answer_head)),
         )
         effects.append(Log('warning', 'upstream crashed with a request', fields))
-        lost = LostRequest(check.parts, check.has_answer_head)
+        lost = LostRequest(check.parts, check.has_answer_head, check.digest)
         effects.extend(_send_to_hosts(state, CrashReport(check.instance, check.born_ms, lost)))
     req = state.requests.get(check.key)
     if req is None or req.number != check.number or req.instance is not None:
@@ -43,7 +44,7 @@
     req = state.requests.get(event.key)
     if req is None:
         return []
-    released = state.quarantine.note_answer(req.parts, ctx.now)
+    released = state.quarantine.note_answer(req.parts, ctx.now, req.digest)
     if not released:
         return []
     entries = tuple(SoundPart(part, 0) for part in released)
--- a/basilcove/gateway/events.py
+++ b/basilcove/gateway/events.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from basilcove.core.events import Effect, Event
-from basilcove.core.ids import InstanceId, PartId, TeamName
+from basilcove.core.ids import NO_PART, InstanceId, PartId, TeamName
 from basilcove.gateway.hints import Hints
 
 
@@ -34,7 +34,8 @@
     """Parts of a request on which a gateway decides.
 
     ``path`` has no query; ``timeout_s`` is how long the caller waits, None if it doesn't say. ``parts`` are
-    those of the prompt that other requests may share, in order.
+    those of the prompt that other requests may share, in order; ``digest`` is equal only for requests with
+    the same prompt, target and body, and empty without a prompt.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     credential: str
     timeout_s: float | None
     parts: tuple[PartId, ...] = ()
+    digest: PartId = NO_PART
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,7 +126,7 @@
 class CheckUpstream(Effect):
     """Finds out whether an upstream has ended, after it lost the answer to an attempt.
 
-    ``born_ms`` identifies the start of the instance; ``parts`` are those of the request's prompt, and
+    ``born_ms`` identifies the start of the instance; ``parts`` and ``digest`` are those of the request, and
     ``has_answer_head`` tells whether the head of the answer had arrived.
     """
 
@@ -135,6 +137,7 @@
     born_ms: int
     parts: tuple[PartId, ...]
     has_answer_head: bool
+    digest: PartId = NO_PART
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/gateway/headers.py
+++ b/basilcove/gateway/headers.py
@@ -7,7 +7,7 @@
 from basilcove.const import MILLISECONDS_PER_S
 from basilcove.gateway.config import GatewayConfig
 from basilcove.gateway.events import RequestHead, StartAttempt
-from basilcove.gateway.prompts import parse_shared_parts
+from basilcove.gateway.prompts import digest_request, parse_shared_parts
 from basilcove.http1.headers import HttpRequest, encode_request, remove_hop_by_hop
 
 
@@ -30,6 +30,7 @@
     def read(self, request: HttpRequest) -> RequestHead:
         """Return the parts of a request on which the gateway decides."""
         credential = request.header(b'authorization')
+        prompt = request.header(self._prompt_parts)
         has_scheme = credential.lower().startswith(self._scheme)
         return RequestHead(
             request.header(self._request_id),
@@ -37,7 +38,8 @@
             request.path,
             credential[len(self._scheme) :].strip() if has_scheme else '',
             _parse_timeout_s(request.header(self._timeout_ms)),
-            parse_shared_parts(request.header(self._prompt_parts)),
+            parse_shared_parts(prompt),
+            digest_request(prompt, request.target, request.body),
         )
 
     def build_request(self, request: HttpRequest, start: StartAttempt) -> bytes:
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Self
 
-from basilcove.core.ids import InstanceId, NodeId, PartId, Revision, ServiceName, TeamName, Zone
+from basilcove.core.ids import NO_PART, InstanceId, NodeId, PartId, Revision, ServiceName, TeamName, Zone
 from basilcove.environment.models import RouteKind
 from basilcove.gateway.admission import Admission
 from basilcove.gateway.budget import RetryBudget
@@ -35,6 +35,7 @@
     arrived_at: float
     deadline: float
     parts: tuple[PartId, ...] = ()
+    digest: PartId = NO_PART
     number: int = 0
     sent: int = 0
     tried: set[InstanceId] = field(default_factory=set)
@@ -47,6 +48,11 @@
     # Its attempt is being ended to move the stream; the retry budget has been charged for the next attempt.
     is_moving: bool = False
 
+    @property
+    def blamable(self) -> tuple[PartId, ...]:
+        """Return what may be to blame if the request crashes an upstream: parts of its prompt, or itself."""
+        return self.parts if self.digest == NO_PART else (*self.parts, self.digest)
+
     @property
     def is_retryable(self) -> bool:
         """Return whether the request may run again at another upstream after it may have run."""
--- a/basilcove/gateway/prompts.py
+++ b/basilcove/gateway/prompts.py
@@ -1,8 +1,13 @@
-"""Reads which parts of its prompt a request shares with others."""
+"""Reads which parts of its prompt a request shares with others, and tells identical requests."""
 
-from basilcove.core.ids import PartId
+import hashlib
+from typing import Final
+
+from basilcove.core.ids import NO_PART, PartId
 from basilcove.gateway.const import MAX_PART_ID_LENGTH, MAX_PROMPT_PARTS
 
+_DIGEST_BYTES: Final = 12
+
 
 def parse_shared_parts(text: str) -> tuple[PartId, ...]:
     """Return the parts of a prompt that other requests may share, in order and each once.
@@ -13,3 +18,14 @@
     *shared, _ = text.split(',')
     names = (entry.partition(':')[0].strip().lower() for entry in shared[:MAX_PROMPT_PARTS])
     return tuple(dict.fromkeys(PartId(name) for name in names if 0 < len(name) <= MAX_PART_ID_LENGTH))
+
+
+def digest_request(prompt: str, target: bytes, body: bytes) -> PartId:
+    """Return an id that only requests with the same prompt, target and body have; empty without a prompt."""
+    if not prompt:
+        return NO_PART
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for content in (prompt.encode(errors='surrogatepass'), target, body):
+        digest.update(len(content).to_bytes(8))
+        digest.update(content)
+    return PartId(f'request-{digest.hexdigest()}')
--- a/basilcove/gateway/quarantine.py
+++ b/basilcove/gateway/quarantine.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from basilcove.core.ids import PartId
+from basilcove.core.ids import NO_PART, PartId
 from basilcove.gateway.const import MAX_SOUND_PARTS
 from basilcove.quarantine.const import EVIDENCE_LIFETIME_S, MAX_PARTS, MAX_QUARANTINE_S, TRIAL_S
 from basilcove.quarantine.messages import QuarantinedPart, SoundPart
@@ -42,19 +42,21 @@
         self.listed[entry.part] = ListedPart(entry.version, refused_until, entry.is_released)
         return not entry.is_released
 
-    def note_answer(self, parts: Iterable[PartId], now: float) -> list[PartId]:
+    def note_answer(self, parts: Iterable[PartId], now: float, digest: PartId = NO_PART) -> list[PartId]:
         """Note that an answer began; return the listed parts that it releases."""
-        released = []
         for part in parts:
             self.sound_at.pop(part, None)
             self.sound_at[part] = now
-            listed = self.listed.get(part)
-            if listed is not None and not listed.is_released:
-                listed.is_released = True
-                released.append(part)
         while len(self.sound_at) > MAX_SOUND_PARTS:
             del self.sound_at[next(iter(self.sound_at))]
-        return released
+        return [released for released in (*parts, digest) if self._release(released)]
+
+    def _release(self, part: PartId) -> bool:
+        listed = self.listed.get(part)
+        if listed is None or listed.is_released:
+            return False
+        listed.is_released = True
+        return True
 
     def sound_part(self, part: PartId, now: float) -> SoundPart | None:
         """Return when an answer last began with a part; None if none has lately."""
--- a/basilcove/gateway/results.py
+++ b/basilcove/gateway/results.py
@@ -48,6 +48,7 @@
         ('status', str(event.status)),
         ('reason', event.reason),
         ('parts', ' '.join(req.parts)),
+        ('digest', req.digest),
         *progress_fields(req, ctx.now),
     )
     level = 'info' if event.result in _EXPECTED_RESULTS else 'warning'
@@ -100,7 +101,7 @@
 def _after_loss(state: GatewayState, req: OpenRequest, event: AttemptEnded, ctx: Context) -> list[Effect]:
     req.may_have_run = True
     registration = req.registration
-    if registration is None or not req.parts or not _is_crash_possible(state, registration, ctx.now):
+    if registration is None or not req.blamable or not _is_crash_possible(state, registration, ctx.now):
         return retry_after_loss(state, req, ctx)
     check = CheckUpstream(
         req.key,
@@ -110,6 +111,7 @@
         registration.born_ms,
         req.parts,
         has_answer_head=bool(event.status),
+        digest=req.digest,
     )
     return [check]
 
--- a/basilcove/quarantine/coordinator.py
+++ b/basilcove/quarantine/coordinator.py
@@ -39,6 +39,7 @@
     fields = (
         ('instance', report.instance),
         ('parts', ' '.join(report.request.parts)),
+        ('digest', report.request.digest),
         ('has_answer_head', str(report.request.has_answer_head)),
         ('source', event.peer.node),
     )
--- a/basilcove/quarantine/messages.py
+++ b/basilcove/quarantine/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from basilcove.core.events import Message
-from basilcove.core.ids import InstanceId, PartId
+from basilcove.core.ids import NO_PART, InstanceId, PartId
 from basilcove.helpers.codec import message
 from basilcove.quarantine import quarantine_pb2 as pb
 
@@ -12,12 +12,17 @@
 class LostRequest:
     """A request that an upstream had when it crashed, and of whose answer the caller got nothing.
 
-    ``parts`` are the shared parts of its prompt, in order. With ``has_answer_head``, the upstream crashed
-    between the head of the answer and its first event.
+    ``parts`` are the shared parts of its prompt, in order; ``digest`` is equal for identical requests only.
+    With ``has_answer_head``, the upstream crashed between the head of the answer and its first event.
     """
 
     parts: tuple[PartId, ...]
     has_answer_head: bool
+    digest: PartId = NO_PART
+
+    def has(self, part: PartId) -> bool:
+        """Return whether the request has a part of a prompt, or is the one with this digest."""
+        return part in self.parts or (part == self.digest and part != NO_PART)
 
 
 @message('quarantine.crash_report', pb.CrashReport)
@@ -32,8 +37,9 @@
 
 @dataclass(frozen=True, slots=True)
 class QuarantinedPart:
-    """A part of prompts that is refused for ``remaining_s``, and then tried with one request at a time.
+    """A part of prompts, or the digest of a request, that is refused for ``remaining_s``.
 
+    It is then tried with one request at a time.
     ``version`` grows with each crash that the part is blamed for; a release counts for its version.
     """
 
--- a/basilcove/quarantine/models.py
+++ b/basilcove/quarantine/models.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from basilcove.core.ids import InstanceId, NodeId, PartId
+from basilcove.core.ids import NO_PART, InstanceId, NodeId, PartId
 from basilcove.quarantine.const import (
     CONFIRMING_WEIGHT,
     EVIDENCE_LIFETIME_S,
@@ -126,16 +126,27 @@
     def _blame_for(self, crash: Crash, now: float) -> list[PartId]:
         blamed = []
         for req in crash.suspects:
-            part = self._find_cause(req)
-            if part is not None and self._blame(part, crash, now):
-                blamed.append(part)
+            for part in self._find_causes(req):
+                if self._blame(part, crash, now):
+                    blamed.append(part)
         return blamed
 
     def _is_to_blame(self, part: PartId, record: PartRecord) -> bool:
         """Return whether a part stays blamed although answers with it are known."""
         return self.sound_at[part] <= record.blamed_at and self._weigh(part) >= CONFIRMING_WEIGHT
 
-    def _find_cause(self, req: LostRequest) -> PartId | None:
+    def _find_causes(self, req: LostRequest) -> Iterator[PartId]:
+        """Yield the digest of a request that crashed an upstream, and the part that others may crash with.
+
+        An answer to another request with a shared part tells nothing about this request.
+        """
+        if req.has_answer_head and req.digest != NO_PART:
+            yield req.digest
+        part = self._find_part(req)
+        if part is not None:
+            yield part
+
+    def _find_part(self, req: LostRequest) -> PartId | None:
         """Return the part of a lost request that is to blame; None if nothing tells.
 
         Where the evidence is the same, the last part is blamed: the parts before it are in more requests.
@@ -149,13 +160,18 @@
         return unknown[-1] if unknown and req.has_answer_head else None
 
     def _weigh(self, part: PartId) -> int:
-        """Return the weight of the incidents since the last answer with a part."""
+        """Return the weight of the incidents since the last answer with a part.
+
+        Crashes with one and the same request say nothing about the parts that it shares with others, so each
+        request counts once.
+        """
         sound_at = self.sound_at.get(part)
         weights: dict[int, int] = {}
+        counted: set[PartId] = set()
         for crash in self.crashes.values():
             if sound_at is not None and crash.crashed_at <= sound_at:
                 continue
-            weight = _weigh_crash(crash, part)
+            weight = _weigh_crash(crash, part, counted)
             weights[crash.incident] = max(weight, weights.get(crash.incident, 0))
         return sum(weights.values())
 
@@ -177,9 +193,13 @@
         return True
 
 
-def _weigh_crash(crash: Crash, part: PartId) -> int:
+def _weigh_crash(crash: Crash, part: PartId, counted: set[PartId]) -> int:
+    """Return the weight of a crash against a part; adds the digests of its requests to the counted ones."""
     weight = 0
     for req in crash.suspects:
-        if part in req.parts:
-            weight = max(weight, HEAD_WEIGHT if req.has_answer_head else NO_HEAD_WEIGHT)
+        if not req.has(part) or req.digest in counted:
+            continue
+        weight = max(weight, HEAD_WEIGHT if req.has_answer_head else NO_HEAD_WEIGHT)
+        if req.digest not in {NO_PART, part}:
+            counted.add(req.digest)
     return weight
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from basilcove.core.events import Effect, Received, Send
-from basilcove.core.ids import PartId
+from basilcove.core.ids import NO_PART, PartId
 from basilcove.gateway.events import (
     AnswerBegun,
     AttemptResult,
@@ -31,9 +31,9 @@
         self.world = World(*upstreams)
         self._key = 1000
 
-    def ask(self, *parts: PartId, path: str = '/brief/x') -> list[Effect]:
+    def ask(self, *parts: PartId, path: str = '/brief/x', digest: PartId = NO_PART) -> list[Effect]:
         self._key += 1
-        head = RequestHead(f'request-{self._key}', HOST, path, KEY, 5, parts)
+        head = RequestHead(f'request-{self._key}', HOST, path, KEY, 5, parts, digest)
         return self.world.apply(RequestArrived(self._key, head))
 
     def lose(self, start: StartAttempt, status: int = 200) -> CheckUpstream:
@@ -112,6 +112,19 @@
         assert (answer.status, answer.retry_after_s) == (HTTPStatus.SERVICE_UNAVAILABLE, None)
         assert only_start(callers.ask(PARTS[0])).instance == 'up-1'
 
+    def test_identical_request_is_refused_and_others_are_served(self) -> None:
+        """Guards against a request that crashes upstreams each time that its caller sends it."""
+        callers = Callers('up-1', 'up-2')
+        deadly, other = PartId('request-1'), PartId('request-2')
+        check = callers.lose(only_start(callers.ask(*PARTS, digest=deadly)))
+        effects = callers.world.apply(UpstreamChecked(check, has_ended=True))
+        assert messages(effects, CrashReport)[0].request.digest == deadly
+        callers.quarantine(deadly)
+        assert only(callers.ask(*PARTS, digest=deadly), Refuse).retry_after_s is None
+        start = only_start(callers.ask(*PARTS, digest=other))
+        assert not messages(callers.world.apply(AnswerBegun(start.key, start.number)), SoundParts)
+        assert only(callers.ask(*PARTS, digest=deadly), Refuse)
+
     def test_retry_of_a_request_whose_part_was_quarantined(self) -> None:
         """Guards against the retry of a request that was sent before its part was known."""
         callers = Callers('up-1', 'up-2')
--- a/tests/quarantine/test_models.py
+++ b/tests/quarantine/test_models.py
@@ -1,4 +1,4 @@
-from basilcove.core.ids import InstanceId, PartId
+from basilcove.core.ids import NO_PART, InstanceId, PartId
 from basilcove.quarantine.const import EVIDENCE_LIFETIME_S, FIRST_QUARANTINE_S, RECORD_LIFETIME_S
 from basilcove.quarantine.messages import CrashReport, LostRequest
 from basilcove.quarantine.models import QuarantineState
@@ -6,6 +6,8 @@
 DEADLY = PartId('dead')
 POPULAR = PartId('popular')
 RARE = PartId('rare')
+REQUEST = PartId('request-1')
+OTHER_REQUEST = PartId('request-2')
 # Time between crashes of one group, which is down in the meantime.
 GAP_S = 5.0
 
@@ -18,16 +20,16 @@
         self.now = 100.0
         self.crashes = 0
 
-    def crash(self, *parts: PartId, has_answer_head: bool = True) -> list[PartId]:
+    def crash(self, *parts: PartId, has_answer_head: bool = True, digest: PartId = NO_PART) -> list[PartId]:
         """Return the parts that a new crash brings the blame to."""
         self.now += GAP_S
         self.crashes += 1
-        return self.report(*parts, has_answer_head=has_answer_head)
+        return self.report(*parts, has_answer_head=has_answer_head, digest=digest)
 
-    def report(self, *parts: PartId, has_answer_head: bool = True) -> list[PartId]:
+    def report(self, *parts: PartId, has_answer_head: bool = True, digest: PartId = NO_PART) -> list[PartId]:
         """Return the parts that another request of the last crash brings the blame to."""
-        report = CrashReport(InstanceId(f'up-{self.crashes}'), 1, LostRequest(parts, has_answer_head))
-        return self.state.add_crash(report, self.now)
+        lost = LostRequest(parts, has_answer_head, digest)
+        return self.state.add_crash(CrashReport(InstanceId(f'up-{self.crashes}'), 1, lost), self.now)
 
     def answer(self, part: PartId, age_s: float = 0) -> list[PartId]:
         return self.state.add_answer(part, self.now - age_s, self.now)
@@ -128,3 +130,36 @@
         evidence.state.drop_expired(evidence.now)
         state = evidence.state
         assert (state.crashes, state.sound_at, state.records) == ({}, {}, {})
+
+
+class TestIdenticalRequests:
+    def test_request_stays_refused_though_its_part_is_answered(self) -> None:
+        """Guards against a request that is sent again and again, since others with its part are answered."""
+        evidence = Evidence()
+        assert evidence.crash(POPULAR, digest=REQUEST) == [REQUEST, POPULAR]
+        assert evidence.answer(POPULAR, age_s=3) == [POPULAR]
+        assert evidence.refused() == {REQUEST}
+
+    def test_one_request_that_crashes_again_is_no_evidence_against_its_part(self) -> None:
+        """Guards against sound requests that are refused, since one with the same part crashes upstreams."""
+        evidence = Evidence()
+        evidence.answer(POPULAR)
+        for _ in range(4):
+            evidence.crash(POPULAR, digest=REQUEST)
+        assert evidence.refused() == {REQUEST}
+
+    def test_different_requests_are_evidence_against_their_part(self) -> None:
+        """Guards against a deadly part that hides behind the requests which have it."""
+        evidence = Evidence()
+        evidence.answer(POPULAR)
+        evidence.answer(DEADLY)
+        evidence.crash(POPULAR, DEADLY, digest=REQUEST)
+        evidence.answer(POPULAR)
+        assert DEADLY in evidence.crash(POPULAR, DEADLY, digest=OTHER_REQUEST)
+        assert evidence.refused() == {REQUEST, OTHER_REQUEST, DEADLY}
+
+    def test_request_that_only_waited(self) -> None:
+        """Guards against a request that is refused, as an upstream crashed while it waited there."""
+        evidence = Evidence()
+        assert not evidence.crash(RARE, has_answer_head=False, digest=REQUEST)
+        assert evidence.report(POPULAR, digest=OTHER_REQUEST) == [OTHER_REQUEST, POPULAR]
