Acknowledge a departure only when most control hosts know of it

Cause: the host acknowledged a change of its own memory and told others with its next tick, up to 0.1 s later. Ruled out by the timing of the case: a lost message, and one dropped as old (the kill comes before any message is sent).

Change: departures are passed on at once and acknowledged when most of the linked hosts, this one included, have stored them; otherwise the engine gets 503 within 0.7 s and asks another host. It works as a host that has stored a departure tells its gateways and all hosts that link to it. Stating that it drains needs no such wait: the engine repeats it within 1.2 s.

The five tests of TestDepartures could not be run before: events and messages are new.

--- a/basilcove/registry/const.py
+++ b/basilcove/registry/const.py
@@ -8,6 +8,8 @@
 # A registration that was not renewed for this long is dropped. Until then it serves to recognize late calls
 # of a former process.
 FORGOTTEN_AFTER_S: Final = 120.0
+# An upstream that gets no answer to its departure within about a second asks another host.
+DEPARTURE_TIMEOUT_S: Final = 0.7
 # A longer gap between two ticks is a pause of this process, in which it could receive no calls.
 MIN_PAUSE_S: Final = 0.5
 # Bounds the table if a client invents instances.
--- a/basilcove/registry/coordinator.py
+++ b/basilcove/registry/coordinator.py
@@ -7,9 +7,10 @@
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.registry.checks import find_fault
 from basilcove.registry.const import FORGOTTEN_AFTER_S, MIN_PAUSE_S, SILENT_AFTER_S
-from basilcove.registry.events import UpstreamRegistered
+from basilcove.registry.departures import confirm_known, confirm_stored
+from basilcove.registry.events import UpstreamLeft, UpstreamRegistered
 from basilcove.registry.messages import Registration, Registrations, RegistrationState
-from basilcove.registry.models import RegistryState, Row
+from basilcove.registry.models import RegistryState, Row, Unconfirmed
 
 
 @handles(PeerFound, RegistryState)
@@ -21,7 +22,7 @@
         state.gateways.add(node)
     else:
         return []
-    return [Send(node, _build_message(state, state.rows))]
+    return [Send(node, build_message(state, state.rows))]
 
 
 @handles(PeerLost, RegistryState)
@@ -33,7 +34,20 @@
 
 @handles(UpstreamRegistered, RegistryState)
 def _on_registered(state: RegistryState, event: UpstreamRegistered, ctx: Context) -> list[Effect]:
-    return _merge(state, event.registration, 'call', ctx.now)
+    return merge(state, event.registration, 'call', ctx.now)
+
+
+@handles(UpstreamLeft, RegistryState)
+def _on_left(state: RegistryState, event: UpstreamLeft, ctx: Context) -> list[Effect]:
+    """Tell all nodes at once: the caller is answered as soon as enough control hosts know of it."""
+    registration = event.registration
+    effects = merge(state, registration, 'call', ctx.now)
+    state.unconfirmed[registration.departure] = Unconfirmed(ctx.now)
+    msg = build_message(state, [registration.instance])
+    state.changed.pop(registration.instance, None)
+    state.renewed.pop(registration.instance, None)
+    effects.extend(Send(node, msg) for node in (*sorted(state.hosts), *sorted(state.gateways)))
+    return [*effects, *confirm_known(state, registration.departure)]
 
 
 @handles_message(Registrations, RegistryState)
@@ -43,11 +57,12 @@
     effects: list[Effect] = []
     for registration in msg.registrations:
         if registration.instance not in msg.silent:
-            effects.extend(_merge(state, registration, event.peer.node, ctx.now))
-    return effects
+            effects.extend(merge(state, registration, event.peer.node, ctx.now))
+    return [*effects, *confirm_stored(event.peer.node, msg)]
 
 
-def _merge(state: RegistryState, registration: Registration, source: str, now: float) -> list[Effect]:
+def merge(state: RegistryState, registration: Registration, source: str, now: float) -> list[Effect]:
+    """Take over a registration, from a call to this host or the host that is its source; log a change."""
     fault = find_fault(registration)
     if fault is not None:
         return _drop(registration, fault, source)
@@ -79,12 +94,13 @@
 @handles(Tick, RegistryState)
 def _on_tick(state: RegistryState, event: Tick, ctx: Context) -> list[Effect]:
     _discount_pause(state, ctx.now)
+    state.drop_unconfirmed(ctx.now)
     effects = _expire_rows(state, ctx.now)
     if state.changed:
-        msg = _build_message(state, state.changed)
+        msg = build_message(state, state.changed)
         effects.extend(Send(node, msg) for node in sorted(state.gateways))
     if state.renewed and state.hosts:
-        msg = _build_message(state, state.renewed)
+        msg = build_message(state, state.renewed)
         effects.extend(Send(node, msg) for node in sorted(state.hosts))
     state.changed.clear()
     state.renewed.clear()
@@ -123,7 +139,8 @@
         del state.addresses[row.registration.address]
 
 
-def _build_message(state: RegistryState, instances: Iterable[InstanceId]) -> Registrations:
+def build_message(state: RegistryState, instances: Iterable[InstanceId]) -> Registrations:
+    """Return the message that tells other nodes of these instances."""
     rows = [state.rows[instance] for instance in instances if instance in state.rows]
     silent = tuple(row.registration.instance for row in rows if row.is_silent)
     return Registrations(tuple(row.registration for row in rows), silent, len(state.gateways))
--- a/basilcove/registry/messages.py
+++ b/basilcove/registry/messages.py
@@ -46,6 +46,11 @@
     rank: Rank = FIRST_RANK
     group_size: int = 0
 
+    @property
+    def departure(self) -> 'Departure':
+        """Return the end of this start of the upstream."""
+        return Departure(self.instance, self.born_ms)
+
     @property
     def age_key(self) -> tuple[int, int]:
         """Return the key by which the calls of an instance are ordered."""
@@ -63,3 +68,19 @@
     registrations: tuple[Registration, ...]
     silent: tuple[InstanceId, ...] = ()
     gateways: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """The end of one start of an upstream."""
+
+    instance: InstanceId
+    born_ms: int
+
+
+@message('registry.departures_stored', pb.DeparturesStored)
+@dataclass(frozen=True, slots=True)
+class DeparturesStored(Message):
+    """Departures that a control host was told by another one, and now passes on itself."""
+
+    departures: tuple[Departure, ...]
--- a/basilcove/registry/models.py
+++ b/basilcove/registry/models.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field, replace
 
 from basilcove.core.ids import InstanceId, NodeId
-from basilcove.registry.const import MAX_INSTANCES, MAX_SEQUENCE
-from basilcove.registry.messages import Registration, RegistrationState
+from basilcove.registry.const import DEPARTURE_TIMEOUT_S, MAX_INSTANCES, MAX_SEQUENCE
+from basilcove.registry.messages import Departure, Registration, RegistrationState
 
 
 @dataclass(slots=True)
@@ -16,6 +16,14 @@
     is_silent: bool = False
 
 
+@dataclass(slots=True)
+class Unconfirmed:
+    """When an upstream said that it ends, in monotonic seconds, and the other hosts that know of it."""
+
+    told_at: float
+    hosts: set[NodeId] = field(default_factory=set)
+
+
 @dataclass(slots=True)
 class RegistryState:
     """Registered upstreams, and the instances of which linked nodes have not been notified yet.
@@ -31,6 +39,14 @@
     renewed: dict[InstanceId, None] = field(default_factory=dict)
     changed: dict[InstanceId, None] = field(default_factory=dict)
     ticked_at: float | None = None
+    # Departures that this host must not acknowledge yet.
+    unconfirmed: dict[Departure, Unconfirmed] = field(default_factory=dict)
+
+    def drop_unconfirmed(self, now: float) -> None:
+        """Forget departures whose callers have been answered that it isn't known."""
+        for departure, unconfirmed in tuple(self.unconfirmed.items()):
+            if now - unconfirmed.told_at > DEPARTURE_TIMEOUT_S:
+                del self.unconfirmed[departure]
 
     def merge(self, registration: Registration, now: float) -> bool:
         """Store a registration if none is newer and the table has room; return whether it was stored."""
--- a/tests/registry/test_coordinator.py
+++ b/tests/registry/test_coordinator.py
@@ -1,10 +1,10 @@
-from basilcove.core.events import Effect, Peer, PeerFound, Received, Send, Tick
+from basilcove.core.events import Effect, Peer, PeerFound, PeerLost, Received, Send, Tick
 from basilcove.core.ids import Incarnation, InstanceId, NodeId, Role, ServiceName, Zone
 from basilcove.core.reducer import Node, reduce
 from basilcove.registry import coordinator as _registry  # noqa: F401
-from basilcove.registry.const import FORGOTTEN_AFTER_S, SILENT_AFTER_S
-from basilcove.registry.events import UpstreamRegistered
-from basilcove.registry.messages import Registration, Registrations, RegistrationState
+from basilcove.registry.const import DEPARTURE_TIMEOUT_S, FORGOTTEN_AFTER_S, SILENT_AFTER_S
+from basilcove.registry.events import ConfirmDeparture, UpstreamLeft, UpstreamRegistered
+from basilcove.registry.messages import DeparturesStored, Registration, Registrations, RegistrationState
 from basilcove.registry.models import RegistryState
 from tests.gateway.world import registration
 
@@ -28,6 +28,11 @@
     def call(self, upstream: Registration) -> None:
         self.apply(UpstreamRegistered(upstream))
 
+    def leave(self, name: str) -> list[Effect]:
+        departure = self.state.departure_of(InstanceId(name))
+        assert departure is not None
+        return self.apply(UpstreamLeft(departure))
+
     def run_tick(self, node: NodeId) -> list[Registrations]:
         sends = [effect for effect in self.apply(Tick()) if isinstance(effect, Send)]
         return [send.message for send in sends if send.node == node]  # type: ignore[misc]
@@ -155,3 +160,63 @@
             reduce(Node(restarted), Received(HOST, message), 3, 3)
         reduce(Node(restarted), UpstreamRegistered(registration('up-1', sequence=5)), 4, 4)
         assert restarted.rows[upstream.instance].registration.standing is RegistrationState.GONE
+
+
+class TestDepartures:
+    def test_other_hosts_and_gateways_are_told_at_once(self) -> None:
+        """Guards against an upstream that gets requests, as the host that it told of its end lost power."""
+        control = Control()
+        control.call(registration('up', 1))
+        control.apply(Tick())
+        effects = control.leave('up')
+        assert [effect.node for effect in effects if isinstance(effect, Send)] == [HOST.node, GATEWAY.node]
+        assert not control.run_tick(GATEWAY.node)
+
+    def test_departure_is_confirmed_once_another_host_knows_it(self) -> None:
+        """Guards against an acknowledged departure that is lost with one control host."""
+        control = Control()
+        control.call(registration('up', 1))
+        effects = control.leave('up')
+        assert not confirmed(effects)
+        told = next(effect for effect in effects if isinstance(effect, Send) and effect.node == HOST.node)
+        other = Control()
+        answers = [effect for effect in other.apply(Received(HOST, told.message)) if isinstance(effect, Send)]
+        assert [answer.node for answer in answers] == [HOST.node]
+        assert confirmed(control.apply(Received(HOST, answers[0].message)))
+
+    def test_five_hosts_bear_the_loss_of_two(self) -> None:
+        """Guards against an acknowledgement that only one of four other hosts backs."""
+        control = Control()
+        hosts = [
+            Peer(NodeId(f'c{number}'), (Role.CONTROL,), Incarnation(1), Zone('b')) for number in (3, 4, 5)
+        ]
+        for host in hosts:
+            control.apply(PeerFound(host))
+        control.call(registration('up', 1))
+        control.leave('up')
+        stored = DeparturesStored((registration('up').departure,))
+        assert not confirmed(control.apply(Received(HOST, stored)))
+        assert not confirmed(control.apply(Received(HOST, stored)))
+        assert confirmed(control.apply(Received(hosts[0], stored)))
+
+    def test_single_host_confirms_alone(self) -> None:
+        """Guards against a departure that a group of one host never acknowledges."""
+        control = Control()
+        control.apply(PeerLost(HOST))
+        control.call(registration('up', 1))
+        assert confirmed(control.leave('up'))
+
+    def test_late_word_of_another_host_confirms_nothing(self) -> None:
+        """Guards against an answer to a caller that was told otherwise, and a table that grows."""
+        control = Control()
+        control.call(registration('up', 1))
+        control.leave('up')
+        control.now += DEPARTURE_TIMEOUT_S + 0.1
+        control.apply(Tick())
+        stored = DeparturesStored((registration('up').departure,))
+        assert not confirmed(control.apply(Received(HOST, stored)))
+        assert not control.state.unconfirmed
+
+
+def confirmed(effects: list[Effect]) -> bool:
+    return any(isinstance(effect, ConfirmDeparture) for effect in effects)
