--- a/basilcove/storage/journal.py
+++ b/basilcove/storage/journal.py
@@ -4,7 +4,6 @@
 import fcntl
 import os
 from pathlib import Path
-from typing import TypeVar
 
 from google.protobuf.message import Message as ProtoMessage
 
@@ -27,8 +26,7 @@
 from basilcove.storage.frames import pack_frame, scan_frames
 from basilcove.storage.models import Batch, HardState, LogEntry, LogStart, Recovered, Snapshot
 from basilcove.storage.replay import Replay
-
-RecordT = TypeVar('RecordT')
+from basilcove.storage.segments import SegmentReader, decode_batch, decode_record
 
 # The disk, a quota or a limit on the size of files is exhausted.
 _NO_SPACE = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
@@ -53,8 +51,6 @@
         # Offset at which the durable frames of the segment end.
         self._durable_end = 0
         self._has_failed = False
-        # Where a segment is damaged whose records no later one has replaced so far.
-        self._damage = ''
         # The sync of the segment found no space.
         self._is_segment_uncertain = False
         # The beginning of the log after a snapshot whose segment is missing.
@@ -74,12 +70,12 @@
             raise StorageError(f'{self._folder} is in use by another process') from exc
         for leftover in self._folder.glob(f'*{TEMPORARY_SUFFIX}'):
             leftover.unlink()
-        replay = Replay()
         segments = self._list_files(SEGMENT_SUFFIX)
+        reader = SegmentReader()
         for segment in segments:
-            self._replay_segment(segment, replay, is_last=segment == segments[-1])
-        if self._damage:
-            raise StorageDamagedError(self._damage)
+            reader.read(segment, is_last=segment == segments[-1])
+        replay = reader.finish()
+        self._sequence = reader.sequence
         self._segment = int(segments[-1].stem) if segments else 1
         self._open_segment()
         recovered = replay.finish(self._newest_snapshot())
@@ -125,7 +121,7 @@
             os.ftruncate(self._file, self._durable_end)
             for segment in self._list_files(SEGMENT_SUFFIX):
                 for frame in scan_frames(segment.read_bytes()):
-                    replay.add(_from_bytes(Batch, pb.Batch, frame.body))
+                    replay.add(decode_batch(frame.body))
             # The frame whose sync failed may be found again after a loss of power, so its number is left out.
             self._sequence += 1
             self._rotate(replay.to_batch())
@@ -190,37 +186,6 @@
     def _path(self, number: int, suffix: str) -> Path:
         return self._folder / f'{number:0{NUMBER_WIDTH}d}{suffix}'
 
-    def _replay_segment(self, segment: Path, replay: Replay, is_last: bool) -> None:
-        content = segment.read_bytes()
-        end = 0
-        for frame in scan_frames(content):
-            batch = _from_bytes(Batch, pb.Batch, frame.body)
-            self._check_order(segment, frame.sequence, batch)
-            replay.add(batch)
-            self._sequence = frame.sequence
-            end = frame.end
-        if end == len(content):
-            return
-        if not is_last:
-            self._damage = f'{segment}: damaged record at byte {end}'
-            return
-        with segment.open('r+b') as torn:
-            torn.truncate(end)
-            os.fsync(torn.fileno())
-
-    def _check_order(self, segment: Path, sequence: int, batch: Batch) -> None:
-        """Raise StorageDamagedError if records before this one are missing or damaged.
-
-        A batch with a start replaces all earlier ones, so it may follow a gap: after a crash one deleted
-        segment may still exist while the next is gone, and a segment whose sync failed may end anyhow.
-        """
-        if batch.start is not None and sequence > self._sequence:
-            self._damage = ''
-        elif self._sequence and sequence != self._sequence + 1:
-            raise StorageDamagedError(f'{segment}: record {self._sequence + 1} is missing')
-        if self._damage:
-            raise StorageDamagedError(self._damage)
-
     def _open_segment(self) -> None:
         path = self._path(self._segment, SEGMENT_SUFFIX)
         self._file = os.open(path, _APPEND_FLAGS, FILE_MODE)
@@ -263,7 +228,7 @@
         frames = tuple(scan_frames(paths[-1].read_bytes()))
         if len(frames) != 1:
             raise StorageDamagedError(f'{paths[-1]}: damaged snapshot')
-        return _from_bytes(Snapshot, pb.Snapshot, frames[0].body)
+        return decode_record(Snapshot, pb.Snapshot, frames[0].body)
 
     def _sync_folder(self) -> None:
         handle = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
@@ -286,7 +251,3 @@
 
 def _to_bytes(record: object, proto: type[ProtoMessage]) -> bytes:
     return codec.to_proto(record, proto).SerializeToString()
-
-
-def _from_bytes(cls: type[RecordT], proto: type[ProtoMessage], body: bytes) -> RecordT:
-    return codec.from_proto(cls, proto.FromString(body))
