--- a/basilcove/storage/segments.py
+++ b/basilcove/storage/segments.py
@@ -37,7 +37,7 @@
         self._damage = ''
 
     def read(self, segment: Path, is_last: bool) -> None:
-        """Replay a segment, without a torn tail of the last one; StorageDamagedError if a record is missing."""
+        """Replay a segment, the last one without a torn tail; StorageDamagedError if a record is missing."""
         content = segment.read_bytes()
         end = 0
         for frame in scan_frames(content):
