--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -78,19 +78,23 @@
     connections: int = 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer the requests of one connection."""
+        """Answer the requests of one connection, and close it even if the test ends first."""
         self.connections += 1
-        while True:
-            try:
-                head = await reader.readuntil(b'\r\n\r\n')
-            except (asyncio.IncompleteReadError, ConnectionError):
-                writer.close()
-                return
-            call = UpstreamCall(head, b'', reader, writer)
-            call.body = await reader.readexactly(int(call.header('Content-Length') or 0))
-            script = self.scripts[min(len(self.calls), len(self.scripts) - 1)]
-            self.calls.append(call)
-            await script(call)
+        try:
+            while True:
+                await self._serve_next(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            """The gateway closed the connection."""
+        finally:
+            writer.close()
+
+    async def _serve_next(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b'\r\n\r\n')
+        call = UpstreamCall(head, b'', reader, writer)
+        call.body = await reader.readexactly(int(call.header('Content-Length') or 0))
+        script = self.scripts[min(len(self.calls), len(self.scripts) - 1)]
+        self.calls.append(call)
+        await script(call)
 
 
 @dataclass
