Acknowledge the departure of a start whose address another one has

Found by reading the diff: where a later start has its address, a departure changes nothing, so no other host was told and none could confirm it; the upstream would have got 503 from each host. Before departures had to be confirmed it got 200. Such a start gets no requests any more, so it is acknowledged at once. The test failed before.

--- a/basilcove/registry/coordinator.py
+++ b/basilcove/registry/coordinator.py
@@ -8,7 +8,7 @@
 from basilcove.registry.checks import find_fault
 from basilcove.registry.const import FORGOTTEN_AFTER_S, MIN_PAUSE_S, SILENT_AFTER_S
 from basilcove.registry.departures import confirm_known, confirm_stored
-from basilcove.registry.events import UpstreamLeft, UpstreamRegistered
+from basilcove.registry.events import ConfirmDeparture, UpstreamLeft, UpstreamRegistered
 from basilcove.registry.messages import Registration, Registrations, RegistrationState
 from basilcove.registry.models import RegistryState, Row, Unconfirmed
 
@@ -42,6 +42,10 @@
     """Tell all nodes at once: the caller is answered as soon as enough control hosts know of it."""
     registration = event.registration
     effects = merge(state, registration, 'call', ctx.now)
+    row = state.rows.get(registration.instance)
+    if row is None or row.registration.standing is not RegistrationState.GONE:
+        # A later start has the address, so nothing is sent to this one any more.
+        return [*effects, ConfirmDeparture(registration.departure)]
     state.unconfirmed[registration.departure] = Unconfirmed(ctx.now)
     msg = build_message(state, [registration.instance])
     state.changed.pop(registration.instance, None)
--- a/tests/registry/test_coordinator.py
+++ b/tests/registry/test_coordinator.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from basilcove.core.events import Effect, Peer, PeerFound, PeerLost, Received, Send, Tick
 from basilcove.core.ids import Incarnation, InstanceId, NodeId, Role, ServiceName, Zone
 from basilcove.core.reducer import Node, reduce
@@ -199,6 +201,14 @@
         assert not confirmed(control.apply(Received(HOST, stored)))
         assert confirmed(control.apply(Received(hosts[0], stored)))
 
+    def test_departure_of_a_start_whose_address_another_one_has(self) -> None:
+        """Guards against an upstream whose late departure no host ever acknowledges."""
+        control = Control()
+        former = registration('up', 1)
+        control.call(former)
+        control.call(replace(registration('next', 1), address=former.address, born_ms=former.born_ms + 1))
+        assert confirmed(control.leave('up'))
+
     def test_single_host_confirms_alone(self) -> None:
         """Guards against a departure that a group of one host never acknowledges."""
         control = Control()
