--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -168,7 +168,7 @@
         self._held.resize(self._exchange.splitter.size_bytes)
         if events:
             self._forward(events)
-        elif self._held.held.is_exhausted:
+        elif self._held.is_exhausted:
             self._abort('all answers together hold too many bytes')
 
     def on_end(self) -> None:
@@ -206,7 +206,7 @@
         else:
             # The body of a refusal is not used.
             buffered.size_bytes += len(part)
-        if buffered.size_bytes <= MAX_BUFFERED_BYTES and not self._held.held.is_exhausted:
+        if buffered.size_bytes <= MAX_BUFFERED_BYTES and not self._held.is_exhausted:
             return
         if refusal is not None:
             self._finish(refusal, 'the body of a refusal is too large')
--- a/basilcove/gateway/held.py
+++ b/basilcove/gateway/held.py
@@ -11,11 +11,6 @@
 
     total: int = 0
 
-    @property
-    def is_exhausted(self) -> bool:
-        """Return whether no answer may be held any longer."""
-        return self.total > MAX_HELD_BYTES
-
 
 @dataclass(slots=True)
 class HeldShare:
@@ -24,6 +19,11 @@
     held: HeldBytes
     size: int = 0
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Return whether no answer may be held any longer."""
+        return self.held.total > MAX_HELD_BYTES
+
     def resize(self, size: int) -> None:
         """Set the number of bytes that the attempt holds now."""
         self.held.total += size - self.size
--- a/basilcove/registry/coordinator.py
+++ b/basilcove/registry/coordinator.py
@@ -22,7 +22,7 @@
         state.gateways.add(node)
     else:
         return []
-    return [Send(node, build_message(state, state.rows))]
+    return [Send(node, _build_message(state, state.rows))]
 
 
 @handles(PeerLost, RegistryState)
@@ -34,20 +34,20 @@
 
 @handles(UpstreamRegistered, RegistryState)
 def _on_registered(state: RegistryState, event: UpstreamRegistered, ctx: Context) -> list[Effect]:
-    return merge(state, event.registration, 'call', ctx.now)
+    return _merge(state, event.registration, 'call', ctx.now)
 
 
 @handles(UpstreamLeft, RegistryState)
 def _on_left(state: RegistryState, event: UpstreamLeft, ctx: Context) -> list[Effect]:
     """Tell all nodes at once: the caller is answered as soon as enough control hosts know of it."""
     registration = event.registration
-    effects = merge(state, registration, 'call', ctx.now)
+    effects = _merge(state, registration, 'call', ctx.now)
     row = state.rows.get(registration.instance)
     if row is None or row.registration.standing is not RegistrationState.GONE:
         # A later start has the address, so nothing is sent to this one any more.
         return [*effects, ConfirmDeparture(registration.departure)]
     state.unconfirmed[registration.departure] = Unconfirmed(ctx.now)
-    msg = build_message(state, [registration.instance])
+    msg = _build_message(state, [registration.instance])
     state.changed.pop(registration.instance, None)
     state.renewed.pop(registration.instance, None)
     effects.extend(Send(node, msg) for node in (*sorted(state.hosts), *sorted(state.gateways)))
@@ -61,12 +61,11 @@
     effects: list[Effect] = []
     for registration in msg.registrations:
         if registration.instance not in msg.silent:
-            effects.extend(merge(state, registration, event.peer.node, ctx.now))
+            effects.extend(_merge(state, registration, event.peer.node, ctx.now))
     return [*effects, *confirm_stored(event.peer.node, msg)]
 
 
-def merge(state: RegistryState, registration: Registration, source: str, now: float) -> list[Effect]:
-    """Take over a registration, from a call to this host or the host that is its source; log a change."""
+def _merge(state: RegistryState, registration: Registration, source: str, now: float) -> list[Effect]:
     fault = find_fault(registration)
     if fault is not None:
         return _drop(registration, fault, source)
@@ -101,10 +100,10 @@
     state.drop_unconfirmed(ctx.now)
     effects = _expire_rows(state, ctx.now)
     if state.changed:
-        msg = build_message(state, state.changed)
+        msg = _build_message(state, state.changed)
         effects.extend(Send(node, msg) for node in sorted(state.gateways))
     if state.renewed and state.hosts:
-        msg = build_message(state, state.renewed)
+        msg = _build_message(state, state.renewed)
         effects.extend(Send(node, msg) for node in sorted(state.hosts))
     state.changed.clear()
     state.renewed.clear()
@@ -143,8 +142,7 @@
         del state.addresses[row.registration.address]
 
 
-def build_message(state: RegistryState, instances: Iterable[InstanceId]) -> Registrations:
-    """Return the message that tells other nodes of these instances."""
+def _build_message(state: RegistryState, instances: Iterable[InstanceId]) -> Registrations:
     rows = [state.rows[instance] for instance in instances if instance in state.rows]
     silent = tuple(row.registration.instance for row in rows if row.is_silent)
     return Registrations(tuple(row.registration for row in rows), silent, len(state.gateways))
--- a/basilcove/registry/models.py
+++ b/basilcove/registry/models.py
@@ -43,7 +43,7 @@
     unconfirmed: dict[Departure, Unconfirmed] = field(default_factory=dict)
 
     def drop_unconfirmed(self, now: float) -> None:
-        """Forget departures whose callers have been answered that it isn't known."""
+        """Forget departures that were not confirmed in time; their callers have been refused."""
         for departure, unconfirmed in tuple(self.unconfirmed.items()):
             if now - unconfirmed.told_at > DEPARTURE_TIMEOUT_S:
                 del self.unconfirmed[departure]
--- a/basilcove/roles/gateway.py
+++ b/basilcove/roles/gateway.py
@@ -18,7 +18,7 @@
     runtime = assembly.runtime
     state = GatewayState.from_config(cfg, assembly.settings.zone, assembly.settings.stop_timeout_s)
     driver = GatewayDriver.from_config(cfg, runtime.apply)
-    for part in (state, CallerLimits()):
+    for part in (state, CallerLimits(state.stop)):
         runtime.node.add(part)
     runtime.add_driver(driver)
     assembly.metrics.gauge('gateway_requests_open', 'Requests not ended.', lambda: len(state.requests))
--- a/basilcove/storage/journal.py
+++ b/basilcove/storage/journal.py
@@ -25,8 +25,7 @@
 )
 from basilcove.storage.frames import pack_frame, scan_frames
 from basilcove.storage.models import Batch, HardState, LogEntry, LogStart, Recovered, Snapshot
-from basilcove.storage.replay import Replay
-from basilcove.storage.segments import SegmentReader, decode_batch, decode_record
+from basilcove.storage.segments import decode_record, read_segments
 
 # The disk, a quota or a limit on the size of files is exhausted.
 _NO_SPACE = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
@@ -71,9 +70,7 @@
         for leftover in self._folder.glob(f'*{TEMPORARY_SUFFIX}'):
             leftover.unlink()
         segments = self._list_files(SEGMENT_SUFFIX)
-        reader = SegmentReader()
-        for segment in segments:
-            reader.read(segment, is_last=segment == segments[-1])
+        reader = read_segments(segments)
         replay = reader.finish()
         self._sequence = reader.sequence
         self._segment = int(segments[-1].stem) if segments else 1
@@ -116,12 +113,9 @@
 
     def _replace_segment(self) -> None:
         """Write what is durable to a new segment; StorageFailedError if that fails."""
-        replay = Replay()
         try:
             os.ftruncate(self._file, self._durable_end)
-            for segment in self._list_files(SEGMENT_SUFFIX):
-                for frame in scan_frames(segment.read_bytes()):
-                    replay.add(decode_batch(frame.body))
+            replay = read_segments(self._list_files(SEGMENT_SUFFIX)).finish()
             # The frame whose sync failed may be found again after a loss of power, so its number is left out.
             self._sequence += 1
             self._rotate(replay.to_batch())
--- a/basilcove/storage/segments.py
+++ b/basilcove/storage/segments.py
@@ -21,11 +21,6 @@
     return codec.from_proto(cls, proto.FromString(body))
 
 
-def decode_batch(body: bytes) -> Batch:
-    """Return the batch in the body of a frame."""
-    return decode_record(Batch, pb.Batch, body)
-
-
 class SegmentReader:
     """Replays segments, oldest first; ``sequence`` is the number of the last record."""
 
@@ -41,7 +36,7 @@
         content = segment.read_bytes()
         end = 0
         for frame in scan_frames(content):
-            batch = decode_batch(frame.body)
+            batch = decode_record(Batch, pb.Batch, frame.body)
             self._check_order(segment, frame.sequence, batch)
             self._replay.add(batch)
             self.sequence = frame.sequence
@@ -73,3 +68,11 @@
             raise StorageDamagedError(f'{segment}: record {self.sequence + 1} is missing')
         if self._damage:
             raise StorageDamagedError(self._damage)
+
+
+def read_segments(segments: list[Path]) -> SegmentReader:
+    """Replay all segments of a journal, oldest first; StorageDamagedError if a record is missing."""
+    reader = SegmentReader()
+    for segment in segments:
+        reader.read(segment, is_last=segment == segments[-1])
+    return reader
--- a/basilcove/wiring/limits.py
+++ b/basilcove/wiring/limits.py
@@ -6,8 +6,8 @@
 from basilcove.core.reducer import Context, handles
 from basilcove.core.runtime import carries_out
 from basilcove.environment.events import EnvironmentChanged
-from basilcove.gateway.const import STOP_NOTICE_S
 from basilcove.gateway.driver import GatewayDriver
+from basilcove.gateway.stopping import Stop
 from basilcove.http1.server import ConnectionLimits
 
 
@@ -27,9 +27,9 @@
 
 @dataclass
 class CallerLimits:
-    """Time of the stop request in monotonic seconds, and whether idle connections were closed."""
+    """The planned stop of the gateway, and whether idle connections were closed for it."""
 
-    stopping_since: float | None = None
+    stop: Stop
     has_closed_idle: bool = False
 
 
@@ -44,17 +44,12 @@
 
 @handles(StopRequested, CallerLimits)
 def _on_stop(state: CallerLimits, event: StopRequested, ctx: Context) -> list[Effect]:
-    state.stopping_since = ctx.now
     return [CloseConnections(closes_idle=False)]
 
 
 @handles(Tick, CallerLimits)
 def _on_tick(state: CallerLimits, event: Tick, ctx: Context) -> list[Effect]:
-    if (
-        state.stopping_since is None
-        or state.has_closed_idle
-        or ctx.now - state.stopping_since < STOP_NOTICE_S
-    ):
+    if state.has_closed_idle or not state.stop.is_notice_over(ctx.now):
         return []
     state.has_closed_idle = True
     return [CloseConnections(closes_idle=True)]
