Refuse announcements that were sent to a former process of a node

Cause: an announcement names the process of its agent, but not that of its receiver. Change: an announcement names the process of its receiver, covered by the proof; another process refuses it. Agents of older builds state none and are accepted as before.

--- a/basilcove/membership/announcer.py
+++ b/basilcove/membership/announcer.py
@@ -16,7 +16,7 @@
     StopRequested,
     Tick,
 )
-from basilcove.core.ids import NodeId, Role, UpstreamName
+from basilcove.core.ids import Role, UpstreamName
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.environment.keys import digest_of_secret, matches_digest
@@ -251,10 +251,11 @@
         state.loads.get(name),
     )
     digest = state.environment.upstreams[name].credential_digest
-    announce = dataclasses.replace(unsigned, proof=make_proof(unsigned, state.node, digest))
-    for node in _receivers(peers):
-        state.announced_numbers.setdefault(node, {})[name] = state.last_number
-        yield Send(node, announce)
+    for peer in _receivers(peers):
+        addressed = dataclasses.replace(unsigned, receiver_incarnation=peer.incarnation)
+        state.announced_numbers.setdefault(peer.node, {})[name] = state.last_number
+        proof = make_proof(addressed, state.node, digest)
+        yield Send(peer.node, dataclasses.replace(addressed, proof=proof))
 
 
 def _refresh(state: AnnouncerState, ctx: Context, changed: Collection[UpstreamName] = ()) -> Iterator[Effect]:
@@ -263,17 +264,17 @@
     if not state.local:
         return
     state.last_number += 1
-    for node in _receivers(state.peers.values()):
+    for peer in _receivers(state.peers.values()):
         # A peer without an announcement gets the number 0, and requests the announcement.
-        numbers = state.announced_numbers.get(node, {})
+        numbers = state.announced_numbers.get(peer.node, {})
         refreshed = tuple(
             Refreshed(name, numbers.get(name, 0), state.loads.get(name) if name in changed else None)
             for name in state.local
         )
-        yield Send(node, Refresh(state.last_number, refreshed))
+        yield Send(peer.node, Refresh(state.last_number, refreshed))
 
 
-def _receivers(peers: Iterable[Peer]) -> Iterator[NodeId]:
+def _receivers(peers: Iterable[Peer]) -> Iterator[Peer]:
     for peer in peers:
         if Role.ENTRY in peer.roles or Role.CONTROL in peer.roles:
-            yield peer.node
+            yield peer
--- a/basilcove/membership/coordinator.py
+++ b/basilcove/membership/coordinator.py
@@ -8,7 +8,13 @@
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.membership.const import AGENT_TIMEOUT_S, MAX_AGENTS_PER_UPSTREAM, SWEEP_INTERVAL_S
 from basilcove.membership.events import LoadReported, UpstreamJoined, UpstreamLeaving, UpstreamLost
-from basilcove.membership.messages import Announce, AnnounceRequest, Refresh, Refreshed
+from basilcove.membership.messages import (
+    NO_INCARNATION,
+    Announce,
+    AnnounceRequest,
+    Refresh,
+    Refreshed,
+)
 from basilcove.membership.models import AnnouncedUpstream, MembershipState
 from basilcove.membership.proofs import has_valid_proof
 from basilcove.membership.rules import Announcement, Refused, authorize
@@ -134,8 +140,9 @@
     environment = state.environment
     if environment is None:
         return None
-    if Role.AGENT not in peer.roles or announce.incarnation != peer.incarnation:
-        return Refused('the sender is not the agent of the announcement')
+    misdirected = _check_parties(state, peer, announce)
+    if misdirected is not None:
+        return misdirected
     result = authorize(environment, _to_announcement(announce, peer.node, peer.zone))
     if isinstance(result, Refused):
         return result
@@ -154,6 +161,16 @@
     )
 
 
+def _check_parties(state: MembershipState, peer: Peer, announce: Announce) -> Refused | None:
+    """Return a refusal if the sender or the receiver is not the process of the announcement."""
+    if Role.AGENT not in peer.roles or announce.incarnation != peer.incarnation:
+        return Refused('the sender is not the agent of the announcement')
+    if announce.receiver_incarnation not in {NO_INCARNATION, state.incarnation}:
+        # This process doesn't know which announcements of the agent came after it.
+        return Refused('the announcement was sent to a former process of this node')
+    return None
+
+
 def _record_if_newer(state: MembershipState, peer: Peer, announce: Announce) -> bool:
     # Incarnations of different hosts come from different clocks, so only those of one agent are compared.
     latest_by_agent = state.latest_numbers.setdefault(announce.upstream, {})
--- a/basilcove/membership/messages.py
+++ b/basilcove/membership/messages.py
@@ -7,6 +7,8 @@
 from basilcove.helpers.codec import message
 from basilcove.membership import membership_pb2 as pb
 
+NO_INCARNATION = Incarnation(0)
+
 
 @dataclass(frozen=True, slots=True)
 class LevelWork:
@@ -29,7 +31,11 @@
 @message('membership.announce', pb.Announce)
 @dataclass(frozen=True, slots=True)
 class Announce(Message):
-    """An agent's announcement of an upstream; ``number`` increases with each announcement and refresh."""
+    """An agent's announcement of an upstream; ``number`` increases with each announcement and refresh.
+
+    ``receiver_incarnation`` is the process of the receiver that it is sent to; agents of older builds state
+    ``NO_INCARNATION``.
+    """
 
     upstream: UpstreamName
     incarnation: Incarnation
@@ -41,6 +47,7 @@
     leaving: bool
     proof: bytes
     load: Load | None
+    receiver_incarnation: Incarnation = NO_INCARNATION
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/membership/models.py
+++ b/basilcove/membership/models.py
@@ -88,6 +88,7 @@
     """Upstreams that were announced to a node, and requests to drain them."""
 
     node: NodeId
+    incarnation: Incarnation
     environment: Environment | None = None
     upstreams: dict[UpstreamName, AnnouncedUpstream] = field(default_factory=dict)
     # Last incarnation and announcement number of each agent that announced the upstream.
--- a/basilcove/membership/proofs.py
+++ b/basilcove/membership/proofs.py
@@ -5,9 +5,10 @@
 so it could check the credential itself only by receiving it, after which the
 entry, or anyone who reads an unencrypted link, could announce the upstream
 from anywhere. The agent therefore sends an HMAC-SHA256 that is keyed by the
-digest and covers the name, the agent's node and incarnation, an increasing
-number and the content: a recorded announcement is not accepted under another
-name, from another node, for another incarnation or a second time.
+digest and covers the name, the agent's node and incarnation, the incarnation of
+the receiver, an increasing number and the content: a recorded announcement is
+not accepted under another name, from another node, for another incarnation, by
+a later process of the receiver or a second time.
 
 Nodes and operators can read the digest, so the proof alone doesn't prevent one
 agent from impersonating another. Two further checks do: the link's certificate
@@ -20,7 +21,7 @@
 from typing import Final
 
 from basilcove.core.ids import NodeId
-from basilcove.membership.messages import Announce
+from basilcove.membership.messages import NO_INCARNATION, Announce
 
 _SEPARATOR: Final = '\x1f'
 
@@ -38,6 +39,8 @@
         announce.slots,
         announce.leaving,
     )
+    if announce.receiver_incarnation != NO_INCARNATION:
+        parts = (*parts, announce.receiver_incarnation)
     text = _SEPARATOR.join(map(str, parts))
     return hmac.digest(credential_digest.encode(), text.encode(errors='replace'), hashlib.sha256)
 
--- a/basilcove/roles/common.py
+++ b/basilcove/roles/common.py
@@ -32,7 +32,7 @@
     node.add(documents)
     node.add(ClientState(settings.node))
     node.add(Confirmation(settings.node, assembly.identity.incarnation))
-    node.add(MembershipState(settings.node))
+    node.add(MembershipState(settings.node, assembly.identity.incarnation))
     if settings.addresses is not None:
         node.add(PeerAddresses(settings.node, settings.addresses.port))
     node.add(OperatorsState(assembly.identity, settings.environment, settings.stage))
--- a/tests/membership/test_announcer.py
+++ b/tests/membership/test_announcer.py
@@ -63,6 +63,23 @@
         assert not world.witness('entry-0').open
 
 
+class TestFormerEntry:
+    def test_an_entry_that_restarted_refuses_an_announcement_to_its_former_process(self) -> None:
+        """Guards against work for an upstream that left while the entry restarted."""
+        world = World()
+        world.announce('agent-0', 'engine-0', 'engine-0-key', 1)
+        world.net.run(1)
+        former = [
+            event
+            for target, event in world.net.history
+            if target == 'entry-0' and isinstance(event.message, Announce)
+        ][-1]
+        world.net.cut.add(frozenset((NodeId('agent-0'), NodeId('entry-0'))))
+        world.start('entry-0')
+        world.net.apply('entry-0', former)
+        assert not world.witness('entry-0').open
+
+
 class TestDocument:
     def test_an_upstream_that_the_document_drops_gets_no_work(self) -> None:
         """Guards against upstreams that stay in use after they were removed from the document."""
--- a/tests/membership/world.py
+++ b/tests/membership/world.py
@@ -180,7 +180,7 @@
 
 
 def _build(peer: Peer) -> tuple[object, ...]:
-    membership = MembershipState(peer.node)
+    membership = MembershipState(peer.node, peer.incarnation)
     if Role.AGENT not in peer.roles:
         return membership, Witness()
     return AnnouncerState(peer.node, Zone(peer.zone), peer.incarnation), membership, Witness()
