--- a/basilcove/membership/proofs.py
+++ b/basilcove/membership/proofs.py
@@ -28,7 +28,7 @@
 
 def make_proof(announce: Announce, agent: NodeId, credential_digest: str) -> bytes:
     """Return the proof for an announcement."""
-    parts = (
+    parts: tuple[object, ...] = (
         announce.upstream,
         agent,
         announce.incarnation,
