--- a/basilcove/catalog/apply.py
+++ b/basilcove/catalog/apply.py
@@ -1,6 +1,7 @@
 """Applies commands to the replicated state, deterministically and without side effects."""
 
 from basilcove.catalog import claims as _claims
+from basilcove.catalog import evacuations as _evacuations  # noqa: F401
 from basilcove.catalog import leases as _leases
 from basilcove.catalog.commands import (
     AbandonClaim,
@@ -8,10 +9,12 @@
     ApplyDocument,
     Claim,
     CompleteClaim,
+    EvacuateZone,
     PromoteDocument,
     RefuseHostChange,
     ReleaseClaim,
     RemoveHost,
+    RestoreZone,
 )
 from basilcove.catalog.const import (
     MAX_PROPOSALS,
@@ -30,15 +33,17 @@
 
 _KEYED_BY_ATTEMPT = (Claim, CompleteClaim, ReleaseClaim, AbandonClaim)
 
+_IdentifiedCommand = ApplyDocument | PromoteDocument | RefuseHostChange | EvacuateZone | RestoreZone
+
 
 def apply(state: CatalogState, command: Message, time: float) -> Message:
     """Apply one command; ``time`` is the leader's, in seconds since the epoch.
 
     Documents and changes of the control group are deduplicated by request id;
-    claims are idempotent by key and attempt id.
+    claims are idempotent by key and attempt id. A change of a zone may have no request id.
     """
     _advance_time(state, time)
-    if not isinstance(command, ApplyDocument | PromoteDocument | RefuseHostChange):
+    if not isinstance(command, _IdentifiedCommand) or not _is_identified(command):
         return _dispatch(state, command)
     digest = compute_digest(command)
     first_answer = find_first_answer(state, command.request_id, digest)
@@ -49,6 +54,10 @@
     return result
 
 
+def _is_identified(command: _IdentifiedCommand) -> bool:
+    return bool(command.request_id) or not isinstance(command, EvacuateZone | RestoreZone)
+
+
 def find_first_answer(state: CatalogState, request_id: str, digest: int) -> Message | None:
     """Return the first answer to a request or its refusal; None if it may be carried out."""
     row = state.requests.get(request_id)
@@ -70,15 +79,15 @@
     state.requests.setdefault(members.request_id, row)
 
 
-def compute_digest(
-    command: ApplyDocument | PromoteDocument | AdmitHost | RemoveHost | RefuseHostChange,
-) -> int:
+def compute_digest(command: _IdentifiedCommand | AdmitHost | RemoveHost) -> int:
     """Return a hash of a request's content."""
     name = type(command).__name__
     if isinstance(command, RefuseHostChange):
         return command.digest
     if isinstance(command, AdmitHost | RemoveHost):
         return stable_hash(name, command.node)
+    if isinstance(command, EvacuateZone | RestoreZone):
+        return stable_hash(name, command.zone)
     document = command.document if isinstance(command, ApplyDocument) else ''
     return stable_hash(name, command.environment, command.expected_revision, document)
 
--- a/basilcove/catalog/commands.py
+++ b/basilcove/catalog/commands.py
@@ -14,10 +14,12 @@
     Revision,
     Stage,
     Step,
+    Zone,
 )
 from basilcove.helpers.codec import message
 
 NO_ENVIRONMENT = EnvironmentName('')
+NO_REQUEST_ID = RequestId('')
 
 
 @message('catalog.apply_document', pb.ApplyDocument)
@@ -181,6 +183,29 @@
     reason: str
 
 
+@message('catalog.evacuate_zone', pb.EvacuateZone)
+@dataclass(frozen=True, slots=True)
+class EvacuateZone(Message):
+    """Asks that no request be sent to the upstreams of an availability zone, whether it is known or not.
+
+    Without a request id, a resend that arrives after the opposite change can't be told from a new command.
+    """
+
+    zone: Zone
+    requester: str
+    request_id: RequestId = NO_REQUEST_ID
+
+
+@message('catalog.restore_zone', pb.RestoreZone)
+@dataclass(frozen=True, slots=True)
+class RestoreZone(Message):
+    """Reverts the evacuation of an availability zone."""
+
+    zone: Zone
+    requester: str
+    request_id: RequestId = NO_REQUEST_ID
+
+
 @message('catalog.read_document', pb.ReadDocument)
 @dataclass(frozen=True, slots=True)
 class ReadDocument(Message):
@@ -219,3 +244,9 @@
 @dataclass(frozen=True, slots=True)
 class ReadMembers(Message):
     """Reads the state of the control group."""
+
+
+@message('catalog.read_evacuations', pb.ReadEvacuations)
+@dataclass(frozen=True, slots=True)
+class ReadEvacuations(Message):
+    """Reads the evacuated availability zones."""
--- a/basilcove/catalog/coordinator.py
+++ b/basilcove/catalog/coordinator.py
@@ -9,7 +9,7 @@
 from basilcove.catalog.const import ATTEMPT_RETENTION_S, COMMAND_LIFETIME_S
 from basilcove.catalog.control import ControlState, PendingAnswer
 from basilcove.catalog.delivery import deliver
-from basilcove.catalog.events import DocumentAccepted
+from basilcove.catalog.events import DocumentAccepted, EvacuationsCommitted
 from basilcove.catalog.messages import Answer, Ask, LoggedCommand
 from basilcove.catalog.models import DocumentKey, DocumentRow
 from basilcove.catalog.outcomes import CommandRefused, MembersChanged
@@ -180,11 +180,15 @@
 def _on_committed(state: ControlState, event: EntriesCommitted, ctx: Context) -> list[Effect]:
     """Apply entries; after a restart they may hold many revisions, of which only the last is announced."""
     before = dict(state.catalog.documents)
+    former_version = state.catalog.evacuations.version
     answers: list[Effect] = []
     for entry in event.entries:
         answers.extend(_apply_entry(state, entry))
         state.applied = entry.index
-    return [*_announce_changes(state, before), *answers]
+    effects = _announce_changes(state, before)
+    if state.catalog.evacuations.version != former_version:
+        effects.append(_announce_evacuations(state))
+    return [*effects, *answers]
 
 
 def _apply_entry(state: ControlState, entry: LogEntry) -> list[Effect]:
@@ -214,6 +218,17 @@
     return Emit(DocumentAccepted(row.environment, row.stage, row.revision, row.text))
 
 
+def _announce_evacuations(state: ControlState) -> Effect:
+    return Emit(EvacuationsCommitted(state.catalog.evacuations))
+
+
+def _announce_all(state: ControlState) -> list[Effect]:
+    effects = [_announce(row) for row in state.catalog.documents.values()]
+    if state.catalog.evacuations.version:
+        effects.append(_announce_evacuations(state))
+    return effects
+
+
 @handles(SnapshotNeeded, ControlState)
 def _on_snapshot_needed(state: ControlState, event: SnapshotNeeded, ctx: Context) -> list[Effect]:
     return [Emit(SnapshotTaken(state.applied, encode_state(state.catalog)))]
@@ -223,16 +238,16 @@
 def _on_snapshot_installed(state: ControlState, event: SnapshotInstalled, ctx: Context) -> list[Effect]:
     state.catalog = decode_state(event.body)
     state.applied = event.index
-    return [_announce(row) for row in state.catalog.documents.values()]
+    return _announce_all(state)
 
 
 @handles(Tick, ControlState)
 def _on_tick(state: ControlState, event: Tick, ctx: Context) -> list[Effect]:
     if state.has_announced_documents:
         return []
-    # Documents in the snapshot with which the process started have not been announced yet.
+    # The content of the snapshot with which the process started has not been announced yet.
     state.has_announced_documents = True
-    return [_announce(row) for row in state.catalog.documents.values()]
+    return _announce_all(state)
 
 
 @handles(HandlerFailed, ControlState)
--- a/basilcove/catalog/events.py
+++ b/basilcove/catalog/events.py
@@ -4,6 +4,7 @@
 
 from basilcove.core.events import Event, Message
 from basilcove.core.ids import EnvironmentName, Revision, Stage
+from basilcove.zones.models import Evacuations
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,6 +17,13 @@
     document: str
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationsCommitted(Event):
+    """A control replica applied a change of the evacuated zones, or found them in its snapshot."""
+
+    evacuations: Evacuations
+
+
 @dataclass(frozen=True, slots=True)
 class Propose(Event):
     """Asks for a command to be committed; ``deadline`` is on the monotonic clock."""
--- a/basilcove/catalog/models.py
+++ b/basilcove/catalog/models.py
@@ -14,6 +14,7 @@
     Step,
 )
 from basilcove.environment.models import Limits
+from basilcove.zones.models import Evacuations
 
 _NO_FENCE = FencingNumber(0)
 
@@ -108,5 +109,6 @@
     requests: dict[str, AnswerRow] = field(default_factory=dict)
     proposals: dict[str, AnswerRow] = field(default_factory=dict)
     claims: dict[EnvironmentName, ClaimTable] = field(default_factory=dict)
+    evacuations: Evacuations = field(default_factory=Evacuations)
     # Read from the documents when they are first needed, so that the copies of two replicas may differ.
     limits: dict[EnvironmentName, Limits] = field(default_factory=dict, compare=False)
--- a/basilcove/catalog/outcomes.py
+++ b/basilcove/catalog/outcomes.py
@@ -6,6 +6,7 @@
 from basilcove.core.events import Message
 from basilcove.core.ids import AttemptId, FencingNumber, NodeId, Revision, Step
 from basilcove.helpers.codec import message
+from basilcove.zones.models import Evacuations
 
 
 @message('catalog.document_applied', pb.DocumentApplied)
@@ -153,9 +154,26 @@
 @message('catalog.revision_read', pb.RevisionRead)
 @dataclass(frozen=True, slots=True)
 class RevisionRead(Message):
-    """The newest revision; 0 if there is no document."""
+    """The newest revision, 0 if there is no document, and the version of the evacuated zones."""
 
     revision: Revision
+    evacuations_version: int = 0
+
+
+@message('catalog.zone_changed', pb.ZoneChanged)
+@dataclass(frozen=True, slots=True)
+class ZoneChanged(Message):
+    """The zone is evacuated or restored as of this version of the evacuated zones."""
+
+    version: int
+
+
+@message('catalog.evacuations_read', pb.EvacuationsRead)
+@dataclass(frozen=True, slots=True)
+class EvacuationsRead(Message):
+    """The evacuated zones."""
+
+    evacuations: Evacuations
 
 
 @message('catalog.lease_read', pb.LeaseRead)
--- a/basilcove/catalog/reads.py
+++ b/basilcove/catalog/reads.py
@@ -1,11 +1,19 @@
 """Answers to reads of the applied state."""
 
-from basilcove.catalog.commands import ReadDocument, ReadLease, ReadMap, ReadMembers, ReadRevision
+from basilcove.catalog.commands import (
+    ReadDocument,
+    ReadEvacuations,
+    ReadLease,
+    ReadMap,
+    ReadMembers,
+    ReadRevision,
+)
 from basilcove.catalog.control import ControlState
 from basilcove.catalog.models import CatalogState
 from basilcove.catalog.outcomes import (
     CommandRefused,
     DocumentRead,
+    EvacuationsRead,
     LeaseRead,
     MapDecided,
     MembersRead,
@@ -24,7 +32,9 @@
         return DocumentRead(Revision(0), '') if row is None else DocumentRead(row.revision, row.text)
     if isinstance(read, ReadRevision):
         row = catalog.documents.get((read.environment, read.stage))
-        return RevisionRead(Revision(0) if row is None else row.revision)
+        return RevisionRead(Revision(0) if row is None else row.revision, catalog.evacuations.version)
+    if isinstance(read, ReadEvacuations):
+        return EvacuationsRead(catalog.evacuations)
     if isinstance(read, ReadLease):
         return _read_lease(catalog, read)
     if isinstance(read, ReadMap):
--- a/basilcove/catalog/snapshot.py
+++ b/basilcove/catalog/snapshot.py
@@ -15,6 +15,7 @@
 )
 from basilcove.core.ids import AttemptId, EnvironmentName, FencingNumber, NodeId
 from basilcove.helpers import codec
+from basilcove.zones.models import Evacuations
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +47,7 @@
     requests: tuple[AnswerRow, ...]
     proposals: tuple[AnswerRow, ...]
     claims: tuple[ClaimColumns, ...]
+    evacuations: Evacuations
 
 
 def encode_state(state: CatalogState) -> bytes:
@@ -59,6 +61,7 @@
         tuple(state.requests.values()),
         tuple(state.proposals.values()),
         tuple(_to_columns(environment, table) for environment, table in state.claims.items()),
+        state.evacuations,
     )
     return codec.to_proto(snapshot, pb.CatalogSnapshot).SerializeToString()
 
@@ -75,6 +78,7 @@
         {row.key: row for row in snapshot.requests},
         {row.key: row for row in snapshot.proposals},
         {columns.environment: _from_columns(columns) for columns in snapshot.claims},
+        snapshot.evacuations,
     )
 
 
--- a/basilcove/distribution/coordinator.py
+++ b/basilcove/distribution/coordinator.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import Iterator
 
-from basilcove.catalog.events import DocumentAccepted
+from basilcove.catalog.events import DocumentAccepted, EvacuationsCommitted
 from basilcove.core.events import Count, Effect, Log, PeerFound, PeerLost, Received, Send, Tick
 from basilcove.core.ids import NodeId, Role
 from basilcove.core.reducer import Context, handles, handles_message
@@ -23,9 +23,16 @@
 from basilcove.distribution.messages import Offer
 from basilcove.distribution.models import DistributionState, Key, LocalDocument, PeerView
 from basilcove.distribution.pulling import pull_if_due
-from basilcove.distribution.taking import activate_if_ready, compute_digest, report_breach, store_document
+from basilcove.distribution.taking import (
+    activate_if_ready,
+    apply_evacuations,
+    compute_digest,
+    report_breach,
+    store_document,
+)
 from basilcove.environment.canonical import canonical_json
 from basilcove.helpers.hashing import stable_fraction
+from basilcove.zones.models import Evacuations
 
 
 @handles(Tick, DistributionState)
@@ -68,9 +75,12 @@
     view = _find_view(state, event.peer)
     if view is not None:
         view.voters_index = max(view.voters_index, offer.voters_index)
+        view.evacuations_version = max(view.evacuations_version, offer.evacuations_version)
+        yield from _adopt_evacuations(state, offer.evacuations)
     if view is not None and Role.CONTROL in event.peer.roles:
         _update_voters(state, offer.voters_index, offer.voters)
     if view is None or not (key == state.key or state.is_control):
+        yield from apply_evacuations(state)
         return
     _record_offer(view, key, offer)
     local = state.documents.get(key)
@@ -110,6 +120,16 @@
     yield from activate_if_ready(state, ctx)
 
 
+@handles(EvacuationsCommitted, DistributionState)
+def on_evacuations(state: DistributionState, event: EvacuationsCommitted, ctx: Context) -> Iterator[Effect]:
+    """Take the evacuated zones that this node's control replica applied, and offer a change to all peers."""
+    if not state.is_control or event.evacuations.version <= state.evacuations.version:
+        return
+    yield from _adopt_evacuations(state, event.evacuations)
+    yield from _offer_to_all(state, ctx)
+    yield from activate_if_ready(state, ctx)
+
+
 @handles(ReplicaCaughtUp, DistributionState)
 def on_caught_up(state: DistributionState, event: ReplicaCaughtUp, ctx: Context) -> Iterator[Effect]:
     """Let the peers count this node's offers towards a control majority."""
@@ -127,7 +147,8 @@
 
 @handles(RevisionConfirmed, DistributionState)
 def on_confirmed(state: DistributionState, event: RevisionConfirmed, ctx: Context) -> Iterator[Effect]:
-    """Record the revision below which the node must not become ready."""
+    """Record the revision and the version of zones below which the node must not become ready."""
+    state.confirmed_evacuations = max(state.confirmed_evacuations, event.evacuations_version)
     state.confirmed_revision = max(state.confirmed_revision or event.revision, event.revision)
     yield from activate_if_ready(state, ctx)
 
@@ -155,6 +176,18 @@
     return True
 
 
+def _adopt_evacuations(state: DistributionState, evacuations: Evacuations | None) -> Iterator[Effect]:
+    """Take a newer set of evacuated zones, and make the offers to peers that lack it due."""
+    if evacuations is None or evacuations.version <= state.evacuations.version:
+        return
+    state.evacuations = evacuations
+    for view in state.peers.values():
+        if view.evacuations_version < evacuations.version:
+            view.next_offer_at = 0
+    fields = (('version', str(evacuations.version)), ('zones', ' '.join(sorted(evacuations.zones))))
+    yield Log('info', 'evacuated zones learned', fields)
+
+
 def _record_offer(view: PeerView, key: Key, offer: Offer) -> None:
     # The revision of a process never decreases, so a lower offer is a late one. `caught_up` may change in
     # both directions; if a late offer sets it wrongly, the next offer corrects it.
@@ -179,12 +212,15 @@
 
 
 def _send_offers(state: DistributionState, view: PeerView, ctx: Context) -> Iterator[Effect]:
+    has_evacuations = view.evacuations_version >= state.evacuations.version
     is_in_sync = True
     for key, local in state.documents.items():
         if key != state.key and key not in view.offers:
             continue
-        is_key_in_sync = view.has_document(key, local) and (
-            state.ready or not _is_catch_up_pending(state, view)
+        is_key_in_sync = (
+            has_evacuations
+            and view.has_document(key, local)
+            and (state.ready or not _is_catch_up_pending(state, view))
         )
         is_in_sync = is_in_sync and is_key_in_sync
         yield Send(view.peer.node, _make_offer(state, view, key, local, ask=not is_key_in_sync))
@@ -207,4 +243,15 @@
     # that control hosts don't send the list again.
     is_voter_list_needed = is_caught_up and view.voters_index < state.voters_index
     voters = tuple(sorted(state.control_nodes)) if is_voter_list_needed else ()
-    return Offer(*key, local.revision, local.digest, ask, is_caught_up, state.voters_index, voters)
+    is_lacking_evacuations = view.evacuations_version < state.evacuations.version
+    return Offer(
+        *key,
+        local.revision,
+        local.digest,
+        ask,
+        is_caught_up,
+        state.voters_index,
+        voters,
+        state.evacuations.version,
+        state.evacuations if is_lacking_evacuations else None,
+    )
--- a/basilcove/distribution/events.py
+++ b/basilcove/distribution/events.py
@@ -4,6 +4,7 @@
 
 from basilcove.core.events import Event
 from basilcove.core.ids import NodeId, Revision
+from basilcove.zones.models import Evacuation
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,9 +23,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RevisionConfirmed(Event):
-    """The leader's newest accepted revision, which a majority confirmed since this process started."""
+    """The leader's newest accepted revision, which a majority confirmed since this process started.
+
+    ``evacuations_version`` is the leader's version of the evacuated zones, confirmed with it.
+    """
 
     revision: Revision
+    evacuations_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,3 +45,14 @@
     """The node may act on its document: its revision will not decrease."""
 
     revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationsChanged(Event):
+    """The evacuated zones in effect, when the node becomes ready and on each later change.
+
+    The version never decreases in a process; 0 before the first change.
+    """
+
+    version: int
+    zones: tuple[Evacuation, ...]
--- a/basilcove/distribution/messages.py
+++ b/basilcove/distribution/messages.py
@@ -6,6 +6,7 @@
 from basilcove.core.ids import EnvironmentName, NodeId, Revision, Stage
 from basilcove.distribution import distribution_pb2 as pb
 from basilcove.helpers.codec import message
+from basilcove.zones.models import Evacuations
 
 
 @message('distribution.offer', pb.Offer)
@@ -15,7 +16,8 @@
 
     ``ask`` requests an offer in reply. ``voters_index`` is a log index at which the newest voters
     that the sender knows were in effect. A control replica that has caught up adds the list in
-    ``voters`` for a peer with an older one.
+    ``voters`` for a peer with an older one. ``evacuations_version`` is that of the evacuated zones that
+    the sender has; ``evacuations`` holds them for a peer that isn't known to have that version.
     """
 
     environment: EnvironmentName
@@ -26,6 +28,8 @@
     caught_up: bool
     voters_index: int = 0
     voters: tuple[NodeId, ...] = ()
+    evacuations_version: int = 0
+    evacuations: Evacuations | None = None
 
 
 @message('distribution.want', pb.Want)
--- a/basilcove/distribution/models.py
+++ b/basilcove/distribution/models.py
@@ -20,6 +20,7 @@
 from basilcove.distribution.messages import Chunk, Offer, Step, Want
 from basilcove.environment.canonical import make_delta
 from basilcove.environment.models import Environment
+from basilcove.zones.models import Evacuations
 
 Key: TypeAlias = tuple[EnvironmentName, Stage]
 
@@ -114,6 +115,8 @@
     next_offer_at: float = 0
     # Log index of the newest list of voters that the peer is known to have.
     voters_index: int = 0
+    # Highest version of the evacuated zones that the peer has stated.
+    evacuations_version: int = 0
     # Consecutive requests without a result; peers with fewer failures are asked first.
     failures: int = 0
 
@@ -172,6 +175,11 @@
     caught_up: bool = False
     # Newest accepted revision that the leader confirmed since the process started; None before its answer.
     confirmed_revision: Revision | None = None
+    evacuations: Evacuations = field(default_factory=Evacuations)
+    # Version of the evacuated zones that the leader confirmed with the revision.
+    confirmed_evacuations: int = 0
+    # Version of the evacuated zones in effect; None before the node is ready.
+    evacuations_in_effect: int | None = None
     ready: bool = False
     revision_in_effect: Revision = NO_REVISION
     deltas: bool = True
--- a/basilcove/distribution/readiness.py
+++ b/basilcove/distribution/readiness.py
@@ -10,6 +10,8 @@
 def is_ready(state: DistributionState, now: float) -> bool:
     """Tell whether the document is at least as new as any that this node had in effect before its restart.
 
+    The same holds for the evacuated zones, which come with the same offers and the same confirmation.
+
     A majority of the control group has every accepted revision, but may not
     yet know that it was accepted if the leader died just then. Therefore the
     node also asks the leader. A majority confirms the answer after the node
@@ -20,6 +22,8 @@
     local = state.own
     if local.revision == 0 or local.revision < max(_highest_offer(state), state.confirmed_revision or 0):
         return False
+    if state.evacuations.version < max(_highest_evacuations(state), state.confirmed_evacuations):
+        return False
     if not _has_zone_offered(state, now):
         return False
     if state.confirmed_revision is not None and _is_majority_caught_up(state):
@@ -32,6 +36,10 @@
     return max((offer.revision for offer in offers if offer is not None), default=0)
 
 
+def _highest_evacuations(state: DistributionState) -> int:
+    return max((view.evacuations_version for view in state.peers.values()), default=0)
+
+
 def _is_majority_caught_up(state: DistributionState) -> bool:
     # A replica that has only replayed its disk may lag behind, and one without contact to a leader may have
     # been removed; either is counted once it has caught up.
--- a/basilcove/distribution/taking.py
+++ b/basilcove/distribution/taking.py
@@ -7,7 +7,7 @@
 from basilcove.core.ids import NodeId, Revision
 from basilcove.core.reducer import Context
 from basilcove.distribution.const import MAX_REMEMBERED_DIGESTS
-from basilcove.distribution.events import DistributionReady
+from basilcove.distribution.events import DistributionReady, EvacuationsChanged
 from basilcove.distribution.messages import Step
 from basilcove.distribution.models import DistributionState, Key, LocalDocument
 from basilcove.distribution.readiness import is_ready
@@ -46,17 +46,30 @@
 
 
 def activate_if_ready(state: DistributionState, ctx: Context) -> Iterator[Effect]:
-    """Emit once that the node is ready, and once each document that comes into effect."""
+    """Emit once that the node is ready, and once each set of evacuated zones and document in effect.
+
+    The zones come first, so that no request is routed without them.
+    """
     if not state.ready and is_ready(state, ctx.now):
         state.ready = True
         yield Emit(DistributionReady(state.own.revision))
         yield Log('info', 'distribution is ready', _fields(state.key, state.own.revision))
+    yield from apply_evacuations(state)
     local = state.own
     if state.ready and local.environment is not None and local.revision > state.revision_in_effect:
         state.revision_in_effect = local.revision
         yield Emit(EnvironmentChanged(local.revision, local.environment))
 
 
+def apply_evacuations(state: DistributionState) -> Iterator[Effect]:
+    """Emit the evacuated zones if the node is ready and they are not in effect yet."""
+    evacuations = state.evacuations
+    if not state.ready or evacuations.version == state.evacuations_in_effect:
+        return
+    state.evacuations_in_effect = evacuations.version
+    yield Emit(EvacuationsChanged(evacuations.version, evacuations.rows))
+
+
 def report_breach(
     state: DistributionState, source: NodeId, key: Key, revision: int, digest: bytes
 ) -> Iterator[Effect]:
--- a/basilcove/wiring/confirmation.py
+++ b/basilcove/wiring/confirmation.py
@@ -43,5 +43,5 @@
 def on_answered(state: Confirmation, event: QueryAnswered, ctx: Context) -> list[Effect]:
     """Pass the answer to the distribution of documents."""
     if event.query_id.startswith(_QUERY_PREFIX) and isinstance(event.answer, RevisionRead):
-        return [Emit(RevisionConfirmed(event.answer.revision))]
+        return [Emit(RevisionConfirmed(event.answer.revision, event.answer.evacuations_version))]
     return []
--- /dev/null
+++ b/basilcove/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuations of availability zones."""
