--- a/basilcove/catalog/evacuations.py
+++ b/basilcove/catalog/evacuations.py
@@ -22,5 +22,5 @@
 
 @applies(RestoreZone)
 def _restore_zone(state: CatalogState, command: RestoreZone) -> Message:
-    state.evacuations = state.evacuations.restore(command.zone)
+    state.evacuations = state.evacuations.restore(command.zone, state.time, command.requester)
     return ZoneChanged(state.evacuations.version)
--- a/basilcove/cli/client.py
+++ b/basilcove/cli/client.py
@@ -59,7 +59,7 @@
         self._nodes = nodes
         self._credentials = security.load_credentials()
         incarnation = Incarnation(int(time.time() * MICROSECONDS_PER_S))
-        self._identity = Identity(NodeId(_user()), (Role.OPERATOR,), incarnation, Zone(''))
+        self._identity = Identity(NodeId(user_name()), (Role.OPERATOR,), incarnation, Zone(''))
 
     def ask(self, request: Message, reply_type: type[ReplyT]) -> ReplyT:
         """Return the first reply; UnreachableError with the cause of each failure.
@@ -117,7 +117,8 @@
     return f'{exc.code().name.lower()} ({exc.details()})'
 
 
-def _user() -> str:
+def user_name() -> str:
+    """Return the name of the operator's account."""
     try:
         return getpass.getuser()
     except (KeyError, OSError):
--- a/basilcove/cli/messages.py
+++ b/basilcove/cli/messages.py
@@ -1,11 +1,12 @@
 """Requests of the operators' tool and the replies of nodes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from basilcove.cli import cli_pb2 as pb
 from basilcove.core.events import Message
 from basilcove.core.ids import EnvironmentName, NodeId, RequestId, Revision, Role, Stage, UpstreamName, Zone
 from basilcove.helpers.codec import message
+from basilcove.zones.models import Evacuations
 
 
 @message('cli.apply_request', pb.ApplyRequest)
@@ -159,3 +160,36 @@
 @dataclass(frozen=True, slots=True)
 class DrainReply(Reply):
     """Accepted once the upstream's agent has confirmed."""
+
+
+@message('cli.zone_request', pb.ZoneRequest)
+@dataclass(frozen=True, slots=True)
+class ZoneRequest(Message):
+    """Evacuate an availability zone, or restore it."""
+
+    zone: Zone
+    evacuate: bool
+    requester: str
+    request_id: RequestId
+
+
+@message('cli.zone_reply', pb.ZoneReply)
+@dataclass(frozen=True, slots=True)
+class ZoneReply(Reply):
+    """Accepted once the change is committed, as ``version`` of the evacuated zones."""
+
+    version: int = 0
+
+
+@message('cli.zones_request', pb.ZonesRequest)
+@dataclass(frozen=True, slots=True)
+class ZonesRequest(Message):
+    """Return the evacuated zones."""
+
+
+@message('cli.zones_reply', pb.ZonesReply)
+@dataclass(frozen=True, slots=True)
+class ZonesReply(Reply):
+    """The evacuated zones, as a majority of the control group confirmed them."""
+
+    evacuations: Evacuations = field(default_factory=Evacuations)
--- a/basilcove/cli/rendering.py
+++ b/basilcove/cli/rendering.py
@@ -2,11 +2,12 @@
 
 import dataclasses
 import json
+from datetime import UTC, datetime
 from typing import Any
 
 import yaml
 
-from basilcove.cli.messages import ShowReply, StatusReply, UpstreamRow, UpstreamsReply
+from basilcove.cli.messages import ShowReply, StatusReply, UpstreamRow, UpstreamsReply, ZonesReply
 from basilcove.environment.canonical import digest
 
 
@@ -42,8 +43,21 @@
 def format_upstreams(reply: UpstreamsReply) -> str:
     """Return a table of the upstreams."""
     header = ['upstream', 'state', 'zone', 'agent', 'running', 'queued', 'tokens/s', 'serves']
-    rows = [header, *(_cells(row) for row in reply.upstreams)]
-    widths = [max(len(row[column]) for row in rows) for column in range(len(header))]
+    return _format_table([header, *(_cells(row) for row in reply.upstreams)])
+
+
+def format_zones(reply: ZonesReply) -> str:
+    """Return a table of the evacuated zones; times are in UTC."""
+    rows = [
+        [row.zone, datetime.fromtimestamp(row.time, UTC).isoformat(timespec='seconds'), row.requester]
+        for row in reply.evacuations.rows
+    ]
+    table = _format_table([['zone', 'since', 'requester'], *rows]) if rows else 'no zone is evacuated'
+    return f'{table}\nversion {reply.evacuations.version}'
+
+
+def _format_table(rows: list[list[str]]) -> str:
+    widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
     lines = ('  '.join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)) for row in rows)
     return '\n'.join(line.rstrip() for line in lines)
 
--- a/basilcove/cli/tool.py
+++ b/basilcove/cli/tool.py
@@ -1,15 +1,9 @@
 """Commands of the operators' tool, as fire calls them."""
 
-import os
-import sys
-import uuid
 from pathlib import Path
-from typing import TypeVar
 
 from basilcove import environment as documents
 from basilcove.cli import rendering
-from basilcove.cli.client import Client, Security
-from basilcove.cli.const import NODES_VARIABLE
 from basilcove.cli.exceptions import RefusedError, UsageError
 from basilcove.cli.explaining import explain
 from basilcove.cli.messages import (
@@ -21,7 +15,6 @@
     HostRequest,
     PromoteReply,
     PromoteRequest,
-    Reply,
     ShowReply,
     ShowRequest,
     StatusReply,
@@ -29,15 +22,14 @@
     UpstreamsReply,
     UpstreamsRequest,
 )
+from basilcove.cli.session import Session
+from basilcove.cli.zones import Zones
 from basilcove.const import VERSION
-from basilcove.core.events import Message
-from basilcove.core.ids import EnvironmentName, NodeId, RequestId, Revision, Stage, UpstreamName
+from basilcove.core.ids import EnvironmentName, NodeId, Revision, Stage, UpstreamName
 from basilcove.environment.canonical import canonical, digest
 from basilcove.environment.faults import DocumentFaults
 from basilcove.environment.models import Environment
 
-ReplyT = TypeVar('ReplyT', bound=Reply)
-
 
 class Tool:
     """Operates basilcove: documents, their promotion, and upstreams.
@@ -52,12 +44,15 @@
         drain UPSTREAM                              give an upstream no new work
         admit HOST                                  let a host join the control group
         remove HOST                                 remove a host from the control group
+        zones list                                  print the evacuated availability zones
+        zones evacuate ZONE                         send no requests to the upstreams of a zone
+        zones restore ZONE                          revert the evacuation of a zone
         explain REQUEST FILE...                     print the log lines of a request
         version                                     print the tool's version
 
-    `basilcove COMMAND --help` describes a command. Apply, promote, drain, admit
-    and remove take --request-id ID, print one if it isn't given, and may be
-    retried with it if an answer is lost.
+    `basilcove COMMAND --help` describes a command. Apply, promote, drain, admit,
+    remove and the changes of zones take --request-id ID, print one if it isn't
+    given, and may be retried with it if an answer is lost.
 
     Every command that calls a node needs --node, or the variable BASILCOVE_NODES,
     and either --insecure or --certificate, --key and --authority.
@@ -83,11 +78,13 @@
         authority: str = '',
     ) -> None:
         """Store the options of all commands."""
-        addresses = node or os.environ.get(NODES_VARIABLE, '')
-        self._nodes = tuple(filter(None, addresses.split(',')))
-        self._json = json
-        self._insecure = insecure
-        self._files = {'--certificate': certificate, '--key': key, '--authority': authority}
+        files = {'--certificate': certificate, '--key': key, '--authority': authority}
+        self._session = Session(node, json, insecure, files)
+
+    @property
+    def zones(self) -> Zones:
+        """Evacuate and restore availability zones."""
+        return Zones(self._session)
 
     def validate(self, file: str) -> None:
         """Check a document without a node.
@@ -104,7 +101,9 @@
             'digest': digest(text),
             'bytes': len(text),
         }
-        self._print(summary, f'{environment.name}: valid, {counts}, {len(text)} bytes, {digest(text)}')
+        self._session.print(
+            summary, f'{environment.name}: valid, {counts}, {len(text)} bytes, {digest(text)}'
+        )
 
     def apply(self, file: str, *, expected_revision: str, request_id: str = '', stage: str = 'trial') -> None:
         """Make a document the newest of the trial stage.
@@ -122,11 +121,11 @@
             target_stage,
             canonical(environment),
             _revision(expected_revision),
-            self._request_id(request_id),
+            self._session.request_id(request_id),
         )
-        reply = self._ask(request, ApplyReply)
+        reply = self._session.ask(request, ApplyReply)
         text = f'{environment.name}: revision {reply.revision} accepted for {target_stage.value}'
-        self._print(reply, text, request_id=request.request_id)
+        self._session.print(reply, text, request_id=request.request_id)
 
     def promote(self, environment: str, *, expected_revision: str, request_id: str = '') -> None:
         """Copy the trial document to production.
@@ -137,10 +136,10 @@
             request_id: Repeat it to learn the outcome of a request whose answer was lost.
         """
         name = EnvironmentName(environment)
-        request = PromoteRequest(name, _revision(expected_revision), self._request_id(request_id))
-        reply = self._ask(request, PromoteReply)
+        request = PromoteRequest(name, _revision(expected_revision), self._session.request_id(request_id))
+        reply = self._session.ask(request, PromoteReply)
         text = f'{environment}: revision {reply.revision} accepted for production'
-        self._print(reply, text, request_id=request.request_id)
+        self._session.print(reply, text, request_id=request.request_id)
 
     def show(self, environment: str, *, stage: str = 'production') -> None:
         """Print the newest document, as YAML that can be edited and applied.
@@ -150,18 +149,18 @@
             stage: trial or production.
         """
         target_stage = _stage(stage)
-        reply = self._ask(ShowRequest(EnvironmentName(environment), target_stage), ShowReply)
-        self._print(reply, rendering.format_document(reply, environment, target_stage.value))
+        reply = self._session.ask(ShowRequest(EnvironmentName(environment), target_stage), ShowReply)
+        self._session.print(reply, rendering.format_document(reply, environment, target_stage.value))
 
     def status(self) -> None:
         """Print the status of the node: the document in effect, readiness and links."""
-        reply = self._ask(StatusRequest(), StatusReply)
-        self._print(reply, rendering.format_status(reply))
+        reply = self._session.ask(StatusRequest(), StatusReply)
+        self._session.print(reply, rendering.format_status(reply))
 
     def upstreams(self) -> None:
         """Print the upstreams that the node knows."""
-        reply = self._ask(UpstreamsRequest(), UpstreamsReply)
-        self._print(reply, rendering.format_upstreams(reply))
+        reply = self._session.ask(UpstreamsRequest(), UpstreamsReply)
+        self._session.print(reply, rendering.format_upstreams(reply))
 
     def drain(self, upstream: str, *, request_id: str = '') -> None:
         """Give an upstream no new work; its running work may finish.
@@ -170,9 +169,9 @@
             upstream: Name of the upstream.
             request_id: Repeat it to learn the outcome of a request whose answer was lost.
         """
-        request = DrainRequest(UpstreamName(upstream), self._request_id(request_id))
-        reply = self._ask(request, DrainReply)
-        self._print(reply, f'{upstream}: leaving', request_id=request.request_id)
+        request = DrainRequest(UpstreamName(upstream), self._session.request_id(request_id))
+        reply = self._session.ask(request, DrainReply)
+        self._session.print(reply, f'{upstream}: leaving', request_id=request.request_id)
 
     def admit(self, host: str, *, request_id: str = '') -> None:
         """Let a host join the control group; it votes once it has all committed entries.
@@ -200,44 +199,16 @@
             raise UsageError(f'{exc.filename}: {exc.strerror}') from exc
         if not story:
             raise UsageError(f'no log line belongs to request {request}')
-        self._print({'request': request, 'story': story.splitlines()}, story)
+        self._session.print({'request': request, 'story': story.splitlines()}, story)
 
     def version(self) -> None:
         """Print the tool's version."""
-        self._print({'version': VERSION}, f'basilcove {VERSION}')
+        self._session.print({'version': VERSION}, f'basilcove {VERSION}')
 
     def _change_group(self, host: str, change: str, request_id: str) -> None:
-        request = HostRequest(NodeId(host), change == 'admitted', self._request_id(request_id))
-        reply = self._ask(request, HostReply)
-        self._print(reply, f'{host}: {change}', request_id=request.request_id)
-
-    def _ask(self, request: Message, reply_type: type[ReplyT]) -> ReplyT:
-        reply = self._client().ask(request, reply_type)
-        if not reply.accepted:
-            raise RefusedError(reply.reasons or ('the node gave no reason',), reply)
-        return reply
-
-    def _client(self) -> Client:
-        if not self._nodes:
-            raise UsageError(f'name a node with --node HOST:PORT or in {NODES_VARIABLE}')
-        paths = [Path(name) for name in self._files.values() if name]
-        is_mutual = len(paths) == len(self._files) and not self._insecure
-        is_plain = self._insecure and not paths
-        if not (is_mutual or is_plain):
-            raise UsageError(f'give either --insecure or all of {", ".join(self._files)}')
-        return Client(self._nodes, Security(*paths))
-
-    def _request_id(self, given: str) -> RequestId:
-        if given:
-            return RequestId(given)
-        # Printed before the request is sent, so that it is known even if no answer comes.
-        generated = RequestId(uuid.uuid4().hex)
-        sys.stderr.write(f'request id: {generated}\n')
-        return generated
-
-    def _print(self, source: object, text: str, **more: object) -> None:
-        output = rendering.to_json(source, **more) if self._json else text
-        sys.stdout.write(f'{output}\n')
+        request = HostRequest(NodeId(host), change == 'admitted', self._session.request_id(request_id))
+        reply = self._session.ask(request, HostReply)
+        self._session.print(reply, f'{host}: {change}', request_id=request.request_id)
 
 
 def _load(file: str) -> Environment:
--- a/basilcove/distribution/events.py
+++ b/basilcove/distribution/events.py
@@ -1,10 +1,11 @@
 """Events of the distribution of documents."""
 
 from dataclasses import dataclass
+from typing import Self
 
 from basilcove.core.events import Event
 from basilcove.core.ids import NodeId, Revision
-from basilcove.zones.models import Evacuation
+from basilcove.zones.models import Evacuation, Evacuations
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,8 +52,16 @@
 class EvacuationsChanged(Event):
     """The evacuated zones in effect, when the node becomes ready and on each later change.
 
-    The version never decreases in a process; 0 before the first change.
+    The version never decreases in a process; 0 before the first change. ``changed_at`` is the replicated time
+    of the last change, in seconds since the epoch.
     """
 
     version: int
     zones: tuple[Evacuation, ...]
+    changed_at: float = 0
+    changed_by: str = ''
+
+    @classmethod
+    def from_evacuations(cls, evacuations: Evacuations) -> Self:
+        """Return the event that puts these zones into effect."""
+        return cls(evacuations.version, evacuations.rows, evacuations.changed_at, evacuations.changed_by)
--- a/basilcove/distribution/taking.py
+++ b/basilcove/distribution/taking.py
@@ -67,7 +67,7 @@
     if not state.ready or evacuations.version == state.evacuations_in_effect:
         return
     state.evacuations_in_effect = evacuations.version
-    yield Emit(EvacuationsChanged(evacuations.version, evacuations.rows))
+    yield Emit(EvacuationsChanged.from_evacuations(evacuations))
 
 
 def report_breach(
--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -16,6 +16,7 @@
 from basilcove.gateway.models import GatewayState, OpenRequest
 from basilcove.gateway.outcomes import (
     ANSWER_LOST,
+    EVACUATED,
     HELD,
     NO_ROOM,
     NO_UPSTREAM,
@@ -137,6 +138,9 @@
     if held_s is not None:
         retry_after_s = min(MAX_HELD_RETRY_AFTER_S, held_s)
         return end_refused(state, req, replace(HELD, retry_after_s=retry_after_s), ctx)
+    if state.pools.is_evacuated(req.service):
+        zones = ' '.join(sorted(state.pools.evacuated))
+        return end_refused(state, req, EVACUATED, ctx, ('evacuated_zones', zones))
     return end_refused(state, req, NO_ROOM if req.sent else NO_UPSTREAM, ctx)
 
 
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -76,6 +76,8 @@
 BUDGET_BASE_SHARE: Final = 0.5
 
 DEFAULT_RETRY_AFTER_S: Final = 0.5
+# An evacuation ends by an operator's decision, which no caller's retry can hasten.
+EVACUATED_RETRY_AFTER_S: Final = 2.0
 # A gateway that has just started receives its document after about a second.
 STARTING_RETRY_AFTER_S: Final = 1.0
 # A gateway that stops sends callers to another one, which can still answer within their objective.
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -5,6 +5,7 @@
 from basilcove.core.reducer import Context, handles, handles_message
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.gateway import crashes as _crashes  # noqa: F401
+from basilcove.gateway import evacuations as _evacuations  # noqa: F401
 from basilcove.gateway import hinting as _hinting  # noqa: F401
 from basilcove.gateway import relief as _relief  # noqa: F401
 from basilcove.gateway import sharing as _sharing  # noqa: F401
--- a/basilcove/gateway/outcomes.py
+++ b/basilcove/gateway/outcomes.py
@@ -9,6 +9,7 @@
 from basilcove.core.reducer import Context
 from basilcove.gateway.const import (
     DEFAULT_RETRY_AFTER_S,
+    EVACUATED_RETRY_AFTER_S,
     RETRY_AFTER_SPREAD,
     STARTING_RETRY_AFTER_S,
     STOPPING_RETRY_AFTER_S,
@@ -49,6 +50,9 @@
 NO_ROUTE: Final = Refusal(HTTPStatus.NOT_FOUND, 'no route matches')
 UNKNOWN_KEY: Final = Refusal(HTTPStatus.UNAUTHORIZED, 'the key is unknown')
 NO_UPSTREAM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no upstream takes the request')
+EVACUATED: Final = Refusal(
+    HTTPStatus.SERVICE_UNAVAILABLE, 'the upstreams are in evacuated zones', EVACUATED_RETRY_AFTER_S
+)
 HELD: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the upstreams hold requests off')
 NO_ROOM: Final = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'the upstreams have no room')
 QUARANTINED: Final = Refusal(
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -33,6 +33,7 @@
     ``others_load`` is the number of requests that it had from other gateways when it last reported its
     load. ``failure_average`` is the share of failures at the time of the last result. No request is sent
     before ``held_until``, and then only one at a time until ``hold_stated_until`` or an answer.
+    ``restored_at`` is when its evacuated zone was last restored; 0 for never.
     """
 
     registration: Registration
@@ -47,6 +48,7 @@
     leaving_until: float = 0
     held_until: float = 0
     hold_stated_until: float = 0
+    restored_at: float = 0
     throttle: Throttle = field(default_factory=Throttle)
 
     @property
@@ -131,6 +133,8 @@
     gateways: int = 0
     # Open attempts of all other gateways by instance; None while no control host reports them.
     other_attempts: dict[str, int] | None = None
+    # No request is sent to an upstream of these availability zones.
+    evacuated: frozenset[Zone] = frozenset()
 
     def update(self, registration: Registration, source: NodeId, *, silent: bool) -> PooledUpstream | None:
         """Apply a registration from a control host; return None if the gateway has a newer one."""
@@ -164,6 +168,24 @@
             upstream.slow_until = now + SLOW_LIFETIME_S if is_slow else 0
         return changed
 
+    def apply_evacuations(self, zones: frozenset[Zone], now: float) -> frozenset[Zone]:
+        """Set the evacuated zones, and return those that are restored; the cost grows with all upstreams."""
+        restored = self.evacuated - zones
+        self.evacuated = zones
+        for upstream in self.by_instance.values():
+            if upstream.registration.zone in restored:
+                upstream.restored_at = now
+        return restored
+
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Return whether only evacuations keep requests from all ready upstreams of a service."""
+        ready_zones = {
+            upstream.registration.zone
+            for upstream in self.by_service.get(service, {}).values()
+            if upstream.is_ready
+        }
+        return bool(ready_zones) and ready_zones <= self.evacuated
+
     def load(self, upstream: PooledUpstream, now: float) -> float:
         """Return the estimated number of open requests at an upstream."""
         if self.other_attempts is None:
@@ -220,14 +242,19 @@
 
     def usable(self, service: ServiceName, now: float) -> Iterator[PooledUpstream]:
         """Yield the upstreams that accept new requests of a service."""
-        for upstream in self.by_service.get(service, {}).values():
+        for upstream in self._in_service(service):
             if upstream.is_usable(now):
                 yield upstream
 
+    def _in_service(self, service: ServiceName) -> Iterator[PooledUpstream]:
+        for upstream in self.by_service.get(service, {}).values():
+            if upstream.registration.zone not in self.evacuated:
+                yield upstream
+
     def held_for_s(self, service: ServiceName, now: float) -> float | None:
         """Return the time until an upstream takes requests again; None if one does now, or none ever will."""
         returns = []
-        for upstream in self.by_service.get(service, {}).values():
+        for upstream in self._in_service(service):
             if upstream.is_usable(now):
                 return None
             return_s = upstream.return_s(now)
--- a/basilcove/gateway/relief.py
+++ b/basilcove/gateway/relief.py
@@ -75,10 +75,12 @@
 
     def _compute_share(self, service: ServiceName) -> float:
         free_slots, slow_load = 0.0, 0.0
-        for upstream in self._pools.usable(service, self._now):
+        for upstream in self._pools.by_service.get(service, {}).values():
+            if not upstream.is_usable(self._now):
+                continue
             load = self._pools.load(upstream, self._now)
             if upstream.is_slow(self._now):
                 slow_load += load
-            elif not upstream.is_silent:
+            elif not upstream.is_silent and upstream.registration.zone not in self._pools.evacuated:
                 free_slots += max(0, upstream.registration.slots + QUEUE_ALLOWANCE - load)
         return min(1, free_slots / max(1, slow_load))
--- a/basilcove/roles/common.py
+++ b/basilcove/roles/common.py
@@ -10,6 +10,7 @@
 from basilcove.membership import draining as _draining  # noqa: F401
 from basilcove.membership.models import MembershipState
 from basilcove.rpc import driver as _rpc  # noqa: F401
+from basilcove.wiring import zone_calls as _zone_calls  # noqa: F401
 from basilcove.wiring.confirmation import Confirmation
 from basilcove.wiring.operators import OperatorsState
 from basilcove.wiring.peers import PeerAddresses
@@ -37,6 +38,9 @@
         node.add(PeerAddresses(settings.node, settings.addresses.port))
     node.add(OperatorsState(assembly.identity, settings.environment, settings.stage))
     assembly.metrics.gauge('document_revision', 'Revision in effect.', lambda: documents.own.revision)
+    assembly.metrics.gauge(
+        'evacuations_version', 'Version of the evacuated zones.', lambda: documents.evacuations.version
+    )
     assembly.readiness.append(lambda: None if documents.ready else 'no current document is known')
     if settings.status is not None:
         server = StatusServer.from_config(settings.status, assembly.metrics)
--- a/basilcove/roles/gateway.py
+++ b/basilcove/roles/gateway.py
@@ -24,6 +24,11 @@
     assembly.metrics.gauge('gateway_requests_open', 'Requests not ended.', lambda: len(state.requests))
     assembly.metrics.gauge('gateway_revision', 'Revision that routes requests.', lambda: state.revision)
     assembly.metrics.gauge('gateway_upstreams', 'Upstreams known.', lambda: len(state.pools.by_instance))
+    assembly.metrics.gauge(
+        'gateway_evacuated_zones',
+        'Availability zones whose upstreams get no requests.',
+        lambda: len(state.pools.evacuated),
+    )
     assembly.metrics.gauge('gateway_connections_opened', 'To upstreams.', lambda: driver.upstreams.opened)
     assembly.metrics.gauge('gateway_held_bytes', 'Held of incomplete answers.', lambda: driver.held_bytes)
     assembly.readiness.append(lambda: None if state.table is not None else 'no document is in effect')
--- a/basilcove/wiring/const.py
+++ b/basilcove/wiring/const.py
@@ -21,5 +21,8 @@
 # Without this interval, engines that can't take the size in the document would get requests all the time.
 RESIZE_RETRY_S: Final = 10.0
 
+# An acknowledgement takes two round trips and a sync; an operator that gets 503 asks again or another host.
+ZONE_TIMEOUT_S: Final = 1.0
+
 # An operator that gets no answer asks another host after about a second; a later answer is still valid.
 DOCUMENT_TIMEOUT_S: Final = 3.0
--- a/basilcove/wiring/operators.py
+++ b/basilcove/wiring/operators.py
@@ -24,6 +24,7 @@
     UpstreamRow,
     UpstreamsReply,
     UpstreamsRequest,
+    ZoneReply,
 )
 from basilcove.consensus.models import ConsensusState, Member
 from basilcove.const import VERSION
@@ -63,7 +64,9 @@
 _CALL_HANDLERS: dict[type, CallHandler] = {}
 
 
-def _handles_call(request: type[Message]) -> Callable[[CallHandler], CallHandler]:
+def handles_call(request: type[Message]) -> Callable[[CallHandler], CallHandler]:
+    """Register the function that answers a type of call, or starts what the call waits for."""
+
     def register(handler: CallHandler) -> CallHandler:
         _CALL_HANDLERS[request] = handler
         return handler
@@ -80,7 +83,7 @@
     return handler(state, event.call_id, event.message, ctx)
 
 
-@_handles_call(ApplyRequest)
+@handles_call(ApplyRequest)
 def _apply(state: OperatorsState, call_id: rpc.CallId, req: ApplyRequest, ctx: Context) -> list[Effect]:
     command = commands.ApplyDocument(
         req.environment,
@@ -89,22 +92,22 @@
         req.document,
         req.request_id,
     )
-    return _propose(state, call_id, ApplyReply, req.request_id, command, ctx)
+    return propose(state, call_id, ApplyReply, req.request_id, command, ctx)
 
 
-@_handles_call(PromoteRequest)
+@handles_call(PromoteRequest)
 def _promote(state: OperatorsState, call_id: rpc.CallId, req: PromoteRequest, ctx: Context) -> list[Effect]:
     command = commands.PromoteDocument(req.environment, req.expected_revision, req.request_id)
-    return _propose(state, call_id, PromoteReply, req.request_id, command, ctx)
+    return propose(state, call_id, PromoteReply, req.request_id, command, ctx)
 
 
-@_handles_call(HostRequest)
+@handles_call(HostRequest)
 def _change_group(state: OperatorsState, call_id: rpc.CallId, req: HostRequest, ctx: Context) -> list[Effect]:
     change = commands.AdmitHost if req.admit else commands.RemoveHost
-    return _propose(state, call_id, HostReply, req.request_id, change(req.node, req.request_id), ctx)
+    return propose(state, call_id, HostReply, req.request_id, change(req.node, req.request_id), ctx)
 
 
-def _propose(
+def propose(
     state: OperatorsState,
     call_id: rpc.CallId,
     reply: type[Reply],
@@ -112,6 +115,7 @@
     command: Message,
     ctx: Context,
 ) -> list[Effect]:
+    """Propose a command, and answer the call with its outcome."""
     # The call's own id keeps a retry with other content from being answered like the first call;
     # the replicated state deduplicates on the request id inside the command.
     name = f'operator/{request_id}/{call_id}'
@@ -122,7 +126,11 @@
 @handles(Proposed, OperatorsState)
 def on_proposed(state: OperatorsState, event: Proposed, ctx: Context) -> list[Effect]:
     """Answer a change that was decided."""
-    accepted, revision, reasons = _describe(event.result)
+    result = event.result
+    if isinstance(result, outcomes.ZoneChanged):
+        changed = ZoneReply(accepted=True, version=result.version)
+        return state.answer(event.proposal_id, lambda _: changed)
+    accepted, revision, reasons = _describe(result)
     return state.answer(
         event.proposal_id,
         lambda reply: reply(accepted=accepted, revision=revision, reasons=reasons),
@@ -156,7 +164,7 @@
     return reply(accepted=False, reasons=reasons, unavailable=True)
 
 
-@_handles_call(ShowRequest)
+@handles_call(ShowRequest)
 def _show(state: OperatorsState, call_id: rpc.CallId, req: ShowRequest, ctx: Context) -> list[Effect]:
     name = f'show/{call_id}'
     state.wait(name, call_id, ShowReply)
@@ -183,7 +191,7 @@
     return state.answer(event.query_id, lambda reply: _unavailable(reply, (event.reason,)))
 
 
-@_handles_call(StatusRequest)
+@handles_call(StatusRequest)
 def _status(state: OperatorsState, call_id: rpc.CallId, req: StatusRequest, ctx: Context) -> list[Effect]:
     documents = ctx.node.part(DistributionState)
     leader = ctx.node.part(ClientState).leader
@@ -215,7 +223,7 @@
     return [rpc.Reply(call_id, reply)]
 
 
-@_handles_call(UpstreamsRequest)
+@handles_call(UpstreamsRequest)
 def _upstreams(
     state: OperatorsState, call_id: rpc.CallId, req: UpstreamsRequest, ctx: Context
 ) -> list[Effect]:
@@ -253,7 +261,7 @@
         )
 
 
-@_handles_call(DrainRequest)
+@handles_call(DrainRequest)
 def _drain(state: OperatorsState, call_id: rpc.CallId, req: DrainRequest, ctx: Context) -> list[Effect]:
     state.wait(_drain_name(req.upstream), call_id, DrainReply)
     return [Emit(membership.DrainRequested(req.upstream))]
--- a/basilcove/zones/models.py
+++ b/basilcove/zones/models.py
@@ -23,11 +23,14 @@
 class Evacuations:
     """All evacuated zones, oldest change first; ``version`` counts the changes, 0 before the first.
 
+    ``changed_at`` and ``changed_by`` are time and requester of the last change, also if it was a restore.
     Methods that return another set cost time in proportion to the number of zones.
     """
 
     version: int = 0
     rows: tuple[Evacuation, ...] = ()
+    changed_at: float = 0
+    changed_by: str = ''
 
     @property
     def zones(self) -> frozenset[Zone]:
@@ -38,9 +41,11 @@
         """Return the set with a zone; the same set if it has that zone."""
         if row.zone in self.zones:
             return self
-        return type(self)(self.version + 1, (*self.rows, row))
+        return type(self)(self.version + 1, (*self.rows, row), row.time, row.requester)
 
-    def restore(self, zone: Zone) -> Self:
+    def restore(self, zone: Zone, time: float, requester: str) -> Self:
         """Return the set without a zone; the same set if it lacks that zone."""
         rows = tuple(row for row in self.rows if row.zone != zone)
-        return self if len(rows) == len(self.rows) else type(self)(self.version + 1, rows)
+        if len(rows) == len(self.rows):
+            return self
+        return type(self)(self.version + 1, rows, time, requester)
