--- a/tests/cli/test_tool.py
+++ b/tests/cli/test_tool.py
@@ -17,6 +17,8 @@
     StatusReply,
     UpstreamRow,
     UpstreamsReply,
+    ZoneReply,
+    ZonesReply,
 )
 from basilcove.core.events import Message
 from basilcove.core.ids import Incarnation, NodeId, Role, Stage, Zone
@@ -24,6 +26,7 @@
 from basilcove.environment.models import Environment
 from basilcove.rpc import rpc_pb2 as pb
 from basilcove.rpc.envelopes import Identity, unwrap
+from basilcove.zones.models import Evacuation, Evacuations
 
 DEMO = 'examples/demo.yaml'
 
@@ -183,3 +186,31 @@
         status, out, err = run(capsys, '--help')
         assert status == 0
         assert 'promote ENVIRONMENT' in out + err
+
+
+class TestZones:
+    def test_changes_name_zone_and_id(self, capsys, operator) -> None:
+        """Guards against a change of another zone, and a resend that counts as a new change."""
+        node = operator(lambda request: ZoneReply(accepted=True, version=4))
+        options = ('--node', node.address, '--insecure', '--request-id', 'r-1')
+        for command, is_evacuation in (('evacuate', True), ('restore', False)):
+            status, out, _ = run(capsys, 'zones', command, '12', *options)
+            assert (status, out) == (0, f'12: {command}d, version 4\n')
+            request = node.asked[-1]
+            assert (request.zone, request.evacuate, request.request_id) == ('12', is_evacuation, 'r-1')
+            assert request.requester
+
+    def test_list(self, capsys, operator) -> None:
+        """Guards against a list that lacks who evacuated a zone, and since when."""
+        zones = Evacuations(7, (Evacuation(Zone('b'), 0, 'ops'),), 0, 'ops')
+        node = operator(lambda request: ZonesReply(accepted=True, evacuations=zones))
+        status, out, _ = run(capsys, 'zones', 'list', '--node', node.address, '--insecure')
+        assert status == 0
+        assert out.splitlines()[1:] == ['b     1970-01-01T00:00:00+00:00  ops', 'version 7']
+        _, out, _ = run(capsys, 'zones', 'list', '--node', node.address, '--insecure', '--json')
+        assert json.loads(out)['evacuations']['rows'] == [{'zone': 'b', 'time': 0.0, 'requester': 'ops'}]
+
+    def test_name_that_no_zone_can_have(self, capsys, operator) -> None:
+        """Guards against a name that every host refuses."""
+        status, _, error = run(capsys, 'zones', 'evacuate', 'x' * 300, '--node', 'x:1', '--insecure')
+        assert (status, error.startswith('error: the name of a zone')) == (2, True)
--- a/tests/consensus/machine.py
+++ b/tests/consensus/machine.py
@@ -11,15 +11,17 @@
     ApplyDocument,
     Claim,
     CompleteClaim,
+    EvacuateZone,
     ReleaseClaim,
     RemoveHost,
+    RestoreZone,
 )
 from basilcove.catalog.events import ProposalFailed, Proposed
 from basilcove.catalog.outcomes import ClaimGranted, DocumentApplied
 from basilcove.catalog.snapshot import decode_state, encode_state
 from basilcove.consensus.models import Members, MemberState
 from basilcove.core.events import Message
-from basilcove.core.ids import AttemptId, NodeId, RequestId, Revision, Stage
+from basilcove.core.ids import AttemptId, NodeId, RequestId, Revision, Stage, Zone
 from basilcove.storage.models import EntryKind
 from tests.consensus.cluster import CLIENT, Cluster
 from tests.consensus.hosts import Host
@@ -28,7 +30,7 @@
 SPARES = (NodeId('host-spare-1'), NodeId('host-spare-2'))
 KEYS = ('key-a', 'key-b')
 OUTCOMES = st.sampled_from(['complete', 'release', 'abandon'])
-_CHANGES = (ApplyDocument, AdmitHost, RemoveHost)
+_CHANGES = (ApplyDocument, AdmitHost, RemoveHost, EvacuateZone, RestoreZone)
 SHARES = st.sampled_from([0, 0, 0.05, 0.3])
 
 
@@ -97,6 +99,14 @@
         number = len(self.commands)
         self._propose(f'lease-{number}', AcquireLease(name, f'holder-{number}', duration))
 
+    @rule(zone=st.sampled_from(['a', 'b']), evacuate=st.booleans(), identified=st.booleans())
+    def change_zone(self, zone: str, evacuate: bool, identified: bool) -> None:
+        """An adapter changes a zone, or the tool, whose changes have an id."""
+        number = len(self.commands)
+        command = EvacuateZone if evacuate else RestoreZone
+        request_id = RequestId(f'request-{number}' if identified else '')
+        self._propose(f'zone-{number}', command(Zone(zone), 'operator', request_id))
+
     @rule(admit=st.booleans())
     def change_members(self, admit: bool) -> None:
         """Two operators change the group at the same time."""
@@ -256,7 +266,7 @@
         answers: dict[RequestId, Message] = {}
         for event in self._answers():
             command = self.commands.get(event.proposal_id)
-            if isinstance(command, _CHANGES):
+            if isinstance(command, _CHANGES) and command.request_id:
                 assert answers.setdefault(command.request_id, event.result) == event.result, event
         for name in self._failed_names():
             failed = self.cluster.results[name][0]
--- a/tests/distribution/fleet.py
+++ b/tests/distribution/fleet.py
@@ -2,18 +2,24 @@
 
 from dataclasses import dataclass, field
 
-from basilcove.catalog.events import DocumentAccepted
+from basilcove.catalog.events import DocumentAccepted, EvacuationsCommitted
 from basilcove.core.events import Effect, Peer
-from basilcove.core.ids import EnvironmentName, NodeId, Revision, Role, Stage
+from basilcove.core.ids import EnvironmentName, NodeId, Revision, Role, Stage, Zone
 from basilcove.core.reducer import Context, handles
 from basilcove.distribution import coordinator, pulling  # noqa: F401
 from basilcove.distribution.config import DistributionConfig
-from basilcove.distribution.events import DistributionReady, ReplicaCaughtUp, RevisionConfirmed
+from basilcove.distribution.events import (
+    DistributionReady,
+    EvacuationsChanged,
+    ReplicaCaughtUp,
+    RevisionConfirmed,
+)
 from basilcove.distribution.models import DistributionState
 from basilcove.environment.canonical import canonical
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.environment.keys import digest_of_secret
 from basilcove.environment.models import Environment
+from basilcove.zones.models import Evacuation, Evacuations
 from tests.distribution.network import FakeNetwork
 
 ELECTION_S = 2.0
@@ -26,6 +32,7 @@
 
     documents: list[tuple[Revision, str]] = field(default_factory=list)
     ready: list[tuple[float, Revision]] = field(default_factory=list)
+    evacuations: list[tuple[int, frozenset[Zone]]] = field(default_factory=list)
 
 
 @handles(EnvironmentChanged, InEffect)
@@ -40,6 +47,12 @@
     return []
 
 
+@handles(EvacuationsChanged, InEffect)
+def _on_evacuations(state: InEffect, event: EvacuationsChanged, ctx: Context) -> list[Effect]:
+    state.evacuations.append((event.version, frozenset(row.zone for row in event.zones)))
+    return []
+
+
 def make_document(revision: int, teams: int = 2) -> str:
     """Return a canonical document that differs in one team from that of any other revision."""
     content = {
@@ -61,6 +74,9 @@
     def __init__(self, seed: int = 0, **settings: object) -> None:
         self.net = FakeNetwork(seed, _may_link)
         self.accepted: dict[int, str] = {}
+        # The evacuated zones after each change, and how many changes each control host has on its disk.
+        self.evacuations = [Evacuations()]
+        self.applied_changes: dict[str, int] = {}
         self.config = DistributionConfig(
             environment=ENVIRONMENT,
             control_nodes=tuple(NodeId(f'control-{number}') for number in (1, 2, 3)),
@@ -102,9 +118,25 @@
         self.replayed[name] = durable if replay_limit is None else min(replay_limit, durable)
         for revision in range(1, self.replayed[name] + 1):
             self.replay(name, revision)
+        self.introduce_zones(name)
         if replay_limit is None:
             self.net.apply(name, ReplicaCaughtUp())
 
+    def change_zone(self, replicas: list[str], zone: Zone) -> None:
+        """Evacuate or restore a zone; the given replicas, a majority of the group, apply it."""
+        last = self.evacuations[-1]
+        row = Evacuation(zone, self.net.now, 'operator')
+        changed = last.restore(zone, self.net.now, 'operator') if zone in last.zones else last.evacuate(row)
+        self.evacuations.append(changed)
+        for name in replicas:
+            self.catch_up(name)
+
+    def introduce_zones(self, name: str) -> None:
+        """Hand the evacuated zones on its disk to a control host's process."""
+        changes = self.applied_changes.get(name, 0)
+        if changes:
+            self.net.apply(name, EvacuationsCommitted(self.evacuations[changes]))
+
     def accept(self, replicas: list[str], teams: int = 2) -> int:
         """Accept the next document; the given replicas, a majority of the group, apply it."""
         revision = len(self.accepted) + 1
@@ -149,7 +181,8 @@
                 if control in self.config.control_nodes and self.reaches_majority(control):
                     # A leader has applied all accepted documents.
                     self.catch_up(control)
-                    self.net.apply(name, RevisionConfirmed(Revision(len(self.accepted))))
+                    version = self.evacuations[-1].version
+                    self.net.apply(name, RevisionConfirmed(Revision(len(self.accepted)), version))
                     break
 
     def catch_up(self, name: str) -> None:
@@ -158,6 +191,8 @@
         for revision in range(self.replayed[name] + 1, len(self.accepted) + 1):
             self.replayed[name] = revision
             self.replay(name, revision)
+        self.applied_changes[name] = len(self.evacuations) - 1
+        self.introduce_zones(name)
         if not self.state(name).caught_up:
             self.net.apply(name, ReplicaCaughtUp())
 
--- a/tests/distribution/machine.py
+++ b/tests/distribution/machine.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from basilcove.core.events import Message, Received
-from basilcove.core.ids import NodeId
+from basilcove.core.ids import NodeId, Zone
 from basilcove.distribution.messages import Chunk, Delta, Offer
 from tests.distribution.fleet import Fleet
 from tests.distribution.network import SILENCE_S, Host
@@ -63,6 +63,8 @@
         self.lossy_until = 0.0
         # Highest revision accepted when each node's present process started.
         self.accepted_at_start = dict.fromkeys(_LAYOUT, 0)
+        # Version of the evacuated zones when each node's present process started.
+        self.version_at_start = dict.fromkeys(_LAYOUT, 0)
         self.checked: set[tuple[str, int]] = set()
         # What each node held, and whether it was caught up, at the ticks of the last second, oldest first.
         # An offer takes time to arrive, so readiness is judged by the oldest.
@@ -74,6 +76,11 @@
         if is_majority and all(map(self.fleet.is_running, replicas)):
             self.fleet.accept(list(replicas), teams)
 
+    @rule(replicas=_MAJORITIES, zone=st.sampled_from(['nobsa', 'tibasosa', 'unknown']))
+    def change_zone(self, replicas: tuple[str, ...], zone: str) -> None:
+        if all(map(self.fleet.is_running, replicas)):
+            self.fleet.change_zone(list(replicas), Zone(zone))
+
     @rule(pair=st.permutations(_CONTROLS), name=st.sampled_from(_OTHERS), wait_s=st.sampled_from([0, 0.3, 4]))
     def accept_and_die(self, pair: list[str], name: str, wait_s: float) -> None:
         """The leader dies before any follower hears of what it accepted, and a node restarts."""
@@ -133,6 +140,7 @@
     @rule(name=_NODES, known=st.sampled_from([0, 1, 3, 100]))
     def restart(self, name: str, known: int) -> None:
         self.accepted_at_start[name] = len(self.fleet.accepted)
+        self.version_at_start[name] = self.fleet.evacuations[-1].version
         self.fleet.start(name, _LAYOUT[name], known)
 
     @rule(
@@ -202,6 +210,8 @@
             for name in names if highest else ():
                 assert self.fleet.in_effect(name), f'{name} is not ready'
                 assert self.fleet.in_effect(name)[-1][0] == highest
+            versions = {each: self.fleet.state(each).evacuations.version for each in names}
+            assert len(set(versions.values())) == 1, f'zones do not converge: {versions}'
 
     @rule(replicas=_MAJORITIES)
     def accept_and_spread(self, replicas: tuple[str, ...]) -> None:
@@ -225,6 +235,16 @@
             for revision, text in seen:
                 assert self.fleet.accepted.get(revision) == text, f'{name} has a document nobody accepted'
 
+    @invariant()
+    def only_committed_zones_forwards(self) -> None:
+        for name in _LAYOUT:
+            seen = self.fleet.in_effect_state(name).evacuations
+            versions = [version for version, _ in seen]
+            assert versions == sorted(set(versions)), f'{name} went back: {versions}'
+            for version, zones in seen:
+                assert self.fleet.evacuations[version].zones == zones, f'{name} has other zones'
+            assert bool(seen) == self.fleet.state(name).ready
+
     @invariant()
     def ready_only_when_allowed(self) -> None:
         for name in _LAYOUT:
@@ -245,6 +265,7 @@
             self.hear_leader(control)
         self.converge()
         self.only_accepted_revisions_forwards()
+        self.only_committed_zones_forwards()
 
     def _leaderless_wait_s(self) -> float:
         """Return how long nodes that reach a majority without a leader still have to wait."""
@@ -271,7 +292,8 @@
 
     def _check_ready(self, name: str, host: Host) -> None:
         ready_at, revision = self.fleet.in_effect_state(name).ready[0]
-        if revision >= self.accepted_at_start[name]:
+        version = self.fleet.in_effect_state(name).evacuations[0][0]
+        if revision >= self.accepted_at_start[name] and version >= self.version_at_start[name]:
             return
         # Lower than what was accepted at its start: only a node that is cut off may do so.
         age_s = ready_at - host.started_at
--- a/tests/harness/platform.py
+++ b/tests/harness/platform.py
@@ -39,6 +39,13 @@
         """Suppress the access log."""
 
 
+def start_engine() -> ThreadingHTTPServer:
+    """Start a stand-in engine on a free port."""
+    engine = ThreadingHTTPServer(('127.0.0.1', 0), Engine)
+    threading.Thread(target=engine.serve_forever, daemon=True).start()
+    return engine
+
+
 class PlatformProcesses:
     """Control hosts and gateways, started as on the platform, each on its own loopback address."""
 
@@ -102,8 +109,7 @@
     def __init__(self, folder: Path) -> None:
         """Start the engine."""
         super().__init__(folder)
-        self.engine = ThreadingHTTPServer(('127.0.0.1', 0), Engine)
-        threading.Thread(target=self.engine.serve_forever, daemon=True).start()
+        self.engine = start_engine()
 
     def stop(self) -> None:
         """End all processes and the engine."""
@@ -133,10 +139,16 @@
 
     def announce(self, sequence: int, state: str = 'ready') -> None:
         """Announce the engine to the first control host that acknowledges it."""
+        self.announce_as('i-1', self.engine, 'a', sequence, state)
+
+    def announce_as(
+        self, instance: str, engine: ThreadingHTTPServer, zone: str, sequence: int, state: str = 'ready'
+    ) -> None:
+        """Announce an engine of a zone to the first control host that acknowledges it."""
         content = {
             'service': 'desk',
-            'address': f'127.0.0.1:{self.engine.server_address[1]}',
-            'zone': 'a',
+            'address': f'127.0.0.1:{engine.server_address[1]}',
+            'zone': zone,
             'slots': 4,
             'state': state,
             'sequence': sequence,
@@ -144,12 +156,18 @@
         }
 
         def is_acknowledged() -> bool:
-            return any(self.call(host, 'PUT', '/instances/i-1', content)[0] == 200 for host in CONTROL)
+            return any(
+                self.call(host, 'PUT', f'/instances/{instance}', content)[0] == 200 for host in CONTROL
+            )
 
         wait_for(is_acknowledged, 'an acknowledged announcement')
 
     def send_request(self, path: str = '/book/x', key: str = 'k-1') -> int:
         """Return the status of a caller's request; 0 without an answer."""
+        return self.exchange(path, key)[0]
+
+    def exchange(self, path: str = '/book/x', key: str = 'k-1') -> tuple[int, bytes, str]:
+        """Return status, body and Retry-After of the answer to a caller; status 0 without an answer."""
         headers = {
             'Host': 'desk.example',
             'Authorization': f'Token {key}',
@@ -158,9 +176,10 @@
         }
         url = f'http://{GATEWAY}:{self.ports["http"]}{path}'
         try:
-            return HTTP.request('POST', url, headers=headers, body=b'x').status
+            answer = HTTP.request('POST', url, headers=headers, body=b'x')
         except urllib3.exceptions.HTTPError:
-            return 0
+            return 0, b'', ''
+        return answer.status, answer.data, answer.headers.get('Retry-After', '')
 
 
 def configuration(version: int, key: str = 'k-1') -> dict[str, Any]:
