Limit the requests to cold upstreams by leases of control hosts

Cause: an upstream crashes if it gets its usual load while it is cold, and nothing read the cold time that it announces. Change: services state cold_limit_per_s and cold_time_s. Each control host grants its own part of the limit as leases to few gateways, which add up the leases that they hold; a gateway without one leaves a cold upstream alone. The registry passes on changes between cold and warm. The decisions on shares move from gateway/ to throttling/.

--- a/basilcove/environment/models.py
+++ b/basilcove/environment/models.py
@@ -121,11 +121,15 @@
 class Service(_Section):
     """A plain service; a call that no entry matches is not repeatable.
 
-    ``max_connections`` is how many connections one of its upstreams accepts from all callers together.
+    ``max_connections`` is how many connections one of its upstreams accepts from all callers together. An
+    upstream takes ``cold_limit_per_s`` requests a second while it is cold, that is for ``cold_time_s`` after
+    its start; without both its upstreams are never cold.
     """
 
     calls: tuple[Call, ...] = ()
     max_connections: PositiveInt | None = None
+    cold_limit_per_s: PositiveFloat | None = None
+    cold_time_s: PositiveFloat | None = None
     experts: ExpertSlots | None = None
 
 
--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from basilcove.core.events import Effect, Log
+from basilcove.core.events import Count, Effect, Log
 from basilcove.core.ids import PartId
 from basilcove.core.reducer import Context
 from basilcove.environment.models import RouteKind
@@ -96,7 +96,10 @@
         is_failure_buffered=req.named_route.route.kind is RouteKind.SAFE,
         last_event=req.last_event,
     )
-    return [start, Log('info', 'request sent', fields)]
+    log = Log('info', 'request sent', fields)
+    if chosen.throttle.cold.is_cold(ctx.now):
+        return [start, log, Count('gateway_cold_requests')]
+    return [start, log]
 
 
 def release_upstream(state: GatewayState, req: OpenRequest) -> PooledUpstream | None:
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -13,6 +13,7 @@
 from basilcove.gateway.routes import NamedRoute, RouteTable
 from basilcove.gateway.stopping import Stop
 from basilcove.registry.messages import Registration
+from basilcove.throttling.coldness import ColdServices
 
 _NO_REVISION = Revision(0)
 
@@ -87,6 +88,11 @@
     sharing: Sharing = field(default_factory=Sharing)
     admission: Admission = field(default_factory=Admission)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    cold: ColdServices = field(default_factory=ColdServices)
+
+    def count_cold(self, now: float) -> int:
+        """Return how many upstreams are cold; the cost grows with the number of upstreams."""
+        return sum(upstream.throttle.cold.is_cold(now) for upstream in self.pools.by_instance.values())
 
     @classmethod
     def from_config(cls, cfg: GatewayConfig, zone: Zone, stop_timeout_s: float) -> Self:
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -20,9 +20,9 @@
     SLOW_LIFETIME_S,
 )
 from basilcove.gateway.events import ReportedLoad
-from basilcove.gateway.throttles import Throttle
 from basilcove.helpers.hashing import stable_hash
 from basilcove.registry.messages import Registration, RegistrationState
+from basilcove.throttling.shares import Throttle
 
 
 @dataclass(slots=True)
@@ -48,6 +48,7 @@
     held_until: float = 0
     hold_stated_until: float = 0
     throttle: Throttle = field(default_factory=Throttle)
+    restored_at: float = 0
 
     @property
     def is_silent(self) -> bool:
@@ -63,13 +64,15 @@
         """Return whether the upstream is ready, doesn't leave and holds off no requests of this gateway."""
         if not self.is_ready or now < max(self.leaving_until, self.held_until):
             return False
-        if self.throttle.limit_per_s and self.throttle.wait_s(now) != 0:
+        if self.restored_at:
+            self.throttle.cold.restore(self.restored_at)
+        if (self.throttle.limit_per_s or self.throttle.cold.until) and self.throttle.wait_s(now) != 0:
             return False
         return now >= self.hold_stated_until or not self.open_attempts
 
     def return_s(self, now: float) -> float | None:
         """Return the time until requests may be sent to an upstream that isn't usable; None if never."""
-        wait_s = self.throttle.wait_s(now)
+        wait_s = self.throttle.return_s(now)
         if not self.is_ready or now < self.leaving_until or wait_s is None:
             return None
         return max(wait_s, self.held_until - now) or DEFAULT_RETRY_AFTER_S
--- a/basilcove/gateway/throttling.py
+++ b/basilcove/gateway/throttling.py
@@ -44,7 +44,12 @@
     assert isinstance(msg, LimitShares)
     for share in msg.entries:
         upstream = state.pools.by_instance.get(share.instance)
-        if upstream is not None and upstream.registration.born_ms == share.born_ms:
+        if upstream is None or upstream.registration.born_ms != share.born_ms:
+            continue
+        if msg.asked_at:
+            leased = upstream.throttle.leased
+            leased.grant(event.peer.node, share.requests_per_s, msg.asked_at, ctx.now)
+        else:
             _apply_share(upstream, share, event, ctx.now)
     return []
 
--- a/basilcove/registry/const.py
+++ b/basilcove/registry/const.py
@@ -23,3 +23,6 @@
 MAX_TEXT_LENGTH: Final = 256
 # Sequence of the departure of an instance; it orders the departure after all its calls, including late ones.
 MAX_SEQUENCE: Final = 2**62
+# An upstream that states so much more remaining cold time than before has become cold again; less may be
+# due to calls that were late.
+COLD_TOLERANCE_S: Final = 0.5
--- a/basilcove/registry/coordinator.py
+++ b/basilcove/registry/coordinator.py
@@ -5,6 +5,7 @@
 from basilcove.core.events import Count, Effect, Log, PeerFound, PeerLost, Received, Send, Tick
 from basilcove.core.ids import InstanceId, Role
 from basilcove.core.reducer import Context, handles, handles_message
+from basilcove.environment.events import EnvironmentChanged
 from basilcove.registry.checks import find_fault
 from basilcove.registry.const import FORGOTTEN_AFTER_S, MIN_PAUSE_S, SILENT_AFTER_S
 from basilcove.registry.departures import confirm_known, confirm_stored
@@ -22,7 +23,7 @@
         state.gateways.add(node)
     else:
         return []
-    return [Send(node, _build_message(state, state.rows))]
+    return [Send(node, _build_message(state, state.rows, ctx.now))]
 
 
 @handles(PeerLost, RegistryState)
@@ -34,7 +35,19 @@
 
 @handles(UpstreamRegistered, RegistryState)
 def _on_registered(state: RegistryState, event: UpstreamRegistered, ctx: Context) -> list[Effect]:
-    return _merge(state, event.registration, 'call', ctx.now)
+    """Tell all nodes at once of an upstream that becomes cold, as its usual load would crash it."""
+    registration = event.registration
+    effects = _merge(state, registration, 'call', ctx.now)
+    if not _is_news_of_cold(state, registration):
+        return effects
+    return [*effects, *_tell_all(state, registration.instance, ctx.now)]
+
+
+@handles(EnvironmentChanged, RegistryState)
+def _on_environment(state: RegistryState, event: EnvironmentChanged, ctx: Context) -> list[Effect]:
+    services = event.environment.services.items()
+    state.cold_services = frozenset(name for name, service in services if service.cold_limit_per_s)
+    return []
 
 
 @handles(UpstreamLeft, RegistryState)
@@ -47,13 +60,17 @@
         # A later start has the address, so nothing is sent to this one any more.
         return [*effects, ConfirmDeparture(registration.departure)]
     state.unconfirmed[registration.departure] = Unconfirmed(ctx.now)
-    msg = _build_message(state, [registration.instance])
-    state.changed.pop(registration.instance, None)
-    state.renewed.pop(registration.instance, None)
-    effects.extend(Send(node, msg) for node in (*sorted(state.hosts), *sorted(state.gateways)))
+    effects.extend(_tell_all(state, registration.instance, ctx.now))
     return [*effects, *confirm_known(state, registration.departure)]
 
 
+def _tell_all(state: RegistryState, instance: InstanceId, now: float) -> list[Effect]:
+    msg = _build_message(state, [instance], now)
+    state.changed.pop(instance, None)
+    state.renewed.pop(instance, None)
+    return [Send(node, msg) for node in (*sorted(state.hosts), *sorted(state.gateways))]
+
+
 @handles_message(Registrations, RegistryState)
 def _on_registrations(state: RegistryState, event: Received, ctx: Context) -> list[Effect]:
     msg = event.message
@@ -62,9 +79,23 @@
     for registration in msg.registrations:
         if registration.instance not in msg.silent:
             effects.extend(_merge(state, registration, event.peer.node, ctx.now))
+    cold = [
+        registration.instance for registration in msg.registrations if _is_news_of_cold(state, registration)
+    ]
+    if cold:
+        news = _build_message(state, cold, ctx.now)
+        effects.extend(Send(node, news) for node in sorted(state.gateways))
+        for instance in cold:
+            state.changed.pop(instance, None)
     return [*effects, *confirm_stored(event.peer.node, msg)]
 
 
+def _is_news_of_cold(state: RegistryState, registration: Registration) -> bool:
+    """Return whether gateways have yet to hear that an upstream has become cold."""
+    is_limited = registration.service in state.cold_services
+    return is_limited and registration.cold_s > 0 and registration.instance in state.changed
+
+
 def _merge(state: RegistryState, registration: Registration, source: str, now: float) -> list[Effect]:
     fault = find_fault(registration)
     if fault is not None:
@@ -100,10 +131,10 @@
     state.drop_unconfirmed(ctx.now)
     effects = _expire_rows(state, ctx.now)
     if state.changed:
-        msg = _build_message(state, state.changed)
+        msg = _build_message(state, state.changed, ctx.now)
         effects.extend(Send(node, msg) for node in sorted(state.gateways))
     if state.renewed and state.hosts:
-        msg = _build_message(state, state.renewed)
+        msg = _build_message(state, state.renewed, ctx.now)
         effects.extend(Send(node, msg) for node in sorted(state.hosts))
     state.changed.clear()
     state.renewed.clear()
@@ -142,7 +173,7 @@
         del state.addresses[row.registration.address]
 
 
-def _build_message(state: RegistryState, instances: Iterable[InstanceId]) -> Registrations:
+def _build_message(state: RegistryState, instances: Iterable[InstanceId], now: float) -> Registrations:
     rows = [state.rows[instance] for instance in instances if instance in state.rows]
     silent = tuple(row.registration.instance for row in rows if row.is_silent)
-    return Registrations(tuple(row.registration for row in rows), silent, len(state.gateways))
+    return Registrations(tuple(row.current(now) for row in rows), silent, len(state.gateways))
--- a/basilcove/registry/models.py
+++ b/basilcove/registry/models.py
@@ -2,18 +2,44 @@
 
 from dataclasses import dataclass, field, replace
 
-from basilcove.core.ids import InstanceId, NodeId
-from basilcove.registry.const import DEPARTURE_TIMEOUT_S, MAX_INSTANCES, MAX_SEQUENCE
+from basilcove.core.ids import InstanceId, NodeId, ServiceName
+from basilcove.registry.const import COLD_TOLERANCE_S, DEPARTURE_TIMEOUT_S, MAX_INSTANCES, MAX_SEQUENCE
 from basilcove.registry.messages import Departure, Registration, RegistrationState
 
 
 @dataclass(slots=True)
 class Row:
-    """A registration and when it was last renewed, in monotonic seconds."""
+    """A registration and when it was last renewed, in monotonic seconds.
+
+    ``received_at`` is when its remaining cold time was stated. ``is_confirmed`` tells whether a later
+    registration of the same start than the first one has stated that the upstream is warm.
+    """
 
     registration: Registration
     renewed_at: float
     is_silent: bool = False
+    received_at: float = 0
+    is_confirmed: bool = False
+
+    def cold_s(self, now: float) -> float:
+        """Return the time for which the upstream is still cold."""
+        stated_s = self.registration.cold_s
+        return max(0, stated_s - (now - self.received_at)) if stated_s else 0
+
+    def current(self, now: float) -> Registration:
+        """Return the registration with the time for which the upstream is still cold."""
+        return (
+            replace(self.registration, cold_s=self.cold_s(now))
+            if self.registration.cold_s
+            else self.registration
+        )
+
+    def is_warmth_changed(self, latest: Registration, now: float) -> bool:
+        """Return whether a later registration of the same start makes the upstream cold or proves it warm."""
+        left_s = self.cold_s(now)
+        if latest.cold_s:
+            return not left_s or latest.cold_s > left_s + COLD_TOLERANCE_S
+        return left_s > 0 or not self.is_confirmed
 
 
 @dataclass(slots=True)
@@ -39,6 +65,8 @@
     renewed: dict[InstanceId, None] = field(default_factory=dict)
     changed: dict[InstanceId, None] = field(default_factory=dict)
     ticked_at: float | None = None
+    # Services whose upstreams may be cold; gateways are told when one of these turns cold or warm.
+    cold_services: frozenset[ServiceName] = frozenset()
     # Departures that this host must not acknowledge yet.
     unconfirmed: dict[Departure, Unconfirmed] = field(default_factory=dict)
 
@@ -59,11 +87,18 @@
         if at_address is not None and self._is_superseded(registration, at_address):
             return False
         self.addresses[registration.address] = registration
-        if row is None or row.is_silent or is_changed(row.registration, registration):
+        if row is None or row.is_silent or self._is_changed(row, registration, now):
             self.changed[registration.instance] = None
-        self.rows[registration.instance] = Row(registration, now)
+        is_later = row is not None and row.registration.born_ms == registration.born_ms
+        is_confirmed = row is not None and is_later and (row.is_confirmed or not registration.cold_s)
+        self.rows[registration.instance] = Row(registration, now, received_at=now, is_confirmed=is_confirmed)
         return True
 
+    def _is_changed(self, row: Row, latest: Registration, now: float) -> bool:
+        if is_changed(row.registration, latest):
+            return True
+        return latest.service in self.cold_services and row.is_warmth_changed(latest, now)
+
     def departure_of(self, instance: InstanceId) -> Registration | None:
         """Return the registration that marks an instance as gone; None if the instance is unknown."""
         row = self.rows.get(instance)
--- a/basilcove/roles/control.py
+++ b/basilcove/roles/control.py
@@ -15,7 +15,9 @@
 from basilcove.storage.driver import StorageDriver
 from basilcove.storage.journal import Journal
 from basilcove.throttling import coordinator as _throttling  # noqa: F401
+from basilcove.throttling.leases import LeaseBook
 from basilcove.throttling.models import ThrottlingState
+from basilcove.wiring import throttling as _voters  # noqa: F401
 from basilcove.wiring.documents import CatchUp
 
 
@@ -44,7 +46,7 @@
     node.add(CatchUp(identity.node))
     node.add(RegistryState())
     node.add(AttemptTotals())
-    node.add(ThrottlingState())
+    node.add(ThrottlingState(book=LeaseBook(identity.node)))
     quarantine = QuarantineState()
     node.add(quarantine)
     assembly.metrics.gauge(
--- a/basilcove/roles/gateway.py
+++ b/basilcove/roles/gateway.py
@@ -1,5 +1,7 @@
 """Assembles a gateway, which passes requests of callers to upstreams without an agent."""
 
+import time
+
 from basilcove.core.ids import Role
 from basilcove.daemon import Assembly, builds
 from basilcove.gateway import coordinator as _gateway  # noqa: F401
@@ -24,6 +26,7 @@
     assembly.metrics.gauge('gateway_requests_open', 'Requests not ended.', lambda: len(state.requests))
     assembly.metrics.gauge('gateway_revision', 'Revision that routes requests.', lambda: state.revision)
     assembly.metrics.gauge('gateway_upstreams', 'Upstreams known.', lambda: len(state.pools.by_instance))
+    assembly.metrics.gauge('gateway_cold_upstreams', 'Cold.', lambda: state.count_cold(time.monotonic()))
     assembly.metrics.gauge('gateway_connections_opened', 'To upstreams.', lambda: driver.upstreams.opened)
     assembly.metrics.gauge('gateway_held_bytes', 'Held of incomplete answers.', lambda: driver.held_bytes)
     assembly.readiness.append(lambda: None if state.table is not None else 'no document is in effect')
--- a/basilcove/throttling/const.py
+++ b/basilcove/throttling/const.py
@@ -1,4 +1,4 @@
-"""Constants of the throttling of upstreams that state a limit."""
+"""Constants of the throttling of upstreams with a limit."""
 
 from typing import Final
 
@@ -12,3 +12,18 @@
 MAX_SENDERS: Final = 64
 # Upstreams with a limit that a process remembers.
 MAX_LIMITS: Final = 8192
+# A lease of a share ends this long after its gateway asked for it, by the clock of the gateway.
+LEASE_S: Final = 3.0
+# A control host counts a lease for this long after the request arrived. Clocks of hosts differ in speed by
+# less than a thousandth.
+COUNTED_LEASE_S: Final = 3.1
+# A gateway that knows cold upstreams asks for leases at this interval; a lease outlasts a lost answer.
+ASK_INTERVAL_S: Final = 1.0
+# Control hosts that grant leases for one upstream; each grants an equal part of its limit. Each host needs a
+# sender of its own, and with more senders a small limit would be exceeded by requests at the same moment.
+MAX_GRANTERS: Final = 4
+# A granting host adds a second sender at a limit of so many requests a second, a third one at twice that.
+LIMIT_PER_SENDER: Final = 32
+# Upstreams that a gateway hears of within this time of its first registrations are warm if they say so: the
+# whole system is starting.
+START_WINDOW_S: Final = 5.0
--- a/basilcove/throttling/coordinator.py
+++ b/basilcove/throttling/coordinator.py
@@ -1,4 +1,4 @@
-"""Divides the limits that upstreams state among gateways, on a control host."""
+"""Divides the limits of upstreams among gateways, on a control host."""
 
 from collections import defaultdict
 from collections.abc import Collection, Mapping
@@ -6,7 +6,7 @@
 from basilcove.core.events import Count, Effect, Log, PeerFound, PeerLost, Received, Send, Tick
 from basilcove.core.ids import InstanceId, NodeId, Role
 from basilcove.core.reducer import Context, handles, handles_message
-from basilcove.throttling.messages import LimitShare, LimitShares, StatedLimit
+from basilcove.throttling.messages import LimitShare, LimitShares, ShareRequest, StatedLimit
 from basilcove.throttling.models import ThrottlingState
 
 
@@ -34,9 +34,20 @@
     return [*_log(state, stated.instance), *_announce(state, {stated.instance: state.gateways})]
 
 
+@handles_message(ShareRequest, ThrottlingState)
+def _on_share_request(state: ThrottlingState, event: Received, ctx: Context) -> list[Effect]:
+    request = event.message
+    assert isinstance(request, ShareRequest)
+    shares = state.lease(event.peer.node, request, ctx.now)
+    if not shares:
+        return []
+    return [Send(event.peer.node, LimitShares(shares, request.asked_at)), Count('shares_leased')]
+
+
 @handles(Tick, ThrottlingState)
 def _on_tick(state: ThrottlingState, event: Tick, ctx: Context) -> list[Effect]:
     effects: list[Effect] = []
+    state.book.drop_ended(ctx.now)
     for instance in state.find_expired(ctx.now):
         record = state.records[instance]
         if record.limit_per_s:
--- a/basilcove/throttling/models.py
+++ b/basilcove/throttling/models.py
@@ -1,12 +1,14 @@
-"""The limits that upstreams state, as one control host knows them."""
+"""The limits of upstreams, as one control host knows them."""
 
+import math
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from basilcove.core.ids import InstanceId, NodeId
 from basilcove.helpers.hashing import stable_hash
 from basilcove.throttling.const import BASE_SENDERS, LIMIT_LIFETIME_S, MAX_LIMITS, MAX_SENDERS
-from basilcove.throttling.messages import StatedLimit
+from basilcove.throttling.leases import LeaseBook
+from basilcove.throttling.messages import LimitShare, ShareRequest, StatedLimit
 
 
 @dataclass(slots=True)
@@ -37,10 +39,14 @@
 
 @dataclass(slots=True)
 class ThrottlingState:
-    """Limits by upstream, and the gateways among which they are divided."""
+    """Limits by upstream, and the gateways among which they are divided.
+
+    ``records`` are limits that upstreams state, and ``book`` has those that are known with their end.
+    """
 
     gateways: set[NodeId] = field(default_factory=set)
     records: dict[InstanceId, LimitRecord] = field(default_factory=dict)
+    book: LeaseBook = field(default_factory=lambda: LeaseBook(NodeId('')))
 
     def update(self, stated: StatedLimit, now: float) -> bool:
         """Note what an upstream states; return whether shares change."""
@@ -59,6 +65,7 @@
     def add_gateway(self, node: NodeId) -> dict[InstanceId, frozenset[NodeId]]:
         """Add a gateway; return the gateways whose share of a limit changes, by upstream."""
         self.gateways.add(node)
+        self.book.add_gateway(node)
         changed = {}
         for instance, record in self.records.items():
             # The others that don't send rank behind the senders, so they need no comparison.
@@ -69,6 +76,7 @@
     def remove_gateway(self, node: NodeId) -> dict[InstanceId, frozenset[NodeId]]:
         """Remove a gateway; return the gateways whose share of a limit changes, by upstream."""
         self.gateways.discard(node)
+        self.book.remove_gateway(node)
         changed = {}
         for instance, record in self.records.items():
             if node in record.senders:
@@ -76,6 +84,16 @@
                 changed[instance] = record.replace_senders(senders) - {node}
         return changed
 
+    def lease(self, node: NodeId, request: ShareRequest, now: float) -> tuple[LimitShare, ...]:
+        """Note the limits that a gateway knows of, and return its leases."""
+        for limit in request.limits:
+            self.book.state_limit(limit, now)
+        return self.book.grant(node, self._stated_limit, now)
+
+    def _stated_limit(self, instance: InstanceId) -> float:
+        record = self.records.get(instance)
+        return record.limit_per_s if record is not None and record.limit_per_s else math.inf
+
     def find_expired(self, now: float) -> list[InstanceId]:
         """Return the upstreams whose limit nobody has repeated lately."""
         records = self.records.items()
