--- a/basilcove/registry/coordinator.py
+++ b/basilcove/registry/coordinator.py
@@ -79,9 +79,7 @@
     for registration in msg.registrations:
         if registration.instance not in msg.silent:
             effects.extend(_merge(state, registration, event.peer.node, ctx.now))
-    cold = [
-        registration.instance for registration in msg.registrations if _is_news_of_cold(state, registration)
-    ]
+    cold = [each.instance for each in msg.registrations if _is_news_of_cold(state, each)]
     if cold:
         news = _build_message(state, cold, ctx.now)
         effects.extend(Send(node, news) for node in sorted(state.gateways))
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -40,6 +40,14 @@
 
 
 class TestConfiguration:
+    def test_cold_upstreams(self) -> None:
+        """Guards against a limit for cold engines that is lost, or one for services that state none."""
+        service = {'name': 's-1', 'cold_per_s': 26, 'cold_start_s': 6.5}
+        others = [{**service, 'name': 's-2', 'cold_per_s': 0}, {'name': 's-3'}]
+        environment = load_accepted(translate(configuration(services=[service, *others])))
+        limits = [(each.cold_limit_per_s, each.cold_time_s) for each in environment.services.values()]
+        assert limits == [(26, 6.5), (None, None), (None, None)]
+
     def test_meaning_is_kept(self) -> None:
         """Guards against a route, limit, team or key whose meaning the translation changes."""
         environment = load_accepted(translate(configuration()))
--- a/tests/registry/test_coordinator.py
+++ b/tests/registry/test_coordinator.py
@@ -1,14 +1,16 @@
 from dataclasses import replace
 
 from basilcove.core.events import Effect, Peer, PeerFound, PeerLost, Received, Send, Tick
-from basilcove.core.ids import Incarnation, InstanceId, NodeId, Role, ServiceName, Zone
+from basilcove.core.ids import Incarnation, InstanceId, NodeId, Revision, Role, ServiceName, Zone
 from basilcove.core.reducer import Node, reduce
+from basilcove.environment.events import EnvironmentChanged
+from basilcove.environment.models import Environment
 from basilcove.registry import coordinator as _registry  # noqa: F401
 from basilcove.registry.const import DEPARTURE_TIMEOUT_S, FORGOTTEN_AFTER_S, SILENT_AFTER_S
 from basilcove.registry.events import ConfirmDeparture, UpstreamLeft, UpstreamRegistered
 from basilcove.registry.messages import DeparturesStored, Registration, Registrations, RegistrationState
 from basilcove.registry.models import RegistryState
-from tests.gateway.world import registration
+from tests.gateway.world import document, registration
 
 GATEWAY = Peer(NodeId('g1'), (Role.GATEWAY,), Incarnation(1), Zone('a'))
 HOST = Peer(NodeId('c2'), (Role.CONTROL,), Incarnation(1), Zone('b'))
@@ -230,3 +232,45 @@
 
 def confirmed(effects: list[Effect]) -> bool:
     return any(isinstance(effect, ConfirmDeparture) for effect in effects)
+
+
+class TestWarmth:
+    def control(self, services: dict[str, dict[str, float]]) -> Control:
+        control = Control()
+        environment = Environment.model_validate(document(services={'desk': {}, **services}))
+        control.apply(EnvironmentChanged(Revision(1), environment))
+        control.call(registration('up', 1))
+        control.run_tick(GATEWAY.node)
+        return control
+
+    def test_gateways_are_told_when_an_upstream_turns_cold_or_warm(self) -> None:
+        """Guards against a cold upstream that gets its usual load, and a message for each of its calls."""
+        control = self.control({'desk': {'cold_limit_per_s': 26, 'cold_time_s': 6}})
+        told = []
+        for sequence, cold_s in enumerate((0, 0, 6, 5, 4, 0, 0, 3, 9), start=2):
+            upstream = registration('up', sequence, cold_s=cold_s)
+            effects = control.apply(UpstreamRegistered(upstream))
+            sends = [effect for effect in effects if isinstance(effect, Send)]
+            later = control.run_tick(GATEWAY.node)
+            told.append((len(sends), len(later)))
+            control.now += 1
+        # The second registration confirms that it is warm; all are told at once that it is cold.
+        nothing, soon, at_once = (0, 0), (0, 1), (2, 0)
+        assert told == [soon, nothing, at_once, nothing, nothing, soon, nothing, at_once, at_once]
+
+    def test_remaining_time_ages_on_the_control_host(self) -> None:
+        """Guards against a gateway that starts late in a cold time and counts the whole of it again."""
+        control = self.control({'desk': {'cold_limit_per_s': 26, 'cold_time_s': 6}})
+        control.call(registration('up', 2, cold_s=6))
+        for now, left_s in ((4.0, 2.0), (7.0, 0.0)):
+            control.now = now
+            sends = [effect for effect in control.apply(PeerFound(GATEWAY)) if isinstance(effect, Send)]
+            assert sends[0].message.registrations[0].cold_s == left_s  # type: ignore[attr-defined]
+
+    def test_service_without_a_limit(self) -> None:
+        """Guards against messages that deployments without cold upstreams don't need."""
+        control = self.control({})
+        for sequence, cold_s in ((2, 0), (3, 6), (4, 0)):
+            effects = control.apply(UpstreamRegistered(registration('up', sequence, cold_s=cold_s)))
+            assert not [effect for effect in effects if isinstance(effect, Send)]
+            assert not control.run_tick(GATEWAY.node)
--- a/tests/standins/streaming.py
+++ b/tests/standins/streaming.py
@@ -1,4 +1,4 @@
-"""Stand-in engines that serve streams, crash at a certain part of prompts, or state a limit on requests."""
+"""Stand-in engines that serve streams, crash at a certain part of prompts, state a limit, or are cold."""
 
 import asyncio
 import contextlib
@@ -26,11 +26,12 @@
 
 @dataclass
 class Arrivals:
-    """What all engines have seen, ``limited`` by address; times are monotonic seconds."""
+    """What all engines have seen, ``limited`` and ``cold`` by address; times are monotonic seconds."""
 
     deadly: list[float] = field(default_factory=list)
     crashes: list[float] = field(default_factory=list)
     limited: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    cold: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
 
 
 @dataclass(frozen=True)
@@ -46,7 +47,9 @@
 
     def __init__(self, address: str, control: list[str], faults: Faults, arrivals: Arrivals) -> None:
         """Announce ``address`` to the first of the control hosts that answers."""
-        self._address = address
+        self.address = self._address = address
+        self._cold_until = 0.0
+        self._has_news = asyncio.Event()
         self._control = control
         self._faults = faults
         self._arrivals = arrivals
@@ -54,6 +57,11 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._crashed = asyncio.Event()
 
+    def chill(self, duration_s: float) -> None:
+        """Become cold for a time, and announce that at once."""
+        self._cold_until = time.monotonic() + duration_s
+        self._has_news.set()
+
     async def run(self) -> None:
         """Serve one start after the other until the task is cancelled."""
         while True:
@@ -81,12 +89,16 @@
                 'state': 'ready',
                 'sequence': sequence,
                 'born': born_ms,
+                'cold_remaining_ms': max(0, round((self._cold_until - time.monotonic()) * 1000)),
             }
+            self._has_news.clear()
             for host in self._control:
                 answer = await call(host, 'PUT', f'/instances/{instance}', json.dumps(content).encode())
                 if answer is not None and answer.status == 200:
                     break
-            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ANNOUNCE_INTERVAL_S):
+                    await self._has_news.wait()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
@@ -104,6 +116,8 @@
         limit_per_s = self._faults.limits_per_s.get(self._address.partition(':')[0])
         if limit_per_s:
             self._arrivals.limited[self._address].append(time.monotonic())
+        if time.monotonic() < self._cold_until:
+            self._arrivals.cold[self._address].append(time.monotonic())
         if is_deadly:
             self._arrivals.deadly.append(time.monotonic())
         await asyncio.sleep(READING_S)
@@ -138,6 +152,12 @@
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
+    def chill(self, address: str, duration_s: float) -> None:
+        """Let an engine become cold."""
+        for engine in self._engines:
+            if engine.address == address:
+                self._loop.call_soon_threadsafe(engine.chill, duration_s)
+
     def stop(self) -> None:
         """Stop all engines and their thread."""
         self._loop.call_soon_threadsafe(self._main.cancel)
--- a/tests/system/streams.py
+++ b/tests/system/streams.py
@@ -29,12 +29,13 @@
         self.engines = StreamingEngines(engines, hosts, faults)
         self._numbers = count(1)
 
-    def setup(self) -> None:
-        """Start the processes and wait until all gateways serve."""
+    def setup(self, **service: float) -> None:
+        """Start the processes and wait until all gateways serve; ``service`` is what its entry states."""
         for address in (*CONTROL, *GATEWAYS):
             self.start(address)
         content = configuration(3)
         content['routes'][0].update(type='streaming', resumable=True, max_attempts=2)
+        content['services'][0].update(service)
         assert self.put(content) == 200
         wait_for(self.is_serving, 'streams served by all gateways')
 
