--- a/basilcove/roles/gateway.py
+++ b/basilcove/roles/gateway.py
@@ -1,5 +1,7 @@
 """Assembles a gateway, which passes requests of callers to upstreams without an agent."""
 
+import time
+
 from basilcove.core.ids import Role
 from basilcove.daemon import Assembly, builds
 from basilcove.gateway import coordinator as _gateway  # noqa: F401
@@ -29,6 +31,7 @@
         'Availability zones whose upstreams get no requests.',
         lambda: len(state.pools.evacuated),
     )
+    assembly.metrics.gauge('gateway_cold_upstreams', 'Cold.', lambda: state.count_cold(time.monotonic()))
     assembly.metrics.gauge('gateway_connections_opened', 'To upstreams.', lambda: driver.upstreams.opened)
     assembly.metrics.gauge('gateway_held_bytes', 'Held of incomplete answers.', lambda: driver.held_bytes)
     assembly.readiness.append(lambda: None if state.table is not None else 'no document is in effect')
