Limit the requests in flight of groups by the pauses of their streams

Cause: each further stream makes each step of a lock-step group longer, so with all slots in use all streams are answered and most are late.

Change: gateways measure the pauses between the events of streams whose route states target_pause_s, and report them to control hosts. These estimate the load at which most streams are on time and send limits to the gateways that want their totals; gateways admit by the limit with the reserves by level. The threshold for changes of expert maps is taken of the limit where there is one.

Open: groups that are late at each load get a limit too.

--- /dev/null
+++ b/basilcove/concurrency/limits.py
@@ -0,0 +1,54 @@
+"""The limit of one group, which follows its estimate in small steps."""
+
+from dataclasses import dataclass
+
+from basilcove.concurrency.const import (
+    GAIN_OFF,
+    GAIN_ON,
+    MAX_STEP_DOWN,
+    MAX_STEP_UP,
+    MIN_LIMIT,
+    MIN_ON_TIME_SHARE,
+    STEP_INTERVAL_S,
+    SWITCH_TIME_S,
+)
+from basilcove.concurrency.estimates import Outlook
+
+
+@dataclass(slots=True)
+class LoadLimit:
+    """Most requests in flight a rank, None while there is no limit; times are monotonic seconds."""
+
+    load: float | None = None
+    _stepped_at: float = 0
+    _pending_since: float | None = None
+
+    def follow(self, outlook: Outlook | None, slots: int, now: float) -> None:
+        """Switch the limit on or off with hysteresis, or move it one step towards the best load."""
+        if now - self._stepped_at < STEP_INTERVAL_S:
+            return
+        self._stepped_at = now
+        self._switch(outlook, slots, now)
+        if self.load is None:
+            return
+        wanted = outlook.load if outlook is not None and _is_useful(outlook, GAIN_OFF) else slots
+        lowest, highest = self.load * MAX_STEP_DOWN, self.load * MAX_STEP_UP
+        self.load = max(MIN_LIMIT, min(highest, max(lowest, wanted)))
+
+    def _switch(self, outlook: Outlook | None, slots: int, now: float) -> None:
+        if self.load is None:
+            is_pending = outlook is not None and _is_useful(outlook, GAIN_ON)
+        else:
+            is_pending = self.load >= slots and (outlook is None or not _is_useful(outlook, GAIN_OFF))
+        if not is_pending:
+            self._pending_since = None
+            return
+        if self._pending_since is None:
+            self._pending_since = now
+        if now - self._pending_since >= SWITCH_TIME_S:
+            self._pending_since = None
+            self.load = float(slots) if self.load is None else None
+
+
+def _is_useful(outlook: Outlook, gain: float) -> bool:
+    return outlook.gain >= gain and outlook.on_time_share >= MIN_ON_TIME_SHARE
--- a/basilcove/environment/models.py
+++ b/basilcove/environment/models.py
@@ -147,7 +147,9 @@
 class Route(_Section):
     """Passes requests of a host whose path begins with a prefix through to services.
 
-    The longest prefix wins. ``max_upstreams`` bounds the upstreams that one request is sent to.
+    The longest prefix wins. ``max_upstreams`` bounds the upstreams that one request is sent to. A stream is
+    on time if no two of its events are more than ``target_pause_s`` apart. The requests in flight of a group
+    may be limited if its streams have such a target.
     """
 
     host: str
@@ -160,6 +162,7 @@
     max_upstreams: PositiveInt = 1
     is_public: bool = False
     is_resumable: bool = False
+    target_pause_s: PositiveFloat | None = None
 
 
 class Limits(_Section):
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -1,9 +1,11 @@
 """Manages the maps of remote groups while this host leads the control group."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterator
 from itertools import chain
 
+from basilcove.concurrency.models import ConcurrencyState
 from basilcove.consensus.models import ConsensusState
 from basilcove.core.events import Effect, Log, Send, Tick
 from basilcove.core.ids import GroupName
@@ -190,4 +192,11 @@
         slots += row.registration.slots if row is not None else 0
         in_use += open_attempts.get(rank_address.instance, 0)
     min_utilisation = FIRST_MAP_UTILISATION if change.version == 0 else MIN_UTILISATION
-    return in_use >= min_utilisation * slots
+    return in_use >= min_utilisation * min(slots, _limit_of(change, ctx))
+
+
+def _limit_of(change: GroupChange, ctx: Context) -> float:
+    if not ctx.node.has(ConcurrencyState):
+        return math.inf
+    limit = ctx.node.part(ConcurrencyState).limit_of(change.identity.name)
+    return math.inf if limit is None else limit
--- a/basilcove/gateway/admission.py
+++ b/basilcove/gateway/admission.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from basilcove.concurrency.rooms import GroupRoom
 from basilcove.gateway.const import ADMISSION_WINDOW_S, LEVEL_FLOOR, RESERVED_SHARE
 
 _MAX_RESERVED_LEVELS: Final = 2
@@ -42,19 +43,30 @@
 
     records: dict[int, LevelRecord] = field(default_factory=dict)
 
-    def admit(self, level: int, load: float, slots: int, allowance: float, now: float) -> bool:
+    def admit(
+        self,
+        level: int,
+        load: float,
+        slots: int,
+        allowance: float,
+        now: float,
+        room: GroupRoom | None = None,
+    ) -> bool:
         """Decide on a request if the least loaded upstream of a sample has ``load`` requests.
 
-        ``allowance`` is how many urgent requests may wait for one of its ``slots``.
+        ``allowance`` is how many urgent requests may wait for one of its ``slots``. ``room`` is that of the
+        chosen upstream's group if this has a limit, which holds for levels as the slots do.
         """
         record = self.records.setdefault(level, LevelRecord())
         effective_level = 1 if record.is_below_floor else level
         is_admitted = load < load_limit(effective_level, slots, allowance)
+        if room is not None:
+            is_admitted = is_admitted and room.load < load_limit(effective_level, room.limit, 0)
         record.count_decision(now, is_admitted=is_admitted)
         return is_admitted
 
 
-def load_limit(level: int, slots: int, allowance: float) -> float:
-    """Return the number of requests at an upstream from which one of this level is refused."""
+def load_limit(level: int, slots: float, allowance: float) -> float:
+    """Return the number of requests in an upstream or group from which one of this level is refused."""
     reserved = min(level - 1, _MAX_RESERVED_LEVELS) * RESERVED_SHARE * slots
     return slots - reserved if reserved else slots + allowance
--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from basilcove.core.events import Effect, Log
+from basilcove.core.events import Count, Effect, Log
 from basilcove.core.ids import PartId
 from basilcove.core.reducer import Context
 from basilcove.environment.models import RouteKind
@@ -41,7 +41,7 @@
     if chosen is None:
         return give_up(state, req, ctx)
     if not req.sent and not _admit(state, req, chosen, ctx):
-        return end_refused(state, req, NO_ROOM, ctx, ('utilisation', f'{chosen.utilisation:.2f}'))
+        return _refuse(state, req, chosen, ctx)
     return _send(req, chosen.upstream, chosen.load, ctx)
 
 
@@ -63,7 +63,15 @@
     allowance = STREAM_QUEUE_ALLOWANCE if is_stream and chosen.is_sampled else QUEUE_ALLOWANCE
     slots = max(1, chosen.upstream.registration.slots)
     load = chosen.utilisation * slots
-    return state.admission.admit(req.level, load, slots, allowance, ctx.now)
+    return state.admission.admit(req.level, load, slots, allowance, ctx.now, chosen.room)
+
+
+def _refuse(state: GatewayState, req: OpenRequest, chosen: Choice, ctx: Context) -> list[Effect]:
+    effects = end_refused(state, req, NO_ROOM, ctx, ('utilisation', f'{chosen.utilisation:.2f}'))
+    if chosen.room is None:
+        return effects
+    group = chosen.upstream.registration.group
+    return [*effects, Count('gateway_limit_refusals', (('group', group),))]
 
 
 def _send(req: OpenRequest, chosen: PooledUpstream, load: float, ctx: Context) -> list[Effect]:
@@ -95,6 +103,7 @@
         is_stream=req.named_route.route.kind is RouteKind.STREAM,
         is_failure_buffered=req.named_route.route.kind is RouteKind.SAFE,
         last_event=req.last_event,
+        measures_pauses=bool(registration.group) and req.named_route.route.target_pause_s is not None,
     )
     return [start, Log('info', 'request sent', fields)]
 
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -6,6 +6,7 @@
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.gateway import crashes as _crashes  # noqa: F401
 from basilcove.gateway import hinting as _hinting  # noqa: F401
+from basilcove.gateway import limiting as _limiting  # noqa: F401
 from basilcove.gateway import relief as _relief  # noqa: F401
 from basilcove.gateway import sharing as _sharing  # noqa: F401
 from basilcove.gateway import throttling as _throttling  # noqa: F401
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -33,6 +33,7 @@
     Refuse,
     RequestArrived,
     StartAttempt,
+    StreamPaused,
     UpstreamChecked,
     UpstreamHinted,
 )
@@ -175,7 +176,7 @@
         if exchange is not None:
             exchange.caller.abort()
 
-    def _report(self, event: AttemptEnded | AnswerBegun | UpstreamHinted) -> None:
+    def _report(self, event: AttemptEnded | AnswerBegun | UpstreamHinted | StreamPaused) -> None:
         if isinstance(event, AttemptEnded) and event.result is AttemptResult.ANSWERED:
             self._close(event.key)
         self._apply_for(event.key, event)
--- a/basilcove/gateway/events.py
+++ b/basilcove/gateway/events.py
@@ -79,6 +79,16 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class StreamPaused(Event):
+    """Time between two forwarded events of an attempt; ``is_first`` if there was none before."""
+
+    key: int
+    number: int
+    pause_s: float
+    is_first: bool
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamHinted(Event):
     """The upstream of an attempt stated something about itself in the head of an answer."""
@@ -106,7 +116,8 @@
 class StartAttempt(Effect):
     """Sends a request to an upstream, which resumes the stream after ``last_event`` if that isn't empty.
 
-    ``born_ms`` identifies the start of the instance, as in its registration.
+    ``born_ms`` identifies the start of the instance, as in its registration. With ``measures_pauses`` the
+    time between the events of the stream is reported.
     """
 
     key: int
@@ -120,6 +131,7 @@
     is_stream: bool
     is_failure_buffered: bool
     last_event: str = ''
+    measures_pauses: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -1,5 +1,6 @@
 """Forwards the answer of one request from the upstream of its current attempt to its caller."""
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -13,6 +14,7 @@
     AttemptResult,
     ReportedLoad,
     StartAttempt,
+    StreamPaused,
     UpstreamHinted,
 )
 from basilcove.gateway.eventstream import EventSplitter
@@ -27,7 +29,7 @@
 # Running requests, waiting requests and slots.
 _LOAD_COUNTS: Final = 3
 
-Report = Callable[[AttemptEnded | AnswerBegun | UpstreamHinted], None]
+Report = Callable[[AttemptEnded | AnswerBegun | UpstreamHinted | StreamPaused], None]
 
 
 @dataclass(slots=True)
@@ -99,6 +101,9 @@
         self._buffered: BufferedAnswer | None = None
         self._is_stream = False
         self._is_over = False
+        # Monotonic seconds; None before the first event, and while the caller reads too slowly.
+        self._last_event_at: float | None = None
+        self._has_paused = False
         self._held = HeldShare(held)
         self.conn: UpstreamConnection | None = None
 
@@ -252,9 +257,21 @@
     def _forward(self, events: bytes) -> None:
         self._begin_stream()
         self._exchange.caller.write(events)
+        if self._start.measures_pauses:
+            self._measure_pause()
         if not self._exchange.caller.is_writable:
+            self._last_event_at = None
             self._apply_backpressure()
 
+    def _measure_pause(self) -> None:
+        """Report the time since the last event of this attempt."""
+        former, self._last_event_at = self._last_event_at, time.monotonic()
+        if former is None:
+            return
+        pause_s = self._last_event_at - former
+        is_first, self._has_paused = not self._has_paused, True
+        self._report(StreamPaused(self._start.key, self._start.number, pause_s, is_first))
+
     def _begin_stream(self) -> None:
         if self._exchange.has_begun:
             return
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Self
 
+from basilcove.concurrency.pauses import PauseMeter
 from basilcove.core.ids import NO_PART, InstanceId, NodeId, PartId, Revision, ServiceName, TeamName, Zone
 from basilcove.environment.models import RouteKind
 from basilcove.gateway.admission import Admission
@@ -87,6 +88,7 @@
     sharing: Sharing = field(default_factory=Sharing)
     admission: Admission = field(default_factory=Admission)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    pauses: PauseMeter = field(default_factory=PauseMeter)
 
     @classmethod
     def from_config(cls, cfg: GatewayConfig, zone: Zone, stop_timeout_s: float) -> Self:
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -5,7 +5,8 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
-from basilcove.core.ids import InstanceId, NodeId, ServiceName, Zone
+from basilcove.concurrency.rooms import GroupLimits, GroupRoom
+from basilcove.core.ids import GroupName, InstanceId, NodeId, ServiceName, Zone
 from basilcove.gateway.const import (
     ADMISSION_SAMPLE,
     DEFAULT_RETRY_AFTER_S,
@@ -111,13 +112,14 @@
     """The upstream for a request and its load.
 
     ``utilisation`` is its open requests over its slots or, if it ``is_sampled`` from all upstreams, the
-    lowest such figure of a few upstreams.
+    lowest such figure of a few upstreams. ``room`` is that of its group if this has a limit.
     """
 
     upstream: PooledUpstream
     load: float
     utilisation: float
     is_sampled: bool
+    room: GroupRoom | None = None
 
 
 @dataclass(slots=True)
@@ -131,6 +133,7 @@
     gateways: int = 0
     # Open attempts of all other gateways by instance; None while no control host reports them.
     other_attempts: dict[str, int] | None = None
+    limits: GroupLimits = field(default_factory=GroupLimits)
 
     def update(self, registration: Registration, source: NodeId, *, silent: bool) -> PooledUpstream | None:
         """Apply a registration from a control host; return None if the gateway has a newer one."""
@@ -170,10 +173,20 @@
             return upstream.open_attempts + upstream.decayed_others_load(now)
         return upstream.open_attempts + self.other_attempts.get(upstream.registration.instance, 0)
 
-    def cost(self, upstream: PooledUpstream, now: float) -> float:
+    def rooms(self, service: ServiceName, now: float) -> dict[GroupName, GroupRoom]:
+        """Return the groups of a service that have a limit."""
+        if not self.limits.limits:
+            return {}
+        upstreams = self.by_service.get(service, {}).values()
+        loads = ((upstream.registration, self.load(upstream, now)) for upstream in upstreams)
+        return self.limits.rooms(loads, now)
+
+    def cost(self, upstream: PooledUpstream, now: float, room: GroupRoom | None = None) -> float:
         """Return the cost of one more request, as a fraction of the upstream's slots."""
         registration = upstream.registration
         load = (self.load(upstream, now) + 1) / max(1, registration.slots)
+        if room is not None:
+            load = room.weigh(self.load(upstream, now) + 1, registration.slots)
         cost = load + FAILURE_COST * upstream.failure_share(now)
         if upstream.is_slow(now):
             cost += SLOW_COST
@@ -193,12 +206,14 @@
         size = math.ceil(len(candidates) * GATEWAYS_PER_UPSTREAM / max(1, self.gateways))
         rng = random.Random(stable_hash(salt, len(excluded)))
         sample = rng.sample(candidates, min(size, len(candidates)))
-        costs = [self.cost(upstream, now) for upstream in sample]
+        rooms = self.rooms(service, now)
+        costs = [self.cost(upstream, now, rooms.get(upstream.registration.group)) for upstream in sample]
         chosen = sample[costs.index(min(costs))]
+        room = rooms.get(chosen.registration.group)
         if len(sample) == len(candidates):
-            return Choice(chosen, self.load(chosen, now), self.utilisation(chosen, now), is_sampled=False)
+            return Choice(chosen, self.load(chosen, now), self.utilisation(chosen, now), False, room)
         least = min(self.utilisation(upstream, now) for upstream in sample[:ADMISSION_SAMPLE])
-        return Choice(chosen, self.load(chosen, now), least, is_sampled=True)
+        return Choice(chosen, self.load(chosen, now), least, True, room)
 
     def utilisation(self, upstream: PooledUpstream, now: float) -> float:
         """Return the estimated number of open requests at an upstream over its slots."""
--- a/basilcove/helpers/metrics.py
+++ b/basilcove/helpers/metrics.py
@@ -1,10 +1,12 @@
 """Metrics of a process, in a registry of prometheus_client."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 
 from basilcove.core.events import Count
 from basilcove.core.runtime import carries_out
@@ -12,6 +14,25 @@
 _LATENCY_BUCKETS_S: Final = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.45, 1, 2.5, 5, 10, 30, 60)
 
 
+ReadByLabel = Callable[[], Mapping[str, float]]
+
+
+class _LabelledGauge(Collector):
+    """A gauge with one label, whose values are read at each scrape."""
+
+    def __init__(self, name: str, text: str, label: str, read: ReadByLabel) -> None:
+        self._name = name
+        self._text = text
+        self._label = label
+        self._read = read
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        family = GaugeMetricFamily(self._name, self._text, labels=(self._label,))
+        for label_value, reading in self._read().items():
+            family.add_metric((label_value,), reading)
+        yield family
+
+
 class Metrics:
     """Counters by name and labels; the driver of ``Count``."""
 
@@ -43,6 +64,10 @@
         """Register a gauge that is read at each scrape."""
         Gauge(f'basilcove_{name}', text, registry=self.registry).set_function(read)
 
+    def labelled_gauge(self, name: str, text: str, label: str, read: ReadByLabel) -> None:
+        """Register a gauge with one label that is read at each scrape, by value of the label."""
+        self.registry.register(_LabelledGauge(f'basilcove_{name}', text, label, read))
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/basilcove/roles/control.py
+++ b/basilcove/roles/control.py
@@ -2,6 +2,8 @@
 
 from basilcove.catalog import coordinator as _catalog  # noqa: F401
 from basilcove.catalog.control import ControlState
+from basilcove.concurrency import coordinator as _concurrency  # noqa: F401
+from basilcove.concurrency.models import ConcurrencyState
 from basilcove.consensus import coordinator as _consensus  # noqa: F401
 from basilcove.consensus.models import ConsensusState
 from basilcove.core.ids import Role
@@ -45,11 +47,19 @@
     node.add(RegistryState())
     node.add(AttemptTotals())
     node.add(ThrottlingState())
+    concurrency = ConcurrencyState()
+    node.add(concurrency)
     quarantine = QuarantineState()
     node.add(quarantine)
     assembly.metrics.gauge(
         'quarantined_parts', 'Parts of prompts that are refused or on trial.', lambda: len(quarantine.records)
     )
+    assembly.metrics.labelled_gauge(
+        'group_limit',
+        'Requests in flight that a group may have at most.',
+        'group',
+        lambda: {str(group): limit for group, limit in concurrency.limits().items()},
+    )
     storage = StorageDriver(journal, assembly.runtime.post)
     assembly.runtime.add_driver(storage)
     assembly.setups.append(storage.setup)
