Estimate limits of groups by a fitted law of passes, and ignore stalls

Cause: in trial replays a group that stalls often and one that is late with a single stream got limits that put no more streams on time.

Change: the ratio of the fixed part of a pass to that of a stream is fitted while there is no limit; passes 2.5 times as long as usual count as late at any load; a limit at its floor under which nearly all streams are late is given up for a minute.

No limit for groups that are on time with all slots in use or late by stalls.

--- a/basilcove/concurrency/const.py
+++ b/basilcove/concurrency/const.py
@@ -24,12 +24,18 @@
 # Requests in flight a rank below which pauses tell nothing about the pauses at a limit.
 MIN_LOAD: Final = 1.0
 # Requests in flight a rank that lengthen a pass as much as its fixed part. Pauses at other loads are derived
-# with it. It need not be exact, as the limit is corrected by the pauses at the load that it leads to.
+# with it until loads have varied. It need not be exact: pauses at the limit correct the limit.
+# Smaller ones are not believed, as streams that last longer also raise the load.
 BASE_LOAD: Final = 1.0
-# Time in which the present level of pauses follows their change, and how much one interval may change it: a
-# stalled group must not look like one with long passes.
+MAX_BASE_LOAD: Final = 20.0
+# Variance of the load at which its effect that was observed counts as much as the one assumed.
+BASE_WEIGHT: Final = 0.1
+# Time in which the present level of pauses follows their change.
 LEVEL_TIME_S: Final = 1.5
-MAX_LEVEL_STEP: Final = 1.5
+# A pass that lasts so many times as long as usual has stalled: it is late at any load.
+STALL_FACTOR: Final = 2.5
+# Weight of such a pass in the level, so that a lasting change of this size is followed within seconds.
+STALL_WEIGHT: Final = 0.25
 # How long it is remembered by how much the pauses of a stream exceeded the level at its start.
 MEMORY_S: Final = 30.0
 # Intervals that are needed before there is a limit.
@@ -46,8 +52,14 @@
 # Relative gain in streams on time from which a limit is switched on, and below which it is switched off.
 GAIN_ON: Final = 1.15
 GAIN_OFF: Final = 1.03
-# Share of streams on time at the best load below which a limit doesn't help.
+# Expected share of streams on time at the best load below which a limit doesn't help.
 MIN_ON_TIME_SHARE: Final = 0.1
+# A limit of little more than one stream a rank is given up for a time if a smaller share than this was on
+# time lately. The time on trial is that of several changes of popularity.
+MAX_FLOOR: Final = 1.3
+MIN_SEEN_SHARE: Final = 0.05
+PROBATION_S: Final = 12.0
+GIVE_UP_S: Final = 60.0
 # A limit is switched only after its gain has been above or below the threshold for this long.
 SWITCH_TIME_S: Final = 0.8
 # How far a limit moves in one step.
--- a/basilcove/concurrency/estimates.py
+++ b/basilcove/concurrency/estimates.py
@@ -9,15 +9,13 @@
 import math
 from bisect import bisect_right
 from collections import Counter, deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from basilcove.concurrency.const import (
     ASSUMED_PAUSES,
-    BASE_LOAD,
     INTERVAL_S,
-    LEVEL_TIME_S,
     LOAD_GROWTH,
-    MAX_LEVEL_STEP,
     MAX_STREAM_S,
     MEMORY_S,
     MIN_INTERVALS,
@@ -26,45 +24,37 @@
     MIN_PAUSES,
     MIN_STREAM_S,
     PAUSE_QUANTILE,
+    PROBATION_S,
+    STALL_FACTOR,
     TARGET_LIFETIME_S,
 )
+from basilcove.concurrency.laws import Interval, PassLaw
 from basilcove.concurrency.messages import GroupPauses
 from basilcove.concurrency.pauses import mean_of, quantile_of
 
-_LEVEL_WEIGHT = 1 - math.exp(-INTERVAL_S / LEVEL_TIME_S)
 _COUNT_DECAY = math.exp(-INTERVAL_S / MEMORY_S)
 
 
-@dataclass(frozen=True, slots=True)
-class Interval:
-    """Longest pass in an interval over load, as all streams saw it, and the level before the interval."""
-
-    ended_at: float
-    unit_s: float
-    level_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class Outlook:
     """What the pauses of a group lead to expect.
 
     ``load`` is the number of requests in flight a rank at which the most streams are on time, ``gain`` by
     which factor these are more than with all slots in use, and ``on_time_share`` their share at that load.
+    ``seen_share`` is the share of the latest streams that were on time.
     """
 
     load: float
     gain: float
     on_time_share: float
+    seen_share: float
 
 
 @dataclass(slots=True)
 class GroupEstimate:
-    """Pauses of a group; times are monotonic seconds.
+    """Pauses of a group; times are monotonic seconds."""
 
-    ``level_s`` is the present length of a pass over the sum of ``BASE_LOAD`` and the load.
-    """
-
-    level_s: float = 0
+    law: PassLaw = field(default_factory=PassLaw)
     intervals: deque[Interval] = field(default_factory=deque)
     targets: dict[float, float] = field(default_factory=dict)
     mean_pause_s: float = 0
@@ -87,10 +77,11 @@
                 del self.targets[target]
         return min(self.targets, default=None)
 
-    def end_interval(self, load: float, now: float) -> bool:
+    def end_interval(self, load: float, now: float, *, is_limited: bool) -> bool:
         """Draw on the pauses since the last interval; ``load`` is the requests that run a rank.
 
-        Returns whether the interval had enough pauses and load.
+        ``is_limited`` tells whether the group has a limit. Returns whether the interval had
+        enough pauses and load.
         """
         counts, self._counts = self._counts, Counter()
         while self.intervals and now - self.intervals[0].ended_at > MEMORY_S:
@@ -100,11 +91,9 @@
         self.mean_pause_s = mean_of(counts)
         self._streams *= _COUNT_DECAY
         self._pauses *= _COUNT_DECAY
-        unit_s = quantile_of(counts, PAUSE_QUANTILE) / (BASE_LOAD + load)
-        level_s = self.level_s or unit_s
-        self.intervals.append(Interval(now, unit_s, level_s))
-        step = min(MAX_LEVEL_STEP, max(1 / MAX_LEVEL_STEP, unit_s / level_s))
-        self.level_s = level_s * math.pow(step, _LEVEL_WEIGHT)
+        self.intervals.append(Interval(now, quantile_of(counts, PAUSE_QUANTILE), load))
+        if not is_limited:
+            self.law = PassLaw.fit(self.intervals)
         return True
 
     def look_ahead(self, slots: int, now: float) -> Outlook | None:
@@ -113,49 +102,73 @@
         The cost grows with the intervals remembered, 150 at most, times those within the time of a stream.
         """
         target_s = self.target_s(now)
-        excesses = self._excesses(now)
-        if target_s is None or len(excesses) < MIN_INTERVALS:
+        if target_s is None or len(self.intervals) < MIN_INTERVALS:
             return None
-        bound = target_s / self.level_s
-        load = max(MIN_LIMIT, float(slots))
-        at_slots = _goodput(load, excesses, bound)
-        best, best_load = at_slots, load
-        while load > MIN_LIMIT:
-            load = max(MIN_LIMIT, load / LOAD_GROWTH)
-            goodput = _goodput(load, excesses, bound)
-            if goodput > best:
-                best, best_load = goodput, load
-        share = best * (BASE_LOAD + best_load) / best_load
-        return Outlook(best_load, best / at_slots if at_slots else math.inf, share)
+        levels = tuple(self.law.levels(self.intervals))
+        excesses = self._excesses(levels, now)
+        if len(excesses) < MIN_INTERVALS:
+            return None
+        loads = _Loads(self.law.base, excesses, target_s / levels[-1])
+        return loads.compare(max(MIN_LIMIT, float(slots)), self._seen_share(target_s, now))
 
-    def _excesses(self, now: float) -> list[float]:
+    def _excesses(self, levels: tuple[float, ...], now: float) -> list[float]:
         """Return by which factor the longest pass of a stream exceeded the level at its start, in order."""
-        stream_s = self._stream_s()
-        units: list[float] = []
         excesses = []
-        intervals = self.intervals
-        ahead = deque[Interval]()
-        position = 0
-        for interval in intervals:
+        for (_, ahead), level_s in zip(self._streams_until(now), levels, strict=False):
+            excess = max(map(self.law.unit, ahead)) / level_s
+            excesses.append(excess if excess < STALL_FACTOR else math.inf)
+        return sorted(excesses)
+
+    def _seen_share(self, target_s: float, now: float) -> float:
+        """Return the share of the latest streams that were on time."""
+        on_time = [
+            all(interval.pause_s <= target_s for interval in ahead)
+            for start, ahead in self._streams_until(now)
+            if start.ended_at > now - PROBATION_S
+        ]
+        return sum(on_time) / len(on_time) if on_time else 1
+
+    def _streams_until(self, now: float) -> Iterator[tuple[Interval, tuple[Interval, ...]]]:
+        """Yield for each interval those during a stream that starts in it and has ended since."""
+        stream_s = self._stream_s()
+        intervals = tuple(self.intervals)
+        end = 0
+        for position, interval in enumerate(intervals):
             if interval.ended_at + stream_s > now:
-                break
-            while position < len(intervals) and intervals[position].ended_at < interval.ended_at + stream_s:
-                ahead.append(intervals[position])
-                position += 1
-            units = [other.unit_s for other in ahead]
-            excesses.append(max(units) / interval.level_s)
-            ahead.popleft()
-        excesses.sort()
-        return excesses
+                return
+            while end < len(intervals) and intervals[end].ended_at < interval.ended_at + stream_s:
+                end += 1
+            yield interval, intervals[position:end]
 
     def _stream_s(self) -> float:
         pauses = self._pauses / self._streams if self._streams else ASSUMED_PAUSES
         return min(MAX_STREAM_S, max(MIN_STREAM_S, pauses * self.mean_pause_s))
 
 
-def _goodput(load: float, excesses: list[float], bound: float) -> float:
-    """Return a measure of the streams that end on time in a second with ``load`` requests a rank."""
-    total = BASE_LOAD + load
-    # The mean over nearby loads evens out the steps of an empirical distribution.
-    shares = [bisect_right(excesses, bound / (total * factor)) for factor in (0.95, 1, 1.05)]
-    return load / total * sum(shares) / len(shares) / len(excesses)
+@dataclass(frozen=True, slots=True)
+class _Loads:
+    """Expected streams on time by load; ``bound`` is the target over the present level."""
+
+    base: float
+    excesses: list[float]
+    bound: float
+
+    def compare(self, slots: float, seen_share: float) -> Outlook:
+        """Return the best load up to the slots of a rank."""
+        at_slots = self._goodput(slots)
+        best, best_load = at_slots, slots
+        load = slots
+        while load > MIN_LIMIT:
+            load = max(MIN_LIMIT, load / LOAD_GROWTH)
+            goodput = self._goodput(load)
+            if goodput > best:
+                best, best_load = goodput, load
+        share = best * (self.base + best_load) / best_load
+        return Outlook(best_load, best / at_slots if at_slots else math.inf, share, seen_share)
+
+    def _goodput(self, load: float) -> float:
+        """Return a measure of the streams that end on time in a second with ``load`` requests a rank."""
+        total = self.base + load
+        # The mean over nearby loads evens out the steps of an empirical distribution.
+        shares = [bisect_right(self.excesses, self.bound / (total * factor)) for factor in (0.95, 1, 1.05)]
+        return load / total * sum(shares) / len(shares) / len(self.excesses)
--- a/basilcove/concurrency/limits.py
+++ b/basilcove/concurrency/limits.py
@@ -5,10 +5,14 @@
 from basilcove.concurrency.const import (
     GAIN_OFF,
     GAIN_ON,
+    GIVE_UP_S,
+    MAX_FLOOR,
     MAX_STEP_DOWN,
     MAX_STEP_UP,
     MIN_LIMIT,
     MIN_ON_TIME_SHARE,
+    MIN_SEEN_SHARE,
+    PROBATION_S,
     STEP_INTERVAL_S,
     SWITCH_TIME_S,
 )
@@ -21,6 +25,8 @@
 
     load: float | None = None
     _stepped_at: float = 0
+    _switched_at: float = 0
+    _given_up_until: float = 0
     _pending_since: float | None = None
 
     def follow(self, outlook: Outlook | None, slots: int, now: float) -> None:
@@ -31,13 +37,18 @@
         self._switch(outlook, slots, now)
         if self.load is None:
             return
+        is_at_floor = self.load <= MAX_FLOOR and now - self._switched_at > PROBATION_S
+        if is_at_floor and outlook is not None and outlook.seen_share < MIN_SEEN_SHARE:
+            self._given_up_until = now + GIVE_UP_S
+        if now < self._given_up_until:
+            outlook = None
         wanted = outlook.load if outlook is not None and _is_useful(outlook, GAIN_OFF) else slots
         lowest, highest = self.load * MAX_STEP_DOWN, self.load * MAX_STEP_UP
         self.load = max(MIN_LIMIT, min(highest, max(lowest, wanted)))
 
     def _switch(self, outlook: Outlook | None, slots: int, now: float) -> None:
         if self.load is None:
-            is_pending = outlook is not None and _is_useful(outlook, GAIN_ON)
+            is_pending = now >= self._given_up_until and outlook is not None and _is_useful(outlook, GAIN_ON)
         else:
             is_pending = self.load >= slots and (outlook is None or not _is_useful(outlook, GAIN_OFF))
         if not is_pending:
@@ -47,6 +58,7 @@
             self._pending_since = now
         if now - self._pending_since >= SWITCH_TIME_S:
             self._pending_since = None
+            self._switched_at = now
             self.load = float(slots) if self.load is None else None
 
 
--- a/basilcove/concurrency/models.py
+++ b/basilcove/concurrency/models.py
@@ -75,7 +75,9 @@
             if load is None:
                 continue
             record.ranks = load.ranks
-            record.estimate.end_interval(load.running / load.ranks, now)
+            record.estimate.end_interval(
+                load.running / load.ranks, now, is_limited=record.limit.load is not None
+            )
             record.limit.follow(record.estimate.look_ahead(load.slots, now), load.slots, now)
 
     def limits(self) -> dict[GroupName, float]:
--- a/tests/concurrency/replay.py
+++ b/tests/concurrency/replay.py
@@ -211,6 +211,9 @@
             self._end(start.key, stream.worst_s)
 
     def _end(self, key: int, worst_s: float | None) -> None:
+        if key not in self.arrivals:
+            # Its deadline has passed.
+            return
         path, arrived_at = self.arrivals.pop(key)
         self.outcomes.append(Outcome(path, arrived_at, self.now, worst_s))
 
