--- a/basilcove/concurrency/laws.py
+++ b/basilcove/concurrency/laws.py
@@ -69,7 +69,7 @@
                 level_s = unit_s
             yield level_s
             ratio = unit_s / level_s
-            weight = _LEVEL_WEIGHT * (STALL_WEIGHT if ratio > STALL_FACTOR else 1)
-            level_s *= math.pow(min(STALL_FACTOR, ratio), weight)
+            weight = STALL_WEIGHT if ratio > STALL_FACTOR else 1
+            level_s *= math.pow(min(STALL_FACTOR, ratio), _LEVEL_WEIGHT * weight)
         if level_s is not None:
             yield level_s
--- a/tests/experts/remote/test_coordinator.py
+++ b/tests/experts/remote/test_coordinator.py
@@ -2,6 +2,8 @@
 import math
 from collections.abc import Iterable
 
+from basilcove.concurrency.limits import LoadLimit
+from basilcove.concurrency.models import ConcurrencyState, GroupRecord
 from basilcove.consensus.models import ConsensusState, Member, Members, MemberState
 from basilcove.core.events import Effect, Event, Send, Tick
 from basilcove.core.ids import GroupName, Incarnation, InstanceId, NodeId, Rank, ServiceName
@@ -159,3 +161,12 @@
         later.version = 3
         later.run(3, used_slots=SLOTS // 2)
         assert not later.read_at
+
+    def test_load_is_measured_against_the_limit_of_the_group(self) -> None:
+        """Guards against maps that never change while a limit keeps the group below most of its slots."""
+        leader = Leader()
+        leader.version = 3
+        record = GroupRecord(limit=LoadLimit(SLOTS / 2), ranks=RANKS)
+        leader.node.add(ConcurrencyState({GroupName('g'): record}))
+        leader.run(3, used_slots=SLOTS // 2)
+        assert leader.read_at
