--- a/basilcove/gateway/cold.py
+++ b/basilcove/gateway/cold.py
@@ -3,7 +3,7 @@
 Guards against upstreams that crash because they get the usual load while they are cold.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from basilcove.core.events import Effect, Log, PeerFound, Send, Tick
 from basilcove.core.ids import InstanceId, NodeId, Role
@@ -101,7 +101,7 @@
         yield from _ask(state.sharing.hosts, ShareRequest(ctx.now, tuple(told)))
 
 
-def _ask(hosts: dict[NodeId, str], request: ShareRequest) -> Iterator[Effect]:
+def _ask(hosts: Iterable[NodeId], request: ShareRequest) -> Iterator[Effect]:
     for node in hosts:
         yield Send(node, request)
 
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -7,6 +7,7 @@
 from basilcove.gateway import crashes as _crashes  # noqa: F401
 from basilcove.gateway import evacuations as _evacuations  # noqa: F401
 from basilcove.gateway import hinting as _hinting  # noqa: F401
+from basilcove.gateway import limiting as _limiting  # noqa: F401
 from basilcove.gateway import relief as _relief  # noqa: F401
 from basilcove.gateway import sharing as _sharing  # noqa: F401
 from basilcove.gateway import throttling as _throttling  # noqa: F401
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Self
 
+from basilcove.concurrency.pauses import PauseMeter
 from basilcove.core.ids import NO_PART, InstanceId, NodeId, PartId, Revision, ServiceName, TeamName, Zone
 from basilcove.environment.models import RouteKind
 from basilcove.gateway.admission import Admission
@@ -89,6 +90,7 @@
     admission: Admission = field(default_factory=Admission)
     quarantine: Quarantine = field(default_factory=Quarantine)
     cold: ColdServices = field(default_factory=ColdServices)
+    pauses: PauseMeter = field(default_factory=PauseMeter)
 
     def count_cold(self, now: float) -> int:
         """Return how many upstreams are cold; the cost grows with the number of upstreams."""
