Test that streams leave a slow upstream of an evacuated zone only as slots are free

Cause: the share of streams to move counted the load of slow upstreams in service only, so all streams of an evacuated one would have moved at once.

--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -69,6 +69,18 @@
         assert not any(isinstance(effect, MoveAttempt) for effect in effects)
         assert not list(starts(world.end(moving, AttemptResult.MOVED, last_event='7')))
 
+    def test_streams_of_a_slow_upstream_there_move_as_far_as_others_have_free_slots(self) -> None:
+        """Guards against streams that all leave an evacuated zone at once and wait at a full upstream."""
+        world = World()
+        world.register(registration('far-1', zone=FAR, slots=200))
+        for _ in range(100):
+            assert only_start(world.ask('/brief/x')).instance == 'far-1'
+        world.register(registration('near-1', slots=20))
+        set_zones(world, 1, FAR)
+        effects = world.apply(Received(CONTROL, SlowInstances((InstanceId('far-1'),))))
+        moved = sum(isinstance(effect, MoveAttempt) for effect in effects)
+        assert 10 <= moved <= 32
+
     def test_upstream_of_the_zone_that_registers_later_gets_nothing(self) -> None:
         """Guards against a zone of which the gateway knew no upstream when it was evacuated."""
         world = World('near-1')
