Draft the bounds on callers' connections of the asyncio server

Cause: each limit of the server applies to one connection or one request. Change: one account for requests and answers, one read buffer, bounded connections, leading bytes, lingering closes and work of an iteration of the event loop. Result: tests/http1, tests/gateway and tests/platform pass; system tests of the change are not run yet.

--- a/basilcove/gateway/config.py
+++ b/basilcove/gateway/config.py
@@ -2,6 +2,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from basilcove.http1.config import ReceiveConfig
+
 
 class HeaderNames(BaseModel):
     """Names of the headers that a gateway reads or sets; they are case-insensitive."""
@@ -35,7 +37,10 @@
 
 
 class GatewayConfig(BaseModel):
-    """Address on which a gateway listens for callers, and its settings for keys, headers and retries."""
+    """Address on which a gateway listens for callers, and its settings for keys, headers and retries.
+
+    ``receive`` bounds what the connections of callers take together.
+    """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
@@ -43,3 +48,4 @@
     key_scheme: str = 'Bearer'
     headers: HeaderNames = HeaderNames()
     retries: RetryConfig = RetryConfig()
+    receive: ReceiveConfig = ReceiveConfig()
--- a/basilcove/gateway/const.py
+++ b/basilcove/gateway/const.py
@@ -16,10 +16,9 @@
 
 # An answer that is not a stream is buffered up to this size, so that the request can be retried if it breaks.
 MAX_BUFFERED_BYTES: Final = 1024 * 1024
-# Limit on what all answers together hold; above it, what can be forwarded is forwarded incomplete.
-MAX_HELD_BYTES: Final = 32 * 1024 * 1024
-# Limit on the total size of the bodies of all open requests.
-MAX_TOTAL_REQUEST_BYTES: Final = 64 * 1024 * 1024
+# Limit on what all answers together hold; above it, what can be forwarded is forwarded incomplete. It is half
+# of the default of the account that requests are charged to as well, so that answers leave room for them.
+MAX_HELD_BYTES: Final = 16 * 1024 * 1024
 
 # Half-life of the failure share of an upstream, and the weight of the latest result in it.
 FAILURE_HALF_LIFE_S: Final = 3.0
--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -14,10 +14,8 @@
     CHECK_TIMEOUT_S,
     CONNECT_TIMEOUT_S,
     DEFAULT_KEEP_ALIVE_S,
-    DEFAULT_RETRY_AFTER_S,
     KEEP_ALIVE_MARGIN_S,
     MAX_IDLE_CONNECTIONS,
-    MAX_TOTAL_REQUEST_BYTES,
     UNACKNOWLEDGED_TIMEOUT_MS,
 )
 from basilcove.gateway.events import (
@@ -40,10 +38,12 @@
 from basilcove.gateway.headers import GatewayHeaders
 from basilcove.gateway.held import HeldBytes
 from basilcove.http1.client import ClientConfig
+from basilcove.http1.config import ConnectionLimits
+from basilcove.http1.connection import CallerConnection
 from basilcove.http1.headers import Headers, HttpRequest
 from basilcove.http1.pool import UpstreamConnections
 from basilcove.http1.probes import is_refused
-from basilcove.http1.server import CallerConnection, ConnectionLimits, HttpServer
+from basilcove.http1.server import HttpServer
 
 _CLIENT = ClientConfig(
     CONNECT_TIMEOUT_S,
@@ -64,11 +64,10 @@
         self._keys = itertools.count(1)
         self._exchanges: dict[int, Exchange] = {}
         self._by_caller: dict[CallerConnection, int] = {}
-        self._request_bytes = 0
-        self._held = HeldBytes()
         self._tasks: set[asyncio.Task[None]] = set()
         self.upstreams = UpstreamConnections(_CLIENT)
-        self.server = HttpServer(cfg.listen, self)
+        self.server = HttpServer(cfg.listen, self, cfg.receive)
+        self._held = HeldBytes(self.server.account)
         self._headers = GatewayHeaders(cfg)
 
     @classmethod
@@ -98,15 +97,10 @@
     # Handler of the server.
 
     def on_request(self, conn: CallerConnection, request: HttpRequest) -> None:
-        """Pass a request to the reducer; refuse it if all open requests together are too large."""
+        """Pass a request to the reducer."""
         key = next(self._keys)
         self._exchanges[key] = Exchange(key, conn, request)
         self._by_caller[conn] = key
-        self._request_bytes += len(request.body)
-        if self._request_bytes > MAX_TOTAL_REQUEST_BYTES:
-            status = HTTPStatus.SERVICE_UNAVAILABLE.value
-            self.refuse(Refuse(key, status, 'too many bytes of requests are held', DEFAULT_RETRY_AFTER_S))
-            return
         self._apply_for(key, RequestArrived(key, self._headers.read(request)))
 
     def on_closed(self, conn: CallerConnection) -> None:
@@ -199,7 +193,6 @@
         exchange = self._exchanges.pop(key, None)
         if exchange is not None:
             self._by_caller.pop(exchange.caller, None)
-            self._request_bytes -= len(exchange.request.body)
         return exchange
 
     def _run(self, coroutine: Coroutine[object, object, None]) -> None:
--- a/basilcove/gateway/exchange.py
+++ b/basilcove/gateway/exchange.py
@@ -21,8 +21,8 @@
 from basilcove.helpers.events import EventTooLargeError
 from basilcove.http1.answers import AnswerHead, Attribution
 from basilcove.http1.client import UpstreamConnection
+from basilcove.http1.connection import CallerConnection
 from basilcove.http1.headers import HttpRequest, find_header, parse_count, remove_hop_by_hop
-from basilcove.http1.server import CallerConnection
 
 # Running requests, waiting requests and slots.
 _LOAD_COUNTS: Final = 3
--- a/basilcove/gateway/held.py
+++ b/basilcove/gateway/held.py
@@ -3,13 +3,23 @@
 from dataclasses import dataclass
 
 from basilcove.gateway.const import MAX_HELD_BYTES
+from basilcove.http1.account import ReceiveAccount
 
 
-@dataclass(slots=True)
 class HeldBytes:
-    """Bytes that all open attempts hold together."""
+    """Bytes that all open attempts hold together, charged to the account of the callers' listener."""
+
+    def __init__(self, account: ReceiveAccount) -> None:
+        """Hold nothing."""
+        self.total = 0
+        self._share = account.open(_do_nothing)
+        # Answers in progress are not evicted; ``HeldShare.is_exhausted`` bounds them.
+        self._share.complete()
 
-    total: int = 0
+    def add(self, size: int) -> None:
+        """Hold more bytes, or fewer if ``size`` is negative."""
+        self.total += size
+        self._share.resize(self.total)
 
 
 @dataclass(slots=True)
@@ -26,9 +36,14 @@
 
     def resize(self, size: int) -> None:
         """Set the number of bytes that the attempt holds now."""
-        self.held.total += size - self.size
-        self.size = size
+        if size != self.size:
+            self.held.add(size - self.size)
+            self.size = size
 
     def release(self) -> None:
         """Hold nothing more."""
         self.resize(0)
+
+
+def _do_nothing() -> None:
+    """Do nothing; a complete share is never evicted."""
--- a/basilcove/http1/account.py
+++ b/basilcove/http1/account.py
@@ -58,6 +58,11 @@
         self._evicted_bytes = 0
         self._unfinished: dict[ReceiveShare, None] = {}
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Return whether more is charged than may be, which eviction could not or did not yet change."""
+        return self._used_bytes - self._evicted_bytes > self.max_bytes
+
     @property
     def used_bytes(self) -> int:
         """Return what is charged to all shares, in bytes."""
@@ -73,7 +78,7 @@
             if share.is_closed:
                 return
             self._charge(share, size_bytes)
-            victims = self._evict() if self._is_exceeded else []
+            victims = self._evict() if self.is_exceeded else []
         for victim in victims:
             _notify(victim)
 
@@ -94,10 +99,6 @@
             self._charge(share, 0)
             share.is_closed = True
 
-    @property
-    def _is_exceeded(self) -> bool:
-        return self._used_bytes - self._evicted_bytes > self.max_bytes
-
     def _charge(self, share: ReceiveShare, size_bytes: int) -> None:
         added = size_bytes - share.size_bytes
         share.size_bytes = size_bytes
@@ -113,7 +114,7 @@
 
     def _evict(self) -> list[ReceiveShare]:
         victims = []
-        while self._is_exceeded and self._unfinished:
+        while self.is_exceeded and self._unfinished:
             victim = max(self._unfinished, key=_size)
             self._unfinished.pop(victim)
             victim.is_evicted = True
--- a/basilcove/http1/const.py
+++ b/basilcove/http1/const.py
@@ -14,6 +14,27 @@
 # Interval at which connections are checked for timeouts.
 SWEEP_INTERVAL_S: Final = 0.5
 BACKLOG: Final = 1024
+# Connections accepted in one iteration of the event loop.
+MAX_ACCEPTS: Final = 64
+# How long accepting pauses after an error of the operating system.
+ACCEPT_RETRY_S: Final = 1.0
+# Idle time after which connections are closed while no more may be accepted.
+FULL_IDLE_S: Final = 1.0
+# Bytes that are read from one connection in an iteration of the event loop, within a body and otherwise: a
+# small segment may hold many requests or header lines.
+READ_BYTES: Final = 32 * 1024
+HEAD_READ_BYTES: Final = 8 * 1024
+# Work of a request in multiples of that of a header line.
+REQUEST_PARTS: Final = 32
+# Header lines and parts of bodies in one read, above which a connection waits for others before it reads on.
+MAX_PARTS_PER_READ: Final = 256
+# Memory of a header line besides its characters: a pair, two objects of bytes and a place in a list.
+HEADER_COST_BYTES: Final = 160
+# Copies of a body that is being sent to an upstream.
+BODY_COPIES: Final = 2
+# Stated to a caller that is refused because too many bytes are held.
+RETRY_AFTER_S: Final = 1
+REFUSAL_LOG_INTERVAL_S: Final = 1.0
 # How long a caller may continue to send a request that was refused.
 REFUSED_LINGER_S: Final = 1.0
 
--- a/basilcove/roles/gateway.py
+++ b/basilcove/roles/gateway.py
@@ -7,6 +7,7 @@
 from basilcove.gateway.models import GatewayState
 from basilcove.roles.common import add_common
 from basilcove.wiring.limits import CallerLimits
+from basilcove.wiring.listeners import count_refusals
 
 
 @builds(Role.GATEWAY)
@@ -26,6 +27,7 @@
     assembly.metrics.gauge('gateway_upstreams', 'Upstreams known.', lambda: len(state.pools.by_instance))
     assembly.metrics.gauge('gateway_connections_opened', 'To upstreams.', lambda: driver.upstreams.opened)
     assembly.metrics.gauge('gateway_held_bytes', 'Held of incomplete answers.', lambda: driver.held_bytes)
+    count_refusals(assembly.metrics, 'gateway', driver.server)
     assembly.readiness.append(lambda: None if state.table is not None else 'no document is in effect')
     assembly.idle_checks.append(lambda: driver.open_exchanges == 0)
     assembly.setups.append(driver.server.setup)
--- a/basilcove/settings.py
+++ b/basilcove/settings.py
@@ -14,6 +14,7 @@
 from basilcove.gateway.config import GatewayConfig
 from basilcove.helpers.traces import TraceConfig
 from basilcove.http.config import AnnounceConfig, HttpConfig, StatusConfig
+from basilcove.http1.config import ReceiveConfig
 from basilcove.rpc.config import RpcConfig
 
 
@@ -53,13 +54,14 @@
 class AdapterConfig(BaseModel):
     """A module that serves a foreign interface to operators and upstreams, and its listen address.
 
-    The module has a function ``build(assembly, listen)``.
+    The module has a function ``build(assembly, listen)``. ``receive`` bounds its connections.
     """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
     module: str
     listen: str
+    receive: ReceiveConfig = ReceiveConfig()
 
 
 class Settings(BaseModel):
--- a/basilcove/wiring/limits.py
+++ b/basilcove/wiring/limits.py
@@ -8,7 +8,7 @@
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.gateway.driver import GatewayDriver
 from basilcove.gateway.stopping import Stop
-from basilcove.http1.server import ConnectionLimits
+from basilcove.http1.config import ConnectionLimits
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -2,8 +2,10 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from basilcove.http1.config import ConnectionLimits
+from basilcove.http1.connection import CallerConnection
 from basilcove.http1.headers import HttpRequest
-from basilcove.http1.server import CallerConnection, ConnectionLimits, HttpServer
+from basilcove.http1.server import HttpServer
 
 TIMEOUT_S = 5
 
