Bound what callers' connections take together in the asyncio server

Cause: the server's limits apply to one connection or request. Bodies are lists of the parser's pieces, header lines cost many times their characters, unread answers of pipelined requests are made without end, and empty lines before a request are not counted at all. Change: one account for unfinished and waiting requests, running ones and unsent answers. Over it, the connection with the most unfinished or unsent bytes gives way, with 503 or, within an answer, a reset. Connections, leading bytes, lingering closes and work in one iteration of the loop are bounded.

--- a/basilcove/http1/account.py
+++ b/basilcove/http1/account.py
@@ -74,6 +74,8 @@
 
     def resize(self, share: ReceiveShare, size_bytes: int) -> None:
         """Charge a share; see ``ReceiveShare.resize``."""
+        if size_bytes == share.size_bytes:
+            return
         with self._lock:
             if share.is_closed:
                 return
--- a/basilcove/http1/connection.py
+++ b/basilcove/http1/connection.py
@@ -42,20 +42,22 @@
         self._reader = RequestReader(
             server.cfg.max_leading_bytes, self._on_read, self._continue, self._refuse
         )
+        # Requests that were not passed on, which may be dropped: the unfinished one, and those that wait.
         self._reading_share = server.account.open(self._evict_reading)
-        # Complete requests, which wait or are answered, and what they are charged.
+        self._waiting_bytes = 0
+        # The request that is being answered.
         self._held_share = server.account.open(_do_nothing)
         self._held_share.complete()
-        self._held_bytes = 0
         self._unsent = UnsentBytes(server.account, self._evict_unsent)
         self._pipelined: deque[tuple[HttpRequest, int]] = deque()
         self._current: HttpRequest | None = None
-        self._current_cost_bytes = 0
         self._is_chunked = False
         self._closes_after = False
         self._has_begun = False
         self._is_refused = False
         self._is_throttled = False
+        # Requests passed on since the connection last had its turn.
+        self._dispatched = 0
         self._activity = Activity(time.monotonic())
         self.is_writable = True
         self.on_resumed = _do_nothing
@@ -90,6 +92,7 @@
         """Parse received bytes; those of a refused connection are dropped."""
         if self._is_refused:
             return
+        self._dispatched = 0
         reader = self._reader
         begun, parts = reader.begun, reader.parts
         if reader.feed(self._server.buffer[:nbytes], self._server.limits):
@@ -98,11 +101,9 @@
                 self._activity.reading_since = self._activity.last_at
         if self._is_refused:
             return
-        self._reading_share.resize(reader.cost_bytes)
+        self._reading_share.resize(reader.cost_bytes + self._waiting_bytes)
         if reader.parts - parts > MAX_PARTS_PER_READ:
-            self._is_throttled = True
-            self._server.throttle(self)
-            self._update_reading()
+            self._throttle()
 
     def pause_writing(self) -> None:
         """Mark the connection as not writable, because the caller reads slowly."""
@@ -114,19 +115,19 @@
         self.on_resumed()
         self._dispatch_next()
 
-    def resume_reading(self) -> None:
-        """Read again after other connections had their turn."""
+    def take_turn(self) -> None:
+        """Continue after other connections had their turn."""
         self._is_throttled = False
+        self._dispatched = 0
         self._activity.last_at = time.monotonic()
+        self._dispatch_next()
         self._update_reading()
 
     # Callbacks of the reader.
 
     def _on_read(self, request: HttpRequest, cost_bytes: int) -> None:
         """Pass on a request, or queue it behind the one that is being answered."""
-        self._reading_share.resize(0)
-        self._held_bytes += cost_bytes
-        self._held_share.resize(self._held_bytes)
+        self._waiting_bytes += cost_bytes
         self._pipelined.append((request, cost_bytes))
         if len(self._pipelined) > MAX_PIPELINED:
             self._update_reading()
@@ -182,8 +183,7 @@
         if self._is_chunked:
             self._transport.write(b'0\r\n\r\n')
         self._current = None
-        self._held_bytes -= self._current_cost_bytes
-        self._held_share.resize(self._held_bytes)
+        self._held_share.resize(0)
         # Reading was paused while too many requests were queued.
         self._activity.last_at = time.monotonic()
         self._activity.reading_since = self._activity.last_at
@@ -238,6 +238,12 @@
         else:
             transport.close()
 
+    def _throttle(self) -> None:
+        if not self._is_throttled:
+            self._is_throttled = True
+            self._server.throttle(self)
+            self._update_reading()
+
     def _update_reading(self) -> None:
         if self._transport is None:
             return
@@ -251,7 +257,16 @@
         # While a caller doesn't read its answers, no others are made for it.
         if self._current is not None or not self._pipelined or not self.is_writable:
             return
-        self._current, self._current_cost_bytes = self._pipelined.popleft()
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._dispatched >= MAX_PIPELINED:
+            self._throttle()
+            return
+        self._dispatched += 1
+        self._current, cost_bytes = self._pipelined.popleft()
+        self._waiting_bytes -= cost_bytes
+        self._reading_share.resize(self._waiting_bytes)
+        self._held_share.resize(cost_bytes)
         self._has_begun = False
         if self._server.account.is_exceeded:
             self._server.refusals.add(Refusal.MEMORY, 'too many bytes of requests and answers are held')
@@ -260,18 +275,17 @@
         try:
             self._server.handler.on_request(self, self._current)
         except Exception:
+            # Nothing is known about what the handler did.
             logger.exception('a request could not be handled')
-            self._end_unhandled()
-
-    def _end_unhandled(self) -> None:
-        """End the request whose handler failed; nothing is known about what it did."""
-        if self._has_begun:
-            self.abort()
-        else:
-            self.answer(HTTPStatus.INTERNAL_SERVER_ERROR.value, [], b'')
+            if self._has_begun:
+                self.abort()
+            else:
+                self.answer(HTTPStatus.INTERNAL_SERVER_ERROR.value, [], b'')
 
     def _evict_reading(self) -> None:
-        reason = 'too many bytes of unfinished requests'
+        self._pipelined.clear()
+        self._waiting_bytes = 0
+        reason = 'too many bytes of requests that are unfinished or wait'
         self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, Refusal.MEMORY, reason, _RETRY_AFTER)
 
     def _evict_unsent(self) -> None:
--- a/basilcove/http1/const.py
+++ b/basilcove/http1/const.py
@@ -23,13 +23,15 @@
 # Bytes that are read from one connection in an iteration of the event loop, within a body and otherwise: a
 # small segment may hold many requests or header lines.
 READ_BYTES: Final = 32 * 1024
-HEAD_READ_BYTES: Final = 8 * 1024
+HEAD_READ_BYTES: Final = 4 * 1024
 # Work of a request in multiples of that of a header line.
 REQUEST_PARTS: Final = 32
 # Header lines and parts of bodies in one read, above which a connection waits for others before it reads on.
 MAX_PARTS_PER_READ: Final = 256
 # Memory of a header line besides its characters: a pair, two objects of bytes and a place in a list.
 HEADER_COST_BYTES: Final = 160
+# Memory of a request besides its header lines and its body.
+REQUEST_COST_BYTES: Final = 512
 # Copies of a body that is being sent to an upstream.
 BODY_COPIES: Final = 2
 # Stated to a caller that is refused because too many bytes are held.
--- a/basilcove/http1/reading.py
+++ b/basilcove/http1/reading.py
@@ -6,7 +6,7 @@
 import httptools
 
 from basilcove.http1.config import ConnectionLimits
-from basilcove.http1.const import BODY_COPIES, HEADER_COST_BYTES, REQUEST_PARTS
+from basilcove.http1.const import BODY_COPIES, HEADER_COST_BYTES, REQUEST_COST_BYTES, REQUEST_PARTS
 from basilcove.http1.headers import Headers, HttpRequest
 from basilcove.http1.refusals import Refusal
 
@@ -61,7 +61,8 @@
 
     @property
     def _head_cost(self) -> int:
-        return len(self._target) + self._head_bytes + HEADER_COST_BYTES * len(self._headers)
+        content_bytes = len(self._target) + self._head_bytes
+        return REQUEST_COST_BYTES + content_bytes + HEADER_COST_BYTES * len(self._headers)
 
     def feed(self, segment: memoryview, limits: ConnectionLimits) -> bool:
         """Parse received bytes; return whether they are part of a request.
--- a/basilcove/http1/refusals.py
+++ b/basilcove/http1/refusals.py
@@ -37,16 +37,17 @@
         self._unlogged: dict[Refusal, int] = {}
         self.on_refused: Callable[[Refusal], None] = _do_nothing
 
-    def add(self, kind: Refusal, reason: str) -> None:
-        """Count a refusal, and log it unless one of its kind was logged just before."""
+    def add(self, kind: Refusal, reason: str) -> bool:
+        """Count a refusal; log it unless one of its kind was logged just before. Return whether it was."""
         self.on_refused(kind)
         now = self._clock()
         if now - self._logged_at.get(kind, -REFUSAL_LOG_INTERVAL_S) < REFUSAL_LOG_INTERVAL_S:
             self._unlogged[kind] = self._unlogged.get(kind, 0) + 1
-            return
+            return False
         self._logged_at[kind] = now
         more = self._unlogged.pop(kind, 0)
         logger.bind(kind=kind.value, not_logged=more).warning('request not accepted: {}', reason)
+        return True
 
 
 def _do_nothing(kind: Refusal) -> None:
--- a/basilcove/http1/server.py
+++ b/basilcove/http1/server.py
@@ -107,13 +107,13 @@
         return True
 
     def throttle(self, conn: CallerConnection) -> None:
-        """Let a connection read again after those that wait already, one in each iteration of the loop."""
+        """Let a connection continue after those that wait already, one in each iteration of the loop."""
         self._throttled.append(conn)
         if len(self._throttled) == 1:
             asyncio.get_running_loop().call_soon(self._resume_throttled)
 
     def _resume_throttled(self) -> None:
-        self._throttled.popleft().resume_reading()
+        self._throttled.popleft().take_turn()
         if self._throttled:
             asyncio.get_running_loop().call_soon(self._resume_throttled)
 
--- /dev/null
+++ b/tests/http1/test_reading.py
@@ -0,0 +1,138 @@
+"""The reader of requests: bytes split at any place, and connections in any order."""
+
+import asyncio
+import itertools
+from http import HTTPStatus
+from unittest.mock import Mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basilcove.http1.config import ConnectionLimits, ReceiveConfig
+from basilcove.http1.connection import CallerConnection
+from basilcove.http1.headers import HttpRequest
+from basilcove.http1.reading import RequestReader
+from basilcove.http1.refusals import Refusal
+from basilcove.http1.server import HttpServer
+
+MAX_LEADING = 64
+LIMITS = ConnectionLimits(max_header_bytes=400, max_body_bytes=600)
+HEAD = b'POST /x HTTP/1.1\r\nHost: a\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+
+NAMES = st.text('abcXYZ-', min_size=1, max_size=40).map(str.encode)
+LINES = st.builds(
+    lambda name, text: b'q%s:%s\r\n' % (name, text), NAMES, st.sampled_from((b'', b' v', b'  w '))
+)
+CHUNKS = st.lists(st.binary(min_size=1, max_size=90), max_size=30)
+
+
+class Reading:
+    """A reader, and what it passes on."""
+
+    def __init__(self) -> None:
+        """Start to read."""
+        self.requests: list[HttpRequest] = []
+        self.costs: list[int] = []
+        self.faults: list[Refusal] = []
+        self.expectations = 0
+        self.reader = RequestReader(MAX_LEADING, self._add, self._expect, self._fail)
+
+    def feed(self, content: bytes, cuts: list[int]) -> None:
+        """Feed content that is cut at some places."""
+        places = sorted({0, len(content), *(cut % (len(content) + 1) for cut in cuts)})
+        for start, end in itertools.pairwise(places):
+            if not self.faults:
+                self.reader.feed(memoryview(content)[start:end], LIMITS)
+
+    def _add(self, request: HttpRequest, cost_bytes: int) -> None:
+        self.requests.append(request)
+        self.costs.append(cost_bytes)
+
+    def _expect(self) -> None:
+        self.expectations += 1
+
+    def _fail(self, status: HTTPStatus, kind: Refusal, reason: str) -> None:
+        self.faults.append(kind)
+
+
+def chunk(part: bytes) -> bytes:
+    """Return a part of a body as a chunk."""
+    return b'%x\r\n%s\r\n' % (len(part), part)
+
+
+class TestSplits:
+    """Bytes split at any place."""
+
+    @given(st.lists(LINES, max_size=8), CHUNKS, st.lists(st.integers(0, 5000), max_size=20))
+    def test_request(self, lines: list[bytes], parts: list[bytes], cuts: list[int]) -> None:
+        """Guards against bodies or headers that depend on how the network cuts a request."""
+        body = b''.join(parts)
+        head = HEAD + b''.join(lines) + b'Transfer-Encoding: chunked\r\n\r\n'
+        reading = Reading()
+        reading.feed(head + b''.join(map(chunk, parts)) + b'0\r\n\r\n', cuts)
+        if len(head) > LIMITS.max_header_bytes:
+            # Heads over the limit by their framing alone may pass, since only their content is kept.
+            assert reading.faults in ([], [Refusal.HEADERS_TOO_LARGE])
+        elif len(body) > LIMITS.max_body_bytes:
+            assert reading.faults == [Refusal.BODY_TOO_LARGE]
+        else:
+            assert [request.body for request in reading.requests] == [body]
+            assert len(reading.requests[0].headers) == len(lines) + 2
+            assert reading.costs[0] >= len(body) + sum(map(len, lines)) / 2
+        assert reading.reader.cost_bytes == 0
+
+    @given(CHUNKS, st.lists(st.integers(0, 5000), max_size=20))
+    def test_cost_of_unfinished(self, parts: list[bytes], cuts: list[int]) -> None:
+        """Guards against an unfinished request that is charged less than what has arrived of it."""
+        reading = Reading()
+        reading.feed(CHUNKED + b''.join(map(chunk, parts)), cuts)
+        if not reading.faults:
+            assert reading.reader.cost_bytes >= sum(map(len, parts))
+            reading.reader.drop()
+        assert reading.reader.cost_bytes == 0
+
+    @given(st.integers(0, 40), st.lists(st.integers(0, 400), max_size=20))
+    def test_empty_lines(self, lines: int, cuts: list[int]) -> None:
+        """Guards against empty lines without end, and against refusing the few that RFC 9112 allows."""
+        reading = Reading()
+        reading.feed(b'\r\n' * lines, cuts)
+        assert bool(reading.faults) == (lines * 2 > MAX_LEADING)
+
+    @given(st.sampled_from((b'a: b\r\n', b'a:\r\n')), st.lists(st.integers(0, 5000), max_size=20))
+    def test_trailers_without_end(self, line: bytes, cuts: list[int]) -> None:
+        """Guards against trailers that never end, which are dropped but must not go on for ever."""
+        reading = Reading()
+        reading.feed(CHUNKED + b'0\r\n' + line * 200, [len(CHUNKED) + 3, *range(200, 1400, 60), *cuts])
+        assert reading.faults == [Refusal.HEADERS_TOO_LARGE]
+
+
+class TestConnections:
+    """Several connections of one server, in any order."""
+
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 4), st.sampled_from((CHUNKED, chunk(b'y' * 50), b'z'))), max_size=60
+        )
+    )
+    def test_account(self, segments: list[tuple[int, bytes]]) -> None:
+        """Guards against bytes that stay charged after their connections have ended."""
+
+        async def check() -> None:
+            server = HttpServer('127.0.0.1:0', Mock(), ReceiveConfig(max_bytes=2000))
+            conns = [CallerConnection(server) for _ in range(5)]
+            for conn in conns:
+                transport = Mock(spec=asyncio.Transport)
+                transport.get_write_buffer_size.return_value = 0
+                transport.is_closing.return_value = False
+                conn.connection_made(transport)
+            for index, segment in segments:
+                conns[index].get_buffer(-1)[: len(segment)] = segment
+                conns[index].buffer_updated(len(segment))
+                assert server.account.used_bytes <= server.account.max_bytes
+            for conn in conns:
+                conn.connection_lost(None)
+            assert server.account.used_bytes == 0
+            assert not server.connections
+
+        asyncio.run(check())
--- /dev/null
+++ b/tests/http1/test_server_bounds.py
@@ -0,0 +1,202 @@
+"""Bounds on what all connections of a server take together."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from basilcove.http1.config import ConnectionLimits, ReceiveConfig
+from basilcove.http1.connection import CallerConnection
+from basilcove.http1.headers import HttpRequest
+from basilcove.http1.refusals import Refusal, Refusals
+from basilcove.http1.server import HttpServer
+
+TIMEOUT_S = 8
+CHUNKED = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+GET = b'GET / HTTP/1.1\r\n\r\n'
+ANSWER = b'y' * 400_000
+
+
+class Answering:
+    """Answers GET with a large body and POST with the request's; the path /wait waits."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.requests: list[HttpRequest] = []
+        self.waiting: list[CallerConnection] = []
+
+    def on_request(self, conn: CallerConnection, request: HttpRequest) -> None:
+        """Answer a request."""
+        self.requests.append(request)
+        if request.path == '/wait':
+            self.waiting.append(conn)
+            return
+        conn.answer(200, [], ANSWER if request.method == b'GET' else request.body)
+
+    def on_closed(self, conn: CallerConnection) -> None:
+        """Nothing is in progress after an answer."""
+
+
+class Running:
+    """A running server and its clients."""
+
+    def __init__(self, cfg: ReceiveConfig, limits: ConnectionLimits) -> None:
+        """Prepare the server."""
+        self.handler = Answering()
+        self.server = HttpServer('127.0.0.1:0', self.handler, cfg)
+        self.server.limits = limits
+        self.refused: list[Refusal] = []
+        self.server.count_refusals(self.refused.append)
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Return a connection."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.server.port)
+        self.writers.append(writer)
+        return reader, writer
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def run(
+    check: Callable[[Running], Awaitable[None]], limits: ConnectionLimits | None = None, **cfg: int
+) -> None:
+    """Run a check against a server; afterwards nothing may be charged any more."""
+
+    async def serve() -> None:
+        running = Running(ReceiveConfig.model_validate(cfg), limits or ConnectionLimits())
+        await running.server.setup()
+        try:
+            await asyncio.wait_for(check(running), TIMEOUT_S)
+        finally:
+            for writer in running.writers:
+                writer.close()
+        await asyncio.wait_for(running.until(lambda: not running.server.connections), TIMEOUT_S)
+        assert running.server.account.used_bytes == 0
+        await running.server.unload()
+
+    asyncio.run(serve())
+
+
+class TestMemory:
+    """The account of requests and answers."""
+
+    def test_largest_unfinished(self) -> None:
+        """Guards against refusing an ordinary caller while others fill the account."""
+
+        async def check(running: Running) -> None:
+            large, large_writer = await running.connect()
+            large_writer.write(CHUNKED + b'10000\r\n' + b'x' * 60_000)
+            await running.until(lambda: running.server.account.used_bytes > 60_000)
+            other, other_writer = await running.connect()
+            other_writer.write(CHUNKED + b'c000\r\n' + b'x' * 0xC000 + b'\r\n0\r\n\r\n')
+            assert b' 200 ' in await other.readline()
+            assert b' 503 ' in await large.readline()
+            assert b'retry-after: 1' in (await large.readuntil(b'\r\n\r\n')).lower()
+            assert running.refused == [Refusal.MEMORY]
+            assert len(running.handler.requests) == 1
+
+        run(check, max_bytes=150_000)
+
+    def test_nothing_into_an_answer(self) -> None:
+        """Guards against a refusal that a caller reads as a part of the answer in progress."""
+
+        async def check(running: Running) -> None:
+            reader, writer = await running.connect()
+            writer.write(b'GET /wait HTTP/1.1\r\n\r\n' + CHUNKED + b'10000\r\n' + b'x' * 60_000)
+            await running.until(lambda: Refusal.MEMORY in running.refused)
+            running.handler.waiting[0].answer(200, [], b'whole')
+            assert (await reader.readuntil(b'whole')).count(b'HTTP/1.1') == 1
+            assert await reader.read() == b''
+
+        run(check, max_bytes=50_000)
+
+    def test_unread_answers(self) -> None:
+        """Guards against answers that are made for a caller which reads none of them."""
+
+        async def check(running: Running) -> None:
+            _, writer = await running.connect()
+            writer.write(GET * 500)
+            await running.until(lambda: len(running.handler.requests) > 1)
+            await asyncio.sleep(0.2)
+            assert len(running.handler.requests) < 100
+            assert running.server.account.used_bytes < 2 * len(ANSWER)
+
+        run(check)
+
+
+class TestConnections:
+    """Connections, and what comes before a request."""
+
+    def test_full(self) -> None:
+        """Guards against connections without number, and a server that never accepts again."""
+
+        async def check(running: Running) -> None:
+            for _ in range(8):
+                await running.connect()
+            reader, writer = await running.connect()
+            writer.write(CHUNKED + b'0\r\n\r\n')
+            await running.until(lambda: Refusal.CONNECTIONS in running.refused)
+            assert len(running.server.connections) <= 4
+            assert b' 200 ' in await reader.readline()
+
+        run(check, max_connections=4)
+
+    def test_empty_lines(self) -> None:
+        """Guards against empty lines that keep a connection open for ever."""
+
+        async def check(running: Running) -> None:
+            reader, writer = await running.connect()
+            writer.write(b'\r\n' * 400)
+            assert b' 400 ' in await reader.readline()
+            idle, idle_writer = await running.connect()
+            ended = asyncio.create_task(idle.read())
+            while not ended.done():
+                idle_writer.write(b'\r\n')
+                await asyncio.sleep(0.1)
+            assert running.refused == [Refusal.LEADING_BYTES]
+
+        run(check, ConnectionLimits(idle_timeout_s=0.5), max_leading_bytes=500)
+
+    def test_lingering(self) -> None:
+        """Guards against refused connections that stay open without number."""
+
+        async def check(running: Running) -> None:
+            readers = []
+            for _ in range(4):
+                reader, writer = await running.connect()
+                writer.write(b'no request\r\n\r\n')
+                readers.append(reader)
+            for reader in readers:
+                assert b' 400 ' in await reader.readline()
+            await running.until(lambda: len(running.server.connections) <= 1)
+
+        run(check, max_lingering=1)
+
+    def test_tiny_chunks(self) -> None:
+        """Guards against a body that is refused because its many chunks wait for their turn."""
+
+        async def check(running: Running) -> None:
+            reader, writer = await running.connect()
+            writer.write(CHUNKED + b'2\r\nab\r\n' * 60_000 + b'0\r\n\r\n')
+            assert b' 200 ' in await reader.readline()
+            assert running.handler.requests[0].body == b'ab' * 60_000
+
+        run(check, ConnectionLimits(header_timeout_s=3))
+
+
+class TestRefusals:
+    """Log lines and counts of refusals."""
+
+    def test_rate(self) -> None:
+        """Guards against a log line for each refused request."""
+        now = [0.0]
+        refusals = Refusals(lambda: now[0])
+        counted: list[Refusal] = []
+        refusals.on_refused = counted.append
+        lines = [refusals.add(Refusal.LATE, 'late') for _ in range(50)]
+        now[0] = 2.0
+        lines.append(refusals.add(Refusal.LATE, 'late'))
+        assert lines.count(True) == 2
+        assert len(counted) == 51
