--- a/basilcove/gateway/held.py
+++ b/basilcove/gateway/held.py
@@ -10,8 +10,9 @@
     """Bytes that all open attempts hold together, charged to the account of the callers' listener."""
 
     def __init__(self, account: ReceiveAccount) -> None:
-        """Hold nothing."""
+        """Hold nothing; half of the account is left for requests."""
         self.total = 0
+        self.max_bytes = min(MAX_HELD_BYTES, account.max_bytes // 2)
         self._share = account.open(_do_nothing)
         # Answers in progress are not evicted; ``HeldShare.is_exhausted`` bounds them.
         self._share.complete()
@@ -32,7 +33,7 @@
     @property
     def is_exhausted(self) -> bool:
         """Return whether no answer may be held any longer."""
-        return self.held.total > MAX_HELD_BYTES
+        return self.held.total > self.held.max_bytes
 
     def resize(self, size: int) -> None:
         """Set the number of bytes that the attempt holds now."""
--- a/basilcove/http1/const.py
+++ b/basilcove/http1/const.py
@@ -32,6 +32,8 @@
 HEADER_COST_BYTES: Final = 160
 # Memory of a request besides its header lines and its body.
 REQUEST_COST_BYTES: Final = 512
+# A growing buffer is allocated up to an eighth more than it holds.
+BUFFER_GROWTH: Final = 8
 # Copies of a body that is being sent to an upstream.
 BODY_COPIES: Final = 2
 # Stated to a caller that is refused because too many bytes are held.
--- a/basilcove/http1/reading.py
+++ b/basilcove/http1/reading.py
@@ -6,7 +6,13 @@
 import httptools
 
 from basilcove.http1.config import ConnectionLimits
-from basilcove.http1.const import BODY_COPIES, HEADER_COST_BYTES, REQUEST_COST_BYTES, REQUEST_PARTS
+from basilcove.http1.const import (
+    BODY_COPIES,
+    BUFFER_GROWTH,
+    HEADER_COST_BYTES,
+    REQUEST_COST_BYTES,
+    REQUEST_PARTS,
+)
 from basilcove.http1.headers import Headers, HttpRequest
 from basilcove.http1.refusals import Refusal
 
@@ -57,7 +63,7 @@
         """Return the memory that the unfinished request takes."""
         if not self.is_reading:
             return 0
-        return self._head_cost + len(self._body)
+        return self._head_cost + len(self._body) + len(self._body) // BUFFER_GROWTH
 
     @property
     def _head_cost(self) -> int:
--- a/tests/http1/test_reading.py
+++ b/tests/http1/test_reading.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from http import HTTPStatus
+from io import BytesIO
 from unittest.mock import Mock
 
 from hypothesis import given
@@ -127,7 +128,7 @@
                 transport.is_closing.return_value = False
                 conn.connection_made(transport)
             for index, segment in segments:
-                conns[index].get_buffer(-1)[: len(segment)] = segment
+                BytesIO(segment).readinto(conns[index].get_buffer(-1))
                 conns[index].buffer_updated(len(segment))
                 assert server.account.used_bytes <= server.account.max_bytes
             for conn in conns:
--- a/tests/http1/test_server_bounds.py
+++ b/tests/http1/test_server_bounds.py
@@ -1,9 +1,13 @@
 """Bounds on what all connections of a server take together."""
 
 import asyncio
+import resource
 from collections.abc import Awaitable, Callable
 
-from basilcove.http1.config import ConnectionLimits, ReceiveConfig
+import pytest
+from pydantic import ValidationError
+
+from basilcove.http1.config import ConnectionLimits, ReceiveConfig, find_max_connections
 from basilcove.http1.connection import CallerConnection
 from basilcove.http1.headers import HttpRequest
 from basilcove.http1.refusals import Refusal, Refusals
@@ -200,3 +204,20 @@
         lines.append(refusals.add(Refusal.LATE, 'late'))
         assert lines.count(True) == 2
         assert len(counted) == 51
+
+
+class TestSettings:
+    """Validation of the limits."""
+
+    @pytest.mark.parametrize('name', ['max_bytes', 'max_connections', 'max_leading_bytes'])
+    def test_zero(self, name: str) -> None:
+        """Guards against settings with which no request is ever served."""
+        with pytest.raises(ValidationError):
+            ReceiveConfig.model_validate({name: 0})
+
+    def test_descriptors(self) -> None:
+        """Guards against connections that leave no descriptors for links and upstreams."""
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        cfg = ReceiveConfig(max_connections=10**9, reserved_descriptors=100)
+        assert find_max_connections(cfg) == (soft - 100) // 2
+        assert find_max_connections(ReceiveConfig(max_connections=7)) == 7
