--- a/basilcove/gateway/held.py
+++ b/basilcove/gateway/held.py
@@ -3,13 +3,24 @@
 from dataclasses import dataclass
 
 from basilcove.gateway.const import MAX_HELD_BYTES
+from basilcove.http1.account import ReceiveAccount
 
 
-@dataclass(slots=True)
 class HeldBytes:
-    """Bytes that all open attempts hold together."""
+    """Bytes that all open attempts hold together, charged to the account of the callers' listener."""
+
+    def __init__(self, account: ReceiveAccount) -> None:
+        """Hold nothing; half of the account is left for requests."""
+        self.total = 0
+        self.max_bytes = min(MAX_HELD_BYTES, account.max_bytes // 2)
+        self._share = account.open(_do_nothing)
+        # Answers in progress are not evicted; ``HeldShare.is_exhausted`` bounds them.
+        self._share.complete()
 
-    total: int = 0
+    def add(self, size: int) -> None:
+        """Hold more bytes, or fewer if ``size`` is negative."""
+        self.total += size
+        self._share.resize(self.total)
 
 
 @dataclass(slots=True)
@@ -22,13 +33,18 @@
     @property
     def is_exhausted(self) -> bool:
         """Return whether no answer may be held any longer."""
-        return self.held.total > MAX_HELD_BYTES
+        return self.held.total > self.held.max_bytes
 
     def resize(self, size: int) -> None:
         """Set the number of bytes that the attempt holds now."""
-        self.held.total += size - self.size
-        self.size = size
+        if size != self.size:
+            self.held.add(size - self.size)
+            self.size = size
 
     def release(self) -> None:
         """Hold nothing more."""
         self.resize(0)
+
+
+def _do_nothing() -> None:
+    """Do nothing; a complete share is never evicted."""
