Bound what clients without limits take of the servers based on cheroot

Cause: a connection took a thread from its acceptance on, so 120 clients that stop short held all threads of a listener; bodies in small chunks were appended by copying, quadratic in their size, and kept the process busy for minutes; unfinished bodies had no bound in all, and header lines cost a multiple of their bytes. Change: a poller receives requests without threads (RequestReceiver, bounded in memory by the account and in time by the timeouts) and passes only complete ones to cheroot's threads; unread answers wait in the poller; at max_connections the connection that has waited longest for its client gives way; the process keeps 256 descriptors free; what is refused is answered 408, 431 or 503 with Retry-After, counted and logged.

--- a/basilcove/const.py
+++ b/basilcove/const.py
@@ -17,3 +17,7 @@
 MILLISECONDS_PER_S: Final = 1000
 
 VERSION: Final = '0.1.0'
+
+# Memory that a process's listeners hold for requests and answers, and the least that a setting may allow.
+MAX_RECEIVE_BYTES: Final = 32 * 1024 * 1024
+MIN_RECEIVE_BYTES: Final = 1024 * 1024
--- a/basilcove/daemon.py
+++ b/basilcove/daemon.py
@@ -18,6 +18,7 @@
 from basilcove.helpers.logs import LogDriver
 from basilcove.helpers.metrics import Metrics
 from basilcove.helpers.traces import Tracing
+from basilcove.http1.account import ReceiveAccount
 from basilcove.requests.events import StopCompleted
 from basilcove.rpc.dialer import Dialer
 from basilcove.rpc.envelopes import Identity
@@ -41,6 +42,7 @@
     links: LinkTable
     metrics: Metrics
     tracing: Tracing
+    account: ReceiveAccount
     setups: list[Step] = field(default_factory=list)
     unloads: list[Step] = field(default_factory=list)
     readiness: list[Callable[[], str | None]] = field(default_factory=list)
@@ -98,7 +100,8 @@
         self._server = RpcServer.from_config(settings.rpc, links, self._operators)
         self._dialer = Dialer.from_config(settings.rpc, links)
         tracing = Tracing(settings.traces, settings.node)
-        self._assembly = Assembly(settings, identity, runtime, links, Metrics(), tracing)
+        account = ReceiveAccount(settings.max_receive_bytes)
+        self._assembly = Assembly(settings, identity, runtime, links, Metrics(), tracing, account)
 
     @classmethod
     def from_config(cls, settings: Settings, path: Path | None = None) -> Self:
@@ -132,6 +135,8 @@
         runtime.add_driver(self._tracker)
         _add_link_gauges(assembly.metrics, assembly.links)
         assembly.metrics.gauge('log_lines_lost', 'Lines that a blocked output cost.', lambda: self._logs.lost)
+        account = assembly.account
+        assembly.metrics.gauge('receive_bytes', 'Held for requests and answers.', lambda: account.used_bytes)
         for role in self._settings.roles:
             _BUILDERS[role](assembly)
         adapter = self._settings.adapter
--- a/basilcove/http/announcements.py
+++ b/basilcove/http/announcements.py
@@ -12,10 +12,11 @@
 from basilcove.helpers.metrics import Metrics
 from basilcove.http.bodies import read_body
 from basilcove.http.config import AnnounceConfig
-from basilcove.http.connections import Server, start_server
+from basilcove.http.connections import ListenerLimits, Server, start_server
 from basilcove.http.const import MAX_ANNOUNCEMENT_BYTES, SPARE_THREADS
 from basilcove.http.replies import StartResponse, refuse, reply_json
 from basilcove.http.status import NotReady, StatusPages
+from basilcove.http1.account import ReceiveAccount
 from basilcove.membership.events import UpstreamAnnounced, UpstreamDeparted
 from basilcove.requests.events import Refusal
 
@@ -47,29 +48,30 @@
 class AnnouncementServer:
     """Accepts announcements; also serves health, readiness and metrics of the agent."""
 
-    def __init__(self, cfg: AnnounceConfig, metrics: Metrics) -> None:
+    def __init__(self, cfg: AnnounceConfig, metrics: Metrics, account: ReceiveAccount) -> None:
         """Store the settings; ``setup`` binds the address."""
         self._cfg = cfg
+        self._metrics = metrics
+        self._account = account
         self._pages = StatusPages(metrics)
         self._post: Callable[[Event], object] | None = None
         self._server: Server | None = None
 
     @classmethod
-    def from_config(cls, cfg: AnnounceConfig, metrics: Metrics) -> Self:
-        """Build the server of an agent."""
-        return cls(cfg, metrics)
+    def from_config(cls, cfg: AnnounceConfig, metrics: Metrics, account: ReceiveAccount) -> Self:
+        """Build the server of an agent; requests are charged to ``account``."""
+        return cls(cfg, metrics, account)
 
     def setup(self, post: Callable[[Event], object], not_ready: NotReady) -> None:
         """Bind and serve; ``post`` passes events to the reducer."""
         self._post = post
         self._pages.setup(not_ready)
         cfg = self._cfg
+        limits = ListenerLimits(
+            MAX_ANNOUNCEMENT_BYTES, cfg.max_connections, receive_timeout_s=cfg.receive_timeout_s
+        )
         self._server = start_server(
-            cfg.listen,
-            self._serve,
-            SPARE_THREADS,
-            MAX_ANNOUNCEMENT_BYTES,
-            receive_timeout_s=cfg.receive_timeout_s,
+            cfg.listen, self._serve, SPARE_THREADS, limits, self._account, self._metrics
         )
 
     def unload(self) -> None:
--- a/basilcove/http/callers.py
+++ b/basilcove/http/callers.py
@@ -11,36 +11,42 @@
 from loguru import logger
 
 from basilcove.core.events import Event
-from basilcove.core.ids import Outcome, TeamName
-from basilcove.environment.keys import find_team
+from basilcove.core.ids import Outcome
 from basilcove.environment.models import Environment
 from basilcove.helpers.metrics import Metrics
 from basilcove.helpers.traces import Tracing, trace_id_of, traceparent_of
 from basilcove.http.answers import AnswerTable, Body, Broken, Complete, Head, Part, Refused
-from basilcove.http.bodies import read_body
+from basilcove.http.calls import build_request, read_call
 from basilcove.http.config import HttpConfig
-from basilcove.http.connections import Server, start_server
+from basilcove.http.connections import ListenerLimits, Server, start_server
 from basilcove.http.const import (
     ANSWER_GRACE_S,
     EVENT_STREAM,
     SPARE_THREADS,
 )
-from basilcove.http.parsing import HttpCall, parse_call
 from basilcove.http.problems import error_event
 from basilcove.http.replies import StartResponse, refuse, status_line
 from basilcove.http.sse import DONE_EVENT
 from basilcove.http.status import NotReady, StatusPages
+from basilcove.http1.account import ReceiveAccount
 from basilcove.requests.events import CallerGone, Refusal, Request, RequestArrived
 
-_BEARER: Final = 'Bearer '
 _RETRY_WHEN_FULL_S: Final = 1.0
 
 
 class CallerServer:
     """Serves callers; each open answer occupies one thread."""
 
-    def __init__(self, cfg: HttpConfig, answers: AnswerTable, metrics: Metrics, tracing: Tracing) -> None:
+    def __init__(
+        self,
+        cfg: HttpConfig,
+        answers: AnswerTable,
+        metrics: Metrics,
+        tracing: Tracing,
+        account: ReceiveAccount,
+    ) -> None:
         """Store the settings; requests are refused until a document is in effect."""
+        self._account = account
         self._cfg = cfg
         self._answers = answers
         self._metrics = metrics
@@ -52,9 +58,16 @@
         self._server: Server | None = None
 
     @classmethod
-    def from_config(cls, cfg: HttpConfig, answers: AnswerTable, metrics: Metrics, tracing: Tracing) -> Self:
-        """Build the server of an entry."""
-        return cls(cfg, answers, metrics, tracing)
+    def from_config(
+        cls,
+        cfg: HttpConfig,
+        answers: AnswerTable,
+        metrics: Metrics,
+        tracing: Tracing,
+        account: ReceiveAccount,
+    ) -> Self:
+        """Build the server of an entry; requests are charged to ``account``."""
+        return cls(cfg, answers, metrics, tracing, account)
 
     def setup(self, post: Callable[[Event], object], not_ready: NotReady) -> None:
         """Bind and serve; ``not_ready`` returns the reasons why the node is not ready."""
@@ -62,9 +75,13 @@
         self._pages.setup(not_ready)
         threads = self._cfg.max_streams + SPARE_THREADS
         cfg = self._cfg
-        self._server = start_server(
-            cfg.listen, self._serve, threads, cfg.max_body_bytes, cfg.socket_timeout_s, cfg.receive_timeout_s
+        limits = ListenerLimits(
+            cfg.max_body_bytes,
+            cfg.max_connections + cfg.max_streams,
+            cfg.socket_timeout_s,
+            cfg.receive_timeout_s,
         )
+        self._server = start_server(cfg.listen, self._serve, threads, limits, self._account, self._metrics)
 
     def unload(self) -> None:
         """Stop serving; call only when no answer is open, since answers in progress are cut off."""
@@ -111,8 +128,8 @@
                 start_response,
                 Refusal(HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN, 'no document is in effect yet', 1),
             )
-        call = _read_call(environ)
-        req = call if isinstance(call, Refusal) else _to_request(call, environment)
+        call = read_call(environ)
+        req = call if isinstance(call, Refusal) else build_request(call, environment)
         if isinstance(req, Refusal):
             self._metrics.count('requests_refused', (('reason', 'client'),), 1)
             return refuse(start_response, req)
@@ -235,35 +252,3 @@
     if isinstance(part, Broken):
         return part.reason
     return part.refusal.reason if isinstance(part, Refused) else 'the answer has no end'
-
-
-def _to_request(call: HttpCall, environment: Environment) -> Request | Refusal:
-    return parse_call(call, environment, _find_team(call, environment))
-
-
-def _read_call(environ: dict[str, Any]) -> HttpCall | Refusal:
-    body = read_body(environ)
-    if isinstance(body, Refusal):
-        return body
-    headers = {
-        name.removeprefix('HTTP_').replace('_', '-').lower(): text
-        for name, text in environ.items()
-        if name.startswith('HTTP_')
-    }
-    if environ.get('CONTENT_TYPE'):
-        headers['content-type'] = environ['CONTENT_TYPE']
-    path = environ.get('REQUEST_URI', environ['PATH_INFO']).partition('?')[0]
-    return HttpCall(
-        method=environ['REQUEST_METHOD'],
-        path=path,
-        query=environ.get('QUERY_STRING', ''),
-        headers=headers,
-        body=body,
-    )
-
-
-def _find_team(call: HttpCall, environment: Environment) -> TeamName | None:
-    authorization = call.headers.get('authorization', '')
-    if not authorization.startswith(_BEARER):
-        return None
-    return find_team(environment, authorization.removeprefix(_BEARER).strip())
--- a/basilcove/http/const.py
+++ b/basilcove/http/const.py
@@ -7,6 +7,13 @@
 MAX_HEADER_BYTES: Final = 32 * KIBIBYTE
 # The size line of a chunk, with its extensions.
 MAX_CHUNK_LINE_BYTES: Final = 4 * KIBIBYTE
+# Extensions of all chunks of a body together; none of them is used.
+MAX_EXTENSION_BYTES: Final = 256 * KIBIBYTE
+# Empty lines before a request. RFC 9112, section 2.2, asks that at least one be ignored.
+MAX_EMPTY_BYTES: Final = 64
+# Memory of a short header line in the mappings of cheroot, WSGI and a call, besides its text: three entries
+# of two strings each.
+HEADER_LINE_BYTES: Final = 512
 MAX_BODY_BYTES: Final = 4 * KIBIBYTE * KIBIBYTE
 MAX_ANNOUNCEMENT_BYTES: Final = 64 * KIBIBYTE
 # Connections that wait to be accepted. The operating system drops any more, and their callers retry after
@@ -19,6 +26,30 @@
 # Announcements are small and come from the agent's own host.
 ANNOUNCEMENT_TIMEOUT_S: Final = 5
 
+# Connections of a listener, besides those that stream answers.
+MAX_CONNECTIONS: Final = 512
+MAX_ANNOUNCING_CONNECTIONS: Final = 128
+MAX_STATUS_CONNECTIONS: Final = 64
+# Descriptors that connections leave to links, upstreams and files.
+RESERVED_DESCRIPTORS: Final = 256
+# Upper bound of one read from a connection, after which other connections are served.
+RECEIVE_BYTES: Final = 64 * KIBIBYTE
+# The bound for a connection before its first read, and if the last one took more than MAX_STEPS: a read in
+# chunks of one byte takes tens of ms per 64 KiB, in which no other connection is served.
+SMALL_READ_BYTES: Final = 4 * KIBIBYTE
+MAX_STEPS: Final = 64
+# Interval at which deadlines of connections are checked.
+SWEEP_INTERVAL_S: Final = 0.25
+# Connections that are accepted between two rounds over all others.
+ACCEPTS: Final = 64
+# A connection is closed for a new one only after this time, so that the request of a new one can arrive.
+MIN_WAIT_S: Final = 0.2
+# Interval at which a full server looks for room, which threads make without waking the poller.
+RESUME_INTERVAL_S: Final = 0.01
+RETRY_WHEN_FULL_S: Final = 1
+# Shortest interval between two log lines about the same kind of refusal.
+REFUSAL_LOG_INTERVAL_S: Final = 10.0
+
 # Threads in addition to those of open streams, so that refusals and health checks are answered at full load.
 SPARE_THREADS: Final = 8
 STATUS_THREADS: Final = 2
--- a/basilcove/http/status.py
+++ b/basilcove/http/status.py
@@ -6,9 +6,10 @@
 
 from basilcove.helpers.metrics import Metrics
 from basilcove.http.config import StatusConfig
-from basilcove.http.connections import Server, start_server
+from basilcove.http.connections import ListenerLimits, Server, start_server
 from basilcove.http.const import KIBIBYTE, STATUS_THREADS
 from basilcove.http.replies import StartResponse, reply, reply_json
+from basilcove.http1.account import ReceiveAccount
 
 NotReady = Callable[[], list[str]]
 
@@ -41,21 +42,26 @@
 class StatusServer:
     """Serves the status pages only."""
 
-    def __init__(self, cfg: StatusConfig, metrics: Metrics) -> None:
-        """Store the address; ``setup`` binds it."""
-        self._listen = cfg.listen
+    def __init__(self, cfg: StatusConfig, metrics: Metrics, account: ReceiveAccount) -> None:
+        """Store the settings; ``setup`` binds the address."""
+        self._cfg = cfg
+        self._account = account
+        self._metrics = metrics
         self._pages = StatusPages(metrics)
         self._server: Server | None = None
 
     @classmethod
-    def from_config(cls, cfg: StatusConfig, metrics: Metrics) -> Self:
-        """Build the server of a node."""
-        return cls(cfg, metrics)
+    def from_config(cls, cfg: StatusConfig, metrics: Metrics, account: ReceiveAccount) -> Self:
+        """Build the server of a node; requests are charged to ``account``."""
+        return cls(cfg, metrics, account)
 
     def setup(self, not_ready: NotReady) -> None:
         """Bind and serve."""
         self._pages.setup(not_ready)
-        self._server = start_server(self._listen, self._serve, STATUS_THREADS, KIBIBYTE)
+        limits = ListenerLimits(KIBIBYTE, self._cfg.max_connections)
+        self._server = start_server(
+            self._cfg.listen, self._serve, STATUS_THREADS, limits, self._account, self._metrics
+        )
 
     def unload(self) -> None:
         """Stop serving."""
--- a/basilcove/roles/agent.py
+++ b/basilcove/roles/agent.py
@@ -46,7 +46,7 @@
     runtime.node.add(LoadTimer())
     client = UpstreamClient(cfg.max_calls, cfg.progress_timeout_s)
     runtime.add_driver(client)
-    server = AnnouncementServer.from_config(cfg, assembly.metrics)
+    server = AnnouncementServer.from_config(cfg, assembly.metrics, assembly.account)
 
     def send_chunk(entry: NodeId, chunk: AnswerChunk) -> None:
         assembly.links.send(entry, chunk)
--- a/basilcove/roles/common.py
+++ b/basilcove/roles/common.py
@@ -39,6 +39,6 @@
     assembly.metrics.gauge('document_revision', 'Revision in effect.', lambda: documents.own.revision)
     assembly.readiness.append(lambda: None if documents.ready else 'no current document is known')
     if settings.status is not None:
-        server = StatusServer.from_config(settings.status, assembly.metrics)
+        server = StatusServer.from_config(settings.status, assembly.metrics, assembly.account)
         assembly.setups.append(lambda: server.setup(assembly.not_ready))
         assembly.unloads.append(server.unload)
--- a/basilcove/settings.py
+++ b/basilcove/settings.py
@@ -9,6 +9,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from basilcove.consensus.config import ControlConfig
+from basilcove.const import MAX_RECEIVE_BYTES, MIN_RECEIVE_BYTES
 from basilcove.core.ids import EnvironmentName, NodeId, Role, Stage, Zone
 from basilcove.exceptions import BasilcoveError
 from basilcove.gateway.config import GatewayConfig
@@ -84,6 +85,7 @@
     traces: TraceConfig = TraceConfig()
     log_level: str = Field('INFO', pattern='^(DEBUG|INFO|WARNING|ERROR)$')
     stop_timeout_s: float = Field(600, gt=0)
+    max_receive_bytes: int = Field(MAX_RECEIVE_BYTES, ge=MIN_RECEIVE_BYTES)
     control_nodes: tuple[NodeId, ...] = Field(min_length=1)
 
     @model_validator(mode='before')
--- /dev/null
+++ b/tests/http/test_receiving.py
@@ -0,0 +1,85 @@
+"""Property tests of the receiver: bytes split at any place."""
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basilcove.http.const import MAX_EMPTY_BYTES, MAX_HEADER_BYTES
+from basilcove.http.receiving import RequestReceiver, Stage
+from basilcove.http.refusals import RefusalKind
+
+MAX_BODY_BYTES = 1000
+CHUNKED = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+NEXT = b'GET /next HTTP/1.1\r\n\r\n'
+
+
+def feed(content: bytes, cuts: list[int]) -> RequestReceiver:
+    """Feed the content in pieces that end at the cuts, and no more once the request has ended."""
+    receiver = RequestReceiver(MAX_BODY_BYTES)
+    ends = [0, *sorted(cut % (len(content) + 1) for cut in cuts), len(content)]
+    for start, end in itertools.pairwise(ends):
+        receiver.feed(content[start:end])
+    return receiver
+
+
+def encode(chunks: list[bytes], extension: bytes = b'') -> bytes:
+    """Return a chunked request and its last chunk, without the end of its trailers."""
+    sizes = (b'%x%s\r\n%s\r\n' % (len(chunk), extension, chunk) for chunk in chunks if chunk)
+    return CHUNKED + b''.join(sizes) + b'0\r\n'
+
+
+class TestReceiver:
+    @given(st.lists(st.binary(max_size=40), max_size=20), st.lists(st.integers(0, 10_000), max_size=8))
+    def test_chunked_body_in_any_pieces(self, chunks: list[bytes], cuts: list[int]) -> None:
+        """Guards against a body, trailer or next request that depends on where the bytes are split."""
+        receiver = feed(encode(chunks, b';a=b') + b'X-Trailer: a\r\n\r\n' + NEXT, cuts)
+        assert (receiver.stage, bytes(receiver.body.content)) == (Stage.COMPLETE, b''.join(chunks))
+        assert receiver.body.fault is None
+        assert receiver.build_next().head == NEXT
+
+    @given(st.binary(max_size=MAX_BODY_BYTES), st.lists(st.integers(0, 10_000), max_size=8))
+    def test_sized_body_in_any_pieces(self, body: bytes, cuts: list[int]) -> None:
+        """Guards against a body that takes bytes of the next request, or loses some."""
+        head = b'POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n' % len(body)
+        receiver = feed(b'\r\n' + head + body + NEXT, cuts)
+        assert (receiver.head, bytes(receiver.body.content)) == (head, body)
+        assert receiver.build_next().head == NEXT
+
+    @given(st.binary(max_size=3000), st.lists(st.integers(0, 10_000), max_size=8))
+    def test_memory_is_bounded_by_the_limits(self, content: bytes, cuts: list[int]) -> None:
+        """Guards against bytes that are kept without being charged or limited."""
+        receiver = feed(CHUNKED + b'3e8\r\n' + content, cuts)
+        assert len(receiver.body.content) <= MAX_BODY_BYTES
+        assert receiver.cost_bytes >= len(receiver.body.content)
+
+    def test_cost_covers_short_lines(self) -> None:
+        """Guards against header lines that are charged by the bytes sent only."""
+        receiver = feed(b'GET / HTTP/1.1\r\n' + b'a:\r\n' * 1000 + b'\r\n', [])
+        assert receiver.cost_bytes > 100 * 4 * 1000
+
+
+class TestLimits:
+    def test_head_without_end(self) -> None:
+        """Guards against a head over the limit that is kept."""
+        receiver = feed(b'a' * (MAX_HEADER_BYTES + 1), [])
+        assert (receiver.refusal, receiver.cost_bytes) == (RefusalKind.HEAD, 0)
+
+    def test_empty_lines(self) -> None:
+        """Guards against empty lines without end before a request; a few are ignored."""
+        assert feed(b'\r\n' * (MAX_EMPTY_BYTES // 2) + NEXT, [1, 5]).head == NEXT
+        assert feed(b'\r\n' * MAX_EMPTY_BYTES, [1, 5]).refusal is RefusalKind.EMPTY_LINES
+
+    def test_trailers_and_extensions_without_end(self) -> None:
+        """Guards against bytes after or beside the content that have no limit."""
+        trailers = feed(encode([b'a']) + b't: a\r\n' * MAX_HEADER_BYTES, [])
+        extensions = feed(encode([b'a' for _ in range(100)], b';' + b'x' * 4000), [])
+        assert trailers.body.fault is not None
+        assert extensions.body.fault is not None
+
+    def test_cut_off_request_has_a_fault(self) -> None:
+        """Guards against a call with the partial body of a sender that was cut off."""
+        receiver = feed(CHUNKED + b'5\r\nab', [])
+        receiver.feed_end()
+        assert receiver.is_ended
+        assert receiver.body.fault is not None
--- a/tests/http/test_senders.py
+++ b/tests/http/test_senders.py
@@ -16,11 +16,13 @@
 from basilcove.http.answers import AnswerTable, Complete, Head
 from basilcove.http.callers import CallerServer
 from basilcove.http.config import AnnounceConfig, HttpConfig
+from basilcove.http1.account import ReceiveAccount
 from basilcove.requests.events import RequestArrived
 from tests.harness.processes import free_address
 from tests.requests.samples import make_environment
 
 KEY = 'k'
+ACCOUNT_BYTES = 1024 * 1024
 SOCKET_TIMEOUT_S, RECEIVE_TIMEOUT_S, PACE_S = 5, 0.6, 0.1
 ANNOUNCEMENT = {'name': 'u0', 'url': 'http://127.0.0.1:9', 'credential': 'c', 'incarnation': 1}
 
@@ -72,7 +74,9 @@
             answers.put(event.request.request_id, Head(200, {}))
             answers.put(event.request.request_id, Complete())
 
-    server = CallerServer.from_config(cfg, answers, Metrics(), Tracing(TraceConfig(), 'e0'))
+    server = CallerServer.from_config(
+        cfg, answers, Metrics(), Tracing(TraceConfig(), 'e0'), ReceiveAccount(ACCOUNT_BYTES)
+    )
     server.change_environment(make_environment(key_digests=[digest_of_secret(KEY)]))
     server.setup(post, list)
     yield target
@@ -85,7 +89,7 @@
     cfg = AnnounceConfig(listen=free_address(), receive_timeout_s=RECEIVE_TIMEOUT_S)
     body = json.dumps(ANNOUNCEMENT).encode()
     target = Target(cfg.listen, b'PUT /announce HTTP/1.1\r\nHost: a\r\n', body)
-    server = AnnouncementServer.from_config(cfg, Metrics())
+    server = AnnouncementServer.from_config(cfg, Metrics(), ReceiveAccount(ACCOUNT_BYTES))
     server.setup(target.events.append, list)
     yield target
     server.unload()
--- a/tests/system/conftest.py
+++ b/tests/system/conftest.py
@@ -40,10 +40,10 @@
     folder = tmp_path_factory.mktemp('shared')
     cluster = Cluster(folder, upstreams=UPSTREAMS)
     between, entry = free_address(), cluster.addresses['entry-1'].rpc
-    _change(folder / 'entry-1.yaml', 'http', max_body_bytes=MAX_BODY_BYTES)
-    _change(folder / 'entry-2.yaml', 'http', socket_timeout_s=1)
+    change_settings(folder / 'entry-1.yaml', 'http', max_body_bytes=MAX_BODY_BYTES)
+    change_settings(folder / 'entry-2.yaml', 'http', socket_timeout_s=1)
     seeds = [between if seed == entry else seed for seed in cluster.seeds_of('agent-engine-1')]
-    _change(folder / 'agent-engine-1.yaml', 'rpc', seeds=seeds)
+    change_settings(folder / 'agent-engine-1.yaml', 'rpc', seeds=seeds)
     with Forwarder(between, entry) as forwarder, cluster:
         # The tests share one retry budget, so it allows all of them; the budget has tests of its own.
         content = documents.document(UPSTREAMS, limits={'retry_budget': 1})
@@ -51,9 +51,10 @@
         yield Shared(cluster, forwarder)
 
 
-def _change(settings: Path, section: str, **changes: object) -> None:
+def change_settings(settings: Path, section: str, **changes: object) -> None:
+    """Change keys in a section of a settings file, or outside of sections if it is empty."""
     content = yaml.safe_load(settings.read_text())
-    content[section].update(changes)
+    (content[section] if section else content).update(changes)
     settings.write_text(yaml.safe_dump(content))
 
 
