Describe cold upstreams, and bound the work of control hosts when many turn cold at once

Cause: ranking 400 gateways for each of 1,800 upstreams kept a control host busy for 1.9 s with one message.

--- a/basilcove/gateway/cold.py
+++ b/basilcove/gateway/cold.py
@@ -14,7 +14,7 @@
 from basilcove.gateway.pools import PooledUpstream
 from basilcove.registry.messages import RegistrationState
 from basilcove.throttling.coldness import ColdSource, Statement, read_limits
-from basilcove.throttling.const import ASK_INTERVAL_S
+from basilcove.throttling.const import ASK_INTERVAL_S, MAX_STATED_LIMITS
 from basilcove.throttling.messages import ShareRequest, TimedLimit
 
 _LOST_CONNECTIONS = frozenset((AttemptResult.UNSENT, AttemptResult.LOST, AttemptResult.BROKEN))
@@ -86,21 +86,30 @@
     told: list[TimedLimit] = []
     is_any_cold = False
     for instance, upstream in state.pools.by_instance.items():
-        cold = upstream.throttle.cold
-        cold.restore(upstream.restored_at)
-        cold.expire(ctx.now)
+        upstream.throttle.cold.restore(upstream.restored_at)
+        upstream.throttle.cold.expire(ctx.now)
         limit = _timed_limit(instance, upstream, ctx.now)
         if limit is not None:
             is_any_cold = True
-        if limit is not None and cold.until != cold.told_until:
-            told.append(limit)
-        yield from _log_change(instance, upstream, limit)
-        cold.told_until = 0 if limit is None else cold.until
+        yield from _note_change(instance, upstream, limit, told)
     if is_any_cold and (told or ctx.now - state.cold.asked_at >= ASK_INTERVAL_S):
         state.cold.asked_at = ctx.now
         yield from _ask(state.sharing.hosts, ShareRequest(ctx.now, tuple(told)))
 
 
+def _note_change(
+    instance: InstanceId, upstream: PooledUpstream, limit: TimedLimit | None, told: list[TimedLimit]
+) -> Iterator[Effect]:
+    """Log whether an upstream has become cold or warm, and add a new limit to those to be told."""
+    cold = upstream.throttle.cold
+    if limit is not None and cold.until != cold.told_until:
+        if len(told) >= MAX_STATED_LIMITS:
+            return
+        told.append(limit)
+    yield from _log_change(instance, upstream, limit)
+    cold.told_until = 0 if limit is None else cold.until
+
+
 def _ask(hosts: dict[NodeId, str], request: ShareRequest) -> Iterator[Effect]:
     for node in hosts:
         yield Send(node, request)
--- a/basilcove/throttling/const.py
+++ b/basilcove/throttling/const.py
@@ -27,3 +27,7 @@
 # Upstreams that a gateway hears of within this time of its first registrations are warm if they say so: the
 # whole system is starting.
 START_WINDOW_S: Final = 5.0
+# Limits that a gateway states in one request, so that a restored zone doesn't keep control hosts busy.
+MAX_STATED_LIMITS: Final = 64
+# Hashes have 64 bits.
+HASH_MASK: Final = 2**64 - 1
--- a/basilcove/throttling/leases.py
+++ b/basilcove/throttling/leases.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import heapq
 import math
 from collections import defaultdict
 from collections.abc import Callable
@@ -13,7 +14,7 @@
 
 from basilcove.core.ids import InstanceId, NodeId
 from basilcove.helpers.hashing import stable_hash
-from basilcove.throttling.const import COUNTED_LEASE_S, LIMIT_PER_SENDER, MAX_GRANTERS, MAX_LIMITS
+from basilcove.throttling.const import COUNTED_LEASE_S, HASH_MASK, LIMIT_PER_SENDER, MAX_GRANTERS, MAX_LIMITS
 from basilcove.throttling.messages import LimitShare, TimedLimit
 
 Voters = frozenset[NodeId]
@@ -73,6 +74,8 @@
     limits: dict[InstanceId, LeasedLimit] = field(default_factory=dict)
     is_in_contact: bool = False
     _by_sender: dict[NodeId, set[InstanceId]] = field(default_factory=lambda: defaultdict(set))
+    # Hashes of gateways; one of each pair with an upstream took 1.9 s with 400 gateways and 1,800 upstreams.
+    _keys: dict[NodeId, int] = field(default_factory=dict)
     _voters: Voters = frozenset()
     _former_voters: Voters = frozenset()
     _changed_at: float = -math.inf
@@ -125,6 +128,7 @@
     def add_gateway(self, node: NodeId) -> None:
         """Add a linked gateway; it replaces a sender if it ranks before it."""
         self.gateways.add(node)
+        self._keys[node] = stable_hash(self.host, node)
         for instance, limit in self.limits.items():
             # The others that don't send rank behind the senders, so they need no comparison.
             self._set_senders(instance, limit, limit.senders | {node})
@@ -135,6 +139,7 @@
         for instance in tuple(self._by_sender.get(node, ())):
             self._choose_senders(instance)
         self._by_sender.pop(node, None)
+        self._keys.pop(node, None)
 
     def drop_ended(self, now: float) -> None:
         """Drop limits that have ended, with all their leases."""
@@ -160,8 +165,11 @@
 
     def _set_senders(self, instance: InstanceId, limit: LeasedLimit, nodes: frozenset[NodeId]) -> None:
         # Each host chooses other gateways, or else one gateway would get the parts of all hosts.
-        ranked = sorted(nodes, key=lambda node: stable_hash(self.host, instance, node))
-        senders = frozenset(ranked[: sender_count(limit.limit_per_s)])
+        factor = stable_hash(instance) | 1
+        ranked = heapq.nsmallest(
+            sender_count(limit.limit_per_s), nodes, key=lambda node: self._keys[node] * factor & HASH_MASK
+        )
+        senders = frozenset(ranked)
         for node in limit.senders - senders:
             self._by_sender[node].discard(instance)
         for node in senders - limit.senders:
--- a/tests/gateway/test_cold.py
+++ b/tests/gateway/test_cold.py
@@ -143,7 +143,7 @@
         world.lease(2)
         refused = next(effect for effect in world.ask() if isinstance(effect, Refuse))
         assert refused.retry_after_s is not None
-        assert 0.5 <= refused.retry_after_s <= 0.5 * (1 + RETRY_AFTER_SPREAD)
+        assert 1 <= refused.retry_after_s * 2 <= 1 + RETRY_AFTER_SPREAD
         world.now += refused.retry_after_s
         only_start(world.ask())
 
--- a/tests/registry/test_coordinator.py
+++ b/tests/registry/test_coordinator.py
@@ -272,5 +272,5 @@
         control = self.control({})
         for sequence, cold_s in ((2, 0), (3, 6), (4, 0)):
             effects = control.apply(UpstreamRegistered(registration('up', sequence, cold_s=cold_s)))
-            assert not [effect for effect in effects if isinstance(effect, Send)]
+            assert not any(isinstance(effect, Send) for effect in effects)
             assert not control.run_tick(GATEWAY.node)
--- a/tests/standins/streaming.py
+++ b/tests/standins/streaming.py
@@ -47,7 +47,7 @@
 
     def __init__(self, address: str, control: list[str], faults: Faults, arrivals: Arrivals) -> None:
         """Announce ``address`` to the first of the control hosts that answers."""
-        self.address = self._address = address
+        self._address = address
         self._cold_until = 0.0
         self._has_news = asyncio.Event()
         self._control = control
@@ -57,6 +57,11 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._crashed = asyncio.Event()
 
+    @property
+    def address(self) -> str:
+        """Return the address at which it listens."""
+        return self._address
+
     def chill(self, duration_s: float) -> None:
         """Become cold for a time, and announce that at once."""
         self._cold_until = time.monotonic() + duration_s
--- a/tests/throttling/fleet.py
+++ b/tests/throttling/fleet.py
@@ -250,7 +250,7 @@
     def pick_gateway(self) -> Process:
         """Return a gateway for a fault, often one with a lease."""
         holders = [each for each in self.gateways if self._has_lease(each)]
-        return self.rng.choice(holders if holders and self.rng.random() < 0.7 else self.gateways)
+        return self.rng.choice(holders if holders and self.rng.randrange(3) else self.gateways)
 
     def _has_lease(self, gateway: Process) -> bool:
         upstream = self.upstream_of(gateway)
