Type the hosts that are asked for leases as a collection

Cause: the type checker refuses a dictionary of zones where one of texts is declared. Result: script/lint passes; tests/system test_cold, test_limits and test_platform pass.

--- a/basilcove/gateway/cold.py
+++ b/basilcove/gateway/cold.py
@@ -3,7 +3,7 @@
 Guards against upstreams that crash because they get the usual load while they are cold.
 """
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from basilcove.core.events import Effect, Log, PeerFound, Send, Tick
 from basilcove.core.ids import InstanceId, NodeId, Role
@@ -110,7 +110,7 @@
     cold.told_until = 0 if limit is None else cold.until
 
 
-def _ask(hosts: dict[NodeId, str], request: ShareRequest) -> Iterator[Effect]:
+def _ask(hosts: Collection[NodeId], request: ShareRequest) -> Iterator[Effect]:
     for node in hosts:
         yield Send(node, request)
 
