--- a/basilcove/concurrency/const.py
+++ b/basilcove/concurrency/const.py
@@ -64,6 +64,8 @@
 SWITCH_TIME_S: Final = 0.8
 # How far a limit moves in one step.
 STEP_INTERVAL_S: Final = 0.3
+# Steps of all groups together; one takes a control host about half a millisecond.
+MAX_STEPS_PER_S: Final = 50
 MAX_STEP_DOWN: Final = 0.9
 MAX_STEP_UP: Final = 1.05
 
--- a/basilcove/concurrency/limits.py
+++ b/basilcove/concurrency/limits.py
@@ -9,6 +9,7 @@
     MAX_FLOOR,
     MAX_STEP_DOWN,
     MAX_STEP_UP,
+    MAX_STEPS_PER_S,
     MIN_LIMIT,
     MIN_ON_TIME_SHARE,
     MIN_SEEN_SHARE,
@@ -29,10 +30,12 @@
     _given_up_until: float = 0
     _pending_since: float | None = None
 
+    def is_due(self, groups: int, now: float) -> bool:
+        """Return whether it is time for a step; the time between steps grows with the number of groups."""
+        return now - self._stepped_at >= max(STEP_INTERVAL_S, groups / MAX_STEPS_PER_S)
+
     def follow(self, outlook: Outlook | None, slots: int, now: float) -> None:
         """Switch the limit on or off with hysteresis, or move it one step towards the best load."""
-        if now - self._stepped_at < STEP_INTERVAL_S:
-            return
         self._stepped_at = now
         self._switch(outlook, slots, now)
         if self.load is None:
--- a/basilcove/concurrency/models.py
+++ b/basilcove/concurrency/models.py
@@ -78,7 +78,8 @@
             record.estimate.end_interval(
                 load.running / load.ranks, now, is_limited=record.limit.load is not None
             )
-            record.limit.follow(record.estimate.look_ahead(load.slots, now), load.slots, now)
+            if record.limit.is_due(len(self.records), now):
+                record.limit.follow(record.estimate.look_ahead(load.slots, now), load.slots, now)
 
     def limits(self) -> dict[GroupName, float]:
         """Return the limits that are in force, by group."""
--- a/tests/helpers/test_metrics.py
+++ b/tests/helpers/test_metrics.py
@@ -64,6 +64,15 @@
             thread.join()
         assert 'basilcove_requests_refused_total{reason="client"} 2.0' in metrics.render().decode()
 
+    def test_labelled_gauge_is_read_at_each_scrape(self) -> None:
+        """Guards against series of groups that no longer have a limit."""
+        limits = {'g-1': 57.5}
+        metrics = Metrics()
+        metrics.labelled_gauge('group_limit', 'Limit.', 'group', lambda: limits)
+        assert 'basilcove_group_limit{group="g-1"} 57.5' in metrics.render().decode()
+        limits.clear()
+        assert 'g-1' not in metrics.render().decode()
+
     def test_each_counter_has_the_same_labels_everywhere(self) -> None:
         """Guards against an exception in a process whose roles count the same name with different labels."""
         labels = defaultdict(set)
