Set the first limit of a group sooner

Change: until enough streams have ended, assumed excesses stand for theirs; the first limit is the estimated load at once, 60% of the slots at least; the switch takes 0.4 s.

--- a/basilcove/concurrency/const.py
+++ b/basilcove/concurrency/const.py
@@ -40,6 +40,10 @@
 MEMORY_S: Final = 30.0
 # Intervals that are needed before there is a limit.
 MIN_INTERVALS: Final = 15
+# Factors by which the longest pass of a stream exceeds the level at its start, assumed until so many streams
+# have ended: a load that begins at once fills all slots before many have.
+ASSUMED_EXCESSES: Final = (1.1, 1.2, 1.3, 1.4, 1.6)
+MIN_EXCESSES: Final = 15
 # Bounds on the time for which a stream runs.
 MIN_STREAM_S: Final = 0.4
 MAX_STREAM_S: Final = 5.0
@@ -61,7 +65,9 @@
 PROBATION_S: Final = 12.0
 GIVE_UP_S: Final = 60.0
 # A limit is switched only after its gain has been above or below the threshold for this long.
-SWITCH_TIME_S: Final = 0.8
+SWITCH_TIME_S: Final = 0.4
+# Lowest first limit as a fraction of the slots.
+MIN_FIRST_SHARE: Final = 0.6
 # How far a limit moves in one step.
 STEP_INTERVAL_S: Final = 0.3
 # Steps of all groups together; one takes a control host about half a millisecond.
--- a/basilcove/concurrency/estimates.py
+++ b/basilcove/concurrency/estimates.py
@@ -13,11 +13,13 @@
 from dataclasses import dataclass, field
 
 from basilcove.concurrency.const import (
+    ASSUMED_EXCESSES,
     ASSUMED_PAUSES,
     INTERVAL_S,
     LOAD_GROWTH,
     MAX_STREAM_S,
     MEMORY_S,
+    MIN_EXCESSES,
     MIN_INTERVALS,
     MIN_LIMIT,
     MIN_LOAD,
@@ -106,8 +108,8 @@
             return None
         levels = tuple(self.law.levels(self.intervals))
         excesses = self._excesses(levels, now)
-        if len(excesses) < MIN_INTERVALS:
-            return None
+        if len(excesses) < MIN_EXCESSES:
+            excesses = sorted((*excesses, *ASSUMED_EXCESSES))
         loads = _Loads(self.law.base, excesses, target_s / levels[-1])
         return loads.compare(max(MIN_LIMIT, float(slots)), self._seen_share(target_s, now))
 
--- a/basilcove/concurrency/limits.py
+++ b/basilcove/concurrency/limits.py
@@ -10,6 +10,7 @@
     MAX_STEP_DOWN,
     MAX_STEP_UP,
     MAX_STEPS_PER_S,
+    MIN_FIRST_SHARE,
     MIN_LIMIT,
     MIN_ON_TIME_SHARE,
     MIN_SEEN_SHARE,
@@ -59,10 +60,14 @@
             return
         if self._pending_since is None:
             self._pending_since = now
-        if now - self._pending_since >= SWITCH_TIME_S:
-            self._pending_since = None
-            self._switched_at = now
-            self.load = float(slots) if self.load is None else None
+        if now - self._pending_since < SWITCH_TIME_S:
+            return
+        self._pending_since = None
+        self._switched_at = now
+        if self.load is None and outlook is not None:
+            self.load = max(outlook.load, MIN_FIRST_SHARE * slots)
+        else:
+            self.load = None
 
 
 def _is_useful(outlook: Outlook, gain: float) -> bool:
