--- a/basilcove/concurrency/const.py
+++ b/basilcove/concurrency/const.py
@@ -53,9 +53,12 @@
 # Limits are compared at loads that grow by this factor.
 LOAD_GROWTH: Final = 1.05
 MIN_LIMIT: Final = 1.0
-# Relative gain in streams on time from which a limit is switched on, and below which it is switched off.
-GAIN_ON: Final = 1.15
-GAIN_OFF: Final = 1.03
+# Relative gain in what streams are worth to callers from which a limit is switched on, and below which it is
+# switched off.
+GAIN_ON: Final = 1.6
+GAIN_OFF: Final = 1.2
+# What a late answer is worth to its caller in comparison with one on time.
+LATE_VALUE: Final = 0.3
 # Expected share of streams on time at the best load below which a limit doesn't help.
 MIN_ON_TIME_SHARE: Final = 0.1
 # A limit of little more than one stream a rank is given up for a time if a smaller share than this was on
--- a/basilcove/concurrency/estimates.py
+++ b/basilcove/concurrency/estimates.py
@@ -16,6 +16,7 @@
     ASSUMED_EXCESSES,
     ASSUMED_PAUSES,
     INTERVAL_S,
+    LATE_VALUE,
     LOAD_GROWTH,
     MAX_STREAM_S,
     MEMORY_S,
@@ -41,8 +42,8 @@
 class Outlook:
     """What the pauses of a group lead to expect.
 
-    ``load`` is the number of requests in flight a rank at which the most streams are on time, ``gain`` by
-    which factor these are more than with all slots in use, and ``on_time_share`` their share at that load.
+    ``load`` is the number of requests in flight a rank at which streams are worth most to callers, ``gain``
+    by which factor that is more than with all slots in use, and ``on_time_share`` the share on time there.
     ``seen_share`` is the share of the latest streams that were on time.
     """
 
@@ -157,20 +158,24 @@
 
     def compare(self, slots: float, seen_share: float) -> Outlook:
         """Return the best load up to the slots of a rank."""
-        at_slots = self._goodput(slots)
+        at_slots = self._value(slots)
         best, best_load = at_slots, slots
         load = slots
         while load > MIN_LIMIT:
             load = max(MIN_LIMIT, load / LOAD_GROWTH)
-            goodput = self._goodput(load)
-            if goodput > best:
-                best, best_load = goodput, load
-        share = best * (self.base + best_load) / best_load
-        return Outlook(best_load, best / at_slots if at_slots else math.inf, share, seen_share)
-
-    def _goodput(self, load: float) -> float:
-        """Return a measure of the streams that end on time in a second with ``load`` requests a rank."""
+            value = self._value(load)
+            if value > best:
+                best, best_load = value, load
+        return Outlook(best_load, best / at_slots, self._share(best_load), seen_share)
+
+    def _value(self, load: float) -> float:
+        """Return a measure of what a second of streams is worth with ``load`` requests a rank."""
+        share = self._share(load)
+        return load / (self.base + load) * (share + LATE_VALUE * (1 - share))
+
+    def _share(self, load: float) -> float:
+        """Return the share of streams on time."""
         total = self.base + load
         # The mean over nearby loads evens out the steps of an empirical distribution.
         shares = [bisect_right(self.excesses, self.bound / (total * factor)) for factor in (0.95, 1, 1.05)]
-        return load / total * sum(shares) / len(shares) / len(self.excesses)
+        return sum(shares) / len(shares) / len(self.excesses)
