--- a/basilcove/settings.py
+++ b/basilcove/settings.py
@@ -114,6 +114,9 @@
                 raise ValueError(f'{role.value} is no role of a daemon')
             if sections[role] is None:
                 raise ValueError(f'role {role.value} needs the section {names[role]}')
+        if self.http is not None and self.max_receive_bytes < 2 * self.http.max_body_bytes:
+            # A body is complete in the account while it is copied for its call.
+            raise ValueError('max_receive_bytes must be at least twice http.max_body_bytes')
         return self
 
 
