--- a/basilcove/gateway/cold.py
+++ b/basilcove/gateway/cold.py
@@ -13,14 +13,14 @@
 from basilcove.gateway.models import GatewayState
 from basilcove.gateway.pools import PooledUpstream
 from basilcove.registry.messages import RegistrationState
-from basilcove.throttling.coldness import ColdSource, Statement, read_limits
+from basilcove.throttling.cold_state import ColdSource, Statement, read_limits
 from basilcove.throttling.const import ASK_INTERVAL_S, MAX_STATED_LIMITS
 from basilcove.throttling.messages import ShareRequest, TimedLimit
 
 _LOST_CONNECTIONS = frozenset((AttemptResult.UNSENT, AttemptResult.LOST, AttemptResult.BROKEN))
 
 
-def learn_coldness(
+def update_cold_state(
     state: GatewayState,
     upstream: PooledUpstream,
     former: PooledUpstream | None,
@@ -37,7 +37,7 @@
     unsure = None if is_start else ColdSource.FIRST_SEEN
     if former is not None and former is not upstream:
         unsure = ColdSource.RESTARTED
-    cold.hear(Statement(registration.age_key, registration.cold_s), unsure, now)
+    cold.apply_statement(Statement(registration.age_key, registration.cold_s), unsure, now)
     cold.update_limit(state.cold.limits.get(registration.service))
 
 
@@ -60,7 +60,7 @@
         return []
     upstream = state.pools.by_instance.get(req.instance)
     if upstream is not None and event.result in _LOST_CONNECTIONS:
-        upstream.throttle.cold.suspect(ctx.now)
+        upstream.throttle.cold.assume_cold(ctx.now)
     return []
 
 
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -12,7 +12,7 @@
 from basilcove.gateway import sharing as _sharing  # noqa: F401
 from basilcove.gateway import throttling as _throttling  # noqa: F401
 from basilcove.gateway.attempts import expire_if_due, release_upstream, start_attempt
-from basilcove.gateway.cold import learn_coldness
+from basilcove.gateway.cold import update_cold_state
 from basilcove.gateway.events import (
     AnswerBegun,
     AttemptEnded,
@@ -64,14 +64,14 @@
     assert isinstance(msg, Registrations)
     state.pools.gateways = max(state.pools.gateways, msg.gateways)
     effects: list[Effect] = []
-    is_start = state.cold.greetings.is_start(event.peer.node, ctx.now)
+    is_start = state.cold.start_detector.is_start(event.peer.node, ctx.now)
     for registration in msg.registrations:
         is_silent = registration.instance in msg.silent
         former = state.pools.by_instance.get(registration.instance)
         upstream = state.pools.update(registration, event.peer.node, silent=is_silent)
         if upstream is None:
             continue
-        learn_coldness(state, upstream, former, is_start=is_start, now=ctx.now)
+        update_cold_state(state, upstream, former, is_start=is_start, now=ctx.now)
         fields = (
             ('instance', registration.instance),
             ('service', registration.service),
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -14,7 +14,7 @@
 from basilcove.gateway.routes import NamedRoute, RouteTable
 from basilcove.gateway.stopping import Stop
 from basilcove.registry.messages import Registration
-from basilcove.throttling.coldness import ColdServices
+from basilcove.throttling.cold_state import ColdServices
 
 _NO_REVISION = Revision(0)
 
--- a/basilcove/throttling/coldness.py
+++ b/basilcove/throttling/cold_state.py
@@ -40,7 +40,7 @@
 
 
 @dataclass(slots=True)
-class Coldness:
+class ColdState:
     """What is known of one start of an upstream; times are monotonic seconds.
 
     ``until`` is when the upstream becomes warm, 0 if it is warm or its service has no limit.
@@ -73,7 +73,7 @@
         self.limit = limit
         self._update_until()
 
-    def hear(self, statement: Statement, unsure: ColdSource | None, now: float) -> None:
+    def apply_statement(self, statement: Statement, unsure: ColdSource | None, now: float) -> None:
         """Apply a registration; ``unsure`` is why the first one doesn't prove that the upstream is warm."""
         if self.age_key is not None and statement.age_key <= self.age_key:
             return
@@ -86,7 +86,7 @@
             self.is_restored = False
         self._update_until()
 
-    def suspect(self, now: float) -> None:
+    def assume_cold(self, now: float) -> None:
         """Count the upstream as cold, as it may have started anew without this gateway being told."""
         self.unsure_since, self.unsure_source = now, ColdSource.LOST
         self._update_until()
@@ -112,7 +112,7 @@
 
 
 @dataclass(slots=True)
-class Greetings:
+class StartDetector:
     """The control hosts from which this process has heard; tells a system that starts from one in service."""
 
     hosts: set[NodeId] = field(default_factory=set)
@@ -132,7 +132,7 @@
     """What a gateway knows of cold upstreams as a whole; ``asked_at`` is when it last asked for leases."""
 
     limits: dict[ServiceName, ColdLimit] = field(default_factory=dict)
-    greetings: Greetings = field(default_factory=Greetings)
+    start_detector: StartDetector = field(default_factory=StartDetector)
     asked_at: float = 0
 
 
--- a/basilcove/throttling/shares.py
+++ b/basilcove/throttling/shares.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from basilcove.core.ids import NodeId
-from basilcove.throttling.coldness import Coldness
+from basilcove.throttling.cold_state import ColdState
 from basilcove.throttling.const import LEASE_S, LIMIT_LIFETIME_S
 from basilcove.throttling.leases import Lease
 
@@ -78,7 +78,7 @@
     open_at: float = 0
     # When the share from the last linked host ends; no host could tell that the limit has ended.
     expires_at: float = math.inf
-    cold: Coldness = field(default_factory=Coldness)
+    cold: ColdState = field(default_factory=ColdState)
     leased: LeasedShare = field(default_factory=LeasedShare)
 
     def share_per_s(self, now: float) -> float | None:
