--- a/basilcove/concurrency/estimates.py
+++ b/basilcove/concurrency/estimates.py
@@ -28,6 +28,7 @@
     MIN_STREAM_S,
     PAUSE_QUANTILE,
     PROBATION_S,
+    RECENT_S,
     STALL_FACTOR,
     TARGET_LIFETIME_S,
 )
@@ -44,13 +45,15 @@
 
     ``load`` is the number of requests in flight a rank at which streams are worth most to callers, ``gain``
     by which factor that is more than with all slots in use, and ``on_time_share`` the share on time there.
-    ``seen_share`` is the share of the latest streams that were on time.
+    ``seen_share`` is the share of the latest streams that were on time, and ``recent_share`` that of those
+    of the last few seconds; 1 if none has ended.
     """
 
     load: float
     gain: float
     on_time_share: float
     seen_share: float
+    recent_share: float
 
 
 @dataclass(slots=True)
@@ -112,7 +115,14 @@
         if len(excesses) < MIN_EXCESSES:
             excesses = sorted((*excesses, *ASSUMED_EXCESSES))
         loads = _Loads(self.law.base, excesses, target_s / levels[-1])
-        return loads.compare(max(MIN_LIMIT, float(slots)), self._seen_share(target_s, now))
+        best_load, gain = loads.compare(max(MIN_LIMIT, float(slots)))
+        return Outlook(
+            best_load,
+            gain,
+            loads.share(best_load),
+            self._seen_share(target_s, now, PROBATION_S),
+            self._seen_share(target_s, now, RECENT_S),
+        )
 
     def _excesses(self, levels: tuple[float, ...], now: float) -> list[float]:
         """Return by which factor the longest pass of a stream exceeded the level at its start, in order."""
@@ -122,12 +132,12 @@
             excesses.append(excess if excess < STALL_FACTOR else math.inf)
         return sorted(excesses)
 
-    def _seen_share(self, target_s: float, now: float) -> float:
-        """Return the share of the latest streams that were on time."""
+    def _seen_share(self, target_s: float, now: float, window_s: float) -> float:
+        """Return the share on time of the streams that started within a time and have ended."""
         on_time = [
             all(interval.pause_s <= target_s for interval in ahead)
             for start, ahead in self._streams_until(now)
-            if start.ended_at > now - PROBATION_S
+            if start.ended_at > now - window_s
         ]
         return sum(on_time) / len(on_time) if on_time else 1
 
@@ -156,8 +166,8 @@
     excesses: list[float]
     bound: float
 
-    def compare(self, slots: float, seen_share: float) -> Outlook:
-        """Return the best load up to the slots of a rank."""
+    def compare(self, slots: float) -> tuple[float, float]:
+        """Return the best load up to the slots of a rank, and its gain over all slots."""
         at_slots = self._value(slots)
         best, best_load = at_slots, slots
         load = slots
@@ -166,14 +176,14 @@
             value = self._value(load)
             if value > best:
                 best, best_load = value, load
-        return Outlook(best_load, best / at_slots, self._share(best_load), seen_share)
+        return best_load, best / at_slots
 
     def _value(self, load: float) -> float:
         """Return a measure of what a second of streams is worth with ``load`` requests a rank."""
-        share = self._share(load)
+        share = self.share(load)
         return load / (self.base + load) * (share + LATE_VALUE * (1 - share))
 
-    def _share(self, load: float) -> float:
+    def share(self, load: float) -> float:
         """Return the share of streams on time."""
         total = self.base + load
         # The mean over nearby loads evens out the steps of an empirical distribution.
--- a/basilcove/concurrency/limits.py
+++ b/basilcove/concurrency/limits.py
@@ -7,6 +7,7 @@
     GAIN_ON,
     GIVE_UP_S,
     MAX_FLOOR,
+    MAX_ON_TIME_SHARE,
     MAX_STEP_DOWN,
     MAX_STEP_UP,
     MAX_STEPS_PER_S,
@@ -52,7 +53,7 @@
 
     def _switch(self, outlook: Outlook | None, slots: int, now: float) -> None:
         if self.load is None:
-            is_pending = now >= self._given_up_until and outlook is not None and _is_useful(outlook, GAIN_ON)
+            is_pending = now >= self._given_up_until and outlook is not None and _is_needed(outlook)
         else:
             is_pending = self.load >= slots and (outlook is None or not _is_useful(outlook, GAIN_OFF))
         if not is_pending:
@@ -70,5 +71,9 @@
             self.load = None
 
 
+def _is_needed(outlook: Outlook) -> bool:
+    return outlook.recent_share < MAX_ON_TIME_SHARE and _is_useful(outlook, GAIN_ON)
+
+
 def _is_useful(outlook: Outlook, gain: float) -> bool:
     return outlook.gain >= gain and outlook.on_time_share >= MIN_ON_TIME_SHARE
