--- a/basilcove/concurrency/const.py
+++ b/basilcove/concurrency/const.py
@@ -67,8 +67,8 @@
 MIN_SEEN_SHARE: Final = 0.05
 PROBATION_S: Final = 12.0
 GIVE_UP_S: Final = 60.0
-# A limit is switched on only if a smaller share of recent streams was on time: an estimate alone is no reason to
-# refuse requests where callers are served on time.
+# A limit is switched on only if a smaller share of recent streams was on time: an estimate alone is no reason
+# to refuse requests where callers are served on time.
 MAX_ON_TIME_SHARE: Final = 0.6
 RECENT_S: Final = 4.0
 # A limit is switched only after its gain has been above or below the threshold for this long.
