--- a/basilcove/environment/models.py
+++ b/basilcove/environment/models.py
@@ -110,12 +110,14 @@
     """Sizes of the expert maps of a service whose upstreams are ranks of groups.
 
     Each rank holds ``slots`` experts of a layer at most, of which a new map may add ``max_new`` at most.
+    ``copy_s`` is the time in which a rank copies one expert; 0 if it isn't known.
     """
 
     layers: PositiveInt
     experts: PositiveInt
     slots: PositiveInt
     max_new: PositiveInt
+    copy_s: Annotated[float, Field(ge=0, le=_MAX_FLOAT)] = 0
 
 
 class Service(_Section):
--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -40,6 +40,9 @@
 MIN_LAYER_SKEW_GAIN: Final = 0.1
 # Ranks times layers that are planned in one step of the loop; heartbeats of the control group go out between.
 PLANNED_RANKS_PER_TICK: Final = 260
+# Time for which ranks may copy experts for one map. Popularity moves every few seconds, and a map that is
+# copied for longer comes into effect when it no longer fits.
+MAX_COPY_S: Final = 0.5
 # The search in one layer ends at this skew; what remains is far less than a change of popularity costs.
 TARGET_SKEW: Final = 1.12
 
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -18,6 +18,7 @@
     MIN_UTILISATION,
     PLANNED_RANKS_PER_TICK,
 )
+from basilcove.experts.remote.copies import bound_copies
 from basilcove.experts.remote.events import RankAnswered
 from basilcove.experts.remote.models import (
     ExpertLayout,
@@ -41,7 +42,11 @@
 def _on_environment(state: RemoteGroups, event: EnvironmentChanged, ctx: Context) -> list[Effect]:
     state.layouts = {
         name: ExpertLayout(
-            service.experts.layers, service.experts.experts, service.experts.slots, service.experts.max_new
+            service.experts.layers,
+            service.experts.experts,
+            service.experts.slots,
+            service.experts.max_new,
+            service.experts.copy_s,
         )
         for name, service in event.environment.services.items()
         if service.experts is not None
@@ -153,7 +158,9 @@
     if shares is None:
         yield from enter_phase(change, Phase.IDLE, now)
         return
-    bounds = RankBounds(change.layout.slots, change.layout.max_new)
+    layout = change.layout
+    max_copies = bound_copies(layout.copy_s, layout.layers, layout.max_new)
+    bounds = RankBounds(layout.slots, layout.max_new, max_copies)
     change.draft = Draft(shares, change.current, bounds, change.speeds())
     yield from enter_phase(change, Phase.PLANNING, now)
 
--- a/basilcove/experts/remote/models.py
+++ b/basilcove/experts/remote/models.py
@@ -36,12 +36,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ExpertLayout:
-    """Sizes of a group's map; ``max_new`` experts of a layer may be new to a rank under the next map."""
+    """Sizes of a group's map; ``max_new`` experts of a layer may be new to a rank under the next map.
+
+    ``copy_s`` is the time in which a rank copies one expert; 0 if it isn't known.
+    """
 
     layers: int
     experts: int
     slots: int
     max_new: int
+    copy_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/experts/remote/planning.py
+++ b/basilcove/experts/remote/planning.py
@@ -1,13 +1,14 @@
 """Plans the next expert map of a remote group within the bounds of its ranks."""
 
 import heapq
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Self
 
 from basilcove.experts.const import MAX_ESCAPES
 from basilcove.experts.models import Layer, Shares
 from basilcove.experts.remote.const import MIN_LAYER_SKEW_GAIN, RELIEF_SPEED, TARGET_SKEW
+from basilcove.experts.remote.copies import Stage, choose_stages, count_copies
 from basilcove.experts.swaps import Candidate, LayerState
 
 # Speed of each rank; 1 is the usual speed.
@@ -25,10 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RankBounds:
-    """Experts of a layer that a rank may hold, and how many of them may be new to it."""
+    """Experts of a layer that a rank may hold, and how many of them may be new to it.
+
+    ``max_copies`` bounds the experts that a rank copies for one map, over all layers; None if all that the
+    layers allow are copied in time.
+    """
 
     slots: int
     max_new: int
+    max_copies: int | None = None
 
 
 def first_layers(layers: int, experts: int, ranks: int) -> tuple[Layer, ...]:
@@ -45,32 +51,45 @@
     current: tuple[Layer, ...]
     bounds: RankBounds
     speeds: Speeds
-    layers: list[Layer] = field(default_factory=list)
-    skews_before: list[float] = field(default_factory=list)
-    skews_after: list[float] = field(default_factory=list)
+    # The placements of each planned layer, from the current one to the best one.
+    stages: list[list[Stage]] = field(default_factory=list)
 
     @property
     def is_complete(self) -> bool:
         """Return whether all layers are planned."""
-        return len(self.layers) == len(self.current)
+        return len(self.stages) == len(self.current)
 
     def plan(self, count: int) -> Self:
         """Plan up to this many further layers."""
-        first = len(self.layers)
+        first = len(self.stages)
         for number in range(first, min(first + count, len(self.current))):
-            popularity, layer = self.shares[number], self.current[number]
-            improved = _improve(popularity, layer, self.bounds, self.speeds)
-            before, after = (skew_of(popularity, each, self.speeds) for each in (layer, improved))
-            is_worth_copies = before - after >= MIN_LAYER_SKEW_GAIN
-            self.layers.append(improved if is_worth_copies else layer)
-            self.skews_before.append(before)
-            self.skews_after.append(after if is_worth_copies else before)
+            self.stages.append(self._plan_layer(self.shares[number], self.current[number]))
         return self
 
     def finish(self) -> Proposal:
-        """Return the complete map."""
-        count = len(self.layers)
-        return Proposal(tuple(self.layers), sum(self.skews_before) / count, sum(self.skews_after) / count)
+        """Return the complete map: the best placement of each layer, or what ranks can copy in time."""
+        if self.bounds.max_copies is None:
+            chosen = [stages[-1] for stages in self.stages]
+        else:
+            chosen = choose_stages(self.stages, self.bounds.max_copies)
+        count = len(chosen)
+        return Proposal(
+            tuple(stage.layer for stage in chosen),
+            sum(stages[0].skew for stages in self.stages) / count,
+            sum(stage.skew for stage in chosen) / count,
+        )
+
+    def _plan_layer(self, popularity: Shares, layer: Layer) -> list[Stage]:
+        placements = list(_improvements(popularity, layer, self.bounds, self.speeds))
+        if self.bounds.max_copies is None:
+            placements = placements[-1:]
+        first = Stage(layer, skew_of(popularity, layer, self.speeds))
+        stages = [first]
+        for placement in placements:
+            skew = skew_of(popularity, placement, self.speeds)
+            if first.skew - skew >= MIN_LAYER_SKEW_GAIN:
+                stages.append(Stage(placement, skew, count_copies(layer, placement)))
+        return stages
 
 
 def propose(
@@ -85,26 +104,6 @@
     return LayerState(shares, layer, speeds).skew
 
 
-def _improve(shares: Shares, layer: Layer, bounds: RankBounds, speeds: Speeds) -> Layer:
-    state = LayerState(shares, layer, speeds)
-    limits = _Limits(state, layer, bounds)
-    _relieve_slow_ranks(state, limits)
-    _fill_free_slots(state, limits)
-    best, best_skew = _freeze(state), state.skew
-    escapes = 0
-    while state.skew > TARGET_SKEW:
-        candidate = state.find_best()
-        if candidate is None and escapes < MAX_ESCAPES:
-            escapes += 1
-            candidate = state.find_escape()
-        if candidate is None or not limits.allows(candidate):
-            break
-        _apply(state, candidate)
-        if state.skew < best_skew:
-            best, best_skew = _freeze(state), state.skew
-    return best
-
-
 @dataclass(frozen=True, slots=True)
 class _Limits:
     """Bounds on the experts of each rank, given those that it holds under the current map."""
@@ -147,6 +146,40 @@
         return len(set(experts).difference(self.current[rank]))
 
 
+def _improvements(shares: Shares, layer: Layer, bounds: RankBounds, speeds: Speeds) -> Iterator[Layer]:
+    """Yield placements of a layer, each better than the one before; the last one is the best.
+
+    Experts are moved away from slow ranks before the first one.
+    """
+    state = LayerState(shares, layer, speeds)
+    limits = _Limits(state, layer, bounds)
+    _relieve_slow_ranks(state, limits)
+    best_skew = state.skew
+    for _ in _fill_free_slots(state, limits):
+        if bounds.max_copies is not None and state.skew < best_skew:
+            best_skew = state.skew
+            yield _freeze(state)
+    yield _freeze(state)
+    yield from _search(state, limits)
+
+
+def _search(state: LayerState, limits: _Limits) -> Iterator[Layer]:
+    """Yield each placement that is better than those before, up to ``TARGET_SKEW``."""
+    best_skew = state.skew
+    escapes = 0
+    while state.skew > TARGET_SKEW:
+        candidate = state.find_best()
+        if candidate is None and escapes < MAX_ESCAPES:
+            escapes += 1
+            candidate = state.find_escape()
+        if candidate is None or not limits.allows(candidate):
+            break
+        _apply(state, candidate)
+        if state.skew < best_skew:
+            best_skew = state.skew
+            yield _freeze(state)
+
+
 def _relieve_slow_ranks(state: LayerState, limits: _Limits) -> None:
     """Take experts from slow ranks until their time is the mean; each keeps at least one expert."""
     for rank, speed in enumerate(state.capacity):
@@ -192,8 +225,11 @@
         state.replace(rank, slot, expert)
 
 
-def _fill_free_slots(state: LayerState, limits: _Limits) -> None:
-    """Use free slots for replicas of the hottest experts, on the ranks with the shortest time."""
+def _fill_free_slots(state: LayerState, limits: _Limits) -> Iterator[int]:
+    """Use free slots for replicas of the hottest experts, on the ranks with the shortest time.
+
+    Yields the rank of each replica after it is added.
+    """
     free = [rank for rank in range(len(state.slots)) if limits.may_add_any(rank)]
     hottest = [(-unit, expert) for expert, unit in enumerate(state.unit)]
     heapq.heapify(hottest)
@@ -211,6 +247,7 @@
         state.add(rank, expert)
         if not limits.may_add_any(rank):
             free.remove(rank)
+        yield rank
 
 
 def _freeze(state: LayerState) -> Layer:
