Bind the limits of groups to totals of gateways in wiring

Cause: concurrency/ imported gateway/ for its totals, and gateway/ imports concurrency/: a circle of packages. No change of behaviour; tests of concurrency, wiring and gateway limits pass.

--- a/basilcove/roles/control.py
+++ b/basilcove/roles/control.py
@@ -2,7 +2,6 @@
 
 from basilcove.catalog import coordinator as _catalog  # noqa: F401
 from basilcove.catalog.control import ControlState
-from basilcove.concurrency import coordinator as _concurrency  # noqa: F401
 from basilcove.concurrency.models import ConcurrencyState
 from basilcove.consensus import coordinator as _consensus  # noqa: F401
 from basilcove.consensus.models import ConsensusState
@@ -19,6 +18,7 @@
 from basilcove.throttling import coordinator as _throttling  # noqa: F401
 from basilcove.throttling.leases import LeaseBook
 from basilcove.throttling.models import ThrottlingState
+from basilcove.wiring import concurrency as _concurrency  # noqa: F401
 from basilcove.wiring import throttling as _voters  # noqa: F401
 from basilcove.wiring.documents import CatchUp
 
--- a/tests/concurrency/replay.py
+++ b/tests/concurrency/replay.py
@@ -10,7 +10,6 @@
 from functools import partial
 from typing import Any
 
-from basilcove.concurrency import coordinator as _concurrency  # noqa: F401
 from basilcove.concurrency.models import ConcurrencyState
 from basilcove.core.events import Effect, Event, Peer, PeerFound, Received, Send, Tick
 from basilcove.core.ids import GroupName, Incarnation, NodeId, Rank, Role, Zone
@@ -28,6 +27,7 @@
 from basilcove.gateway.totals import AttemptTotals
 from basilcove.registry import coordinator as _registry  # noqa: F401
 from basilcove.registry.models import RegistryState
+from basilcove.wiring import concurrency as _concurrency  # noqa: F401
 from tests.gateway.world import CONTROL, HOST, KEY, World, document, registration
 
 LINK_S = 0.01
