Limit the descriptors of the processes under test only

Cause: the tests lowered the limit of their own process while a deployment starts. Reproduced: with 600 files open and a limit of 512, open fails with EMFILE. Change: the limit is set for each process that was started. Crowds and bounds are unchanged.

--- a/tests/system/test_untrusted_callers.py
+++ b/tests/system/test_untrusted_callers.py
@@ -4,7 +4,6 @@
 within bounds, and an ordinary request is answered afterwards.
 """
 
-import contextlib
 import resource
 from collections.abc import Iterator
 from pathlib import Path
@@ -56,15 +55,13 @@
     return content
 
 
-@contextlib.contextmanager
-def few_descriptors() -> Iterator[None]:
-    """Let processes that are started meanwhile open ``MAX_FILES`` descriptors."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FILES, hard))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+def limit_descriptors(pid: int) -> None:
+    """Let a process that has just been started open ``MAX_FILES`` descriptors.
+
+    The tests' own process may have more open, so the limit can't be one that the other inherits.
+    """
+    _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (MAX_FILES, hard))
 
 
 @pytest.fixture
@@ -72,9 +69,9 @@
     """Yield a deployment that serves requests."""
     running = Deployment(tmp_path)
     try:
-        with few_descriptors():
-            for address in (*CONTROL, GATEWAY):
-                running.start(address)
+        for address in (*CONTROL, GATEWAY):
+            running.start(address)
+            limit_descriptors(running.processes[address].pid)
         running.put(large_configuration())
         running.announce(1)
         wait_for(lambda: running.send_request() == 200, 'a served request')
