Don't compute the skews of placements twice when a map is planned

Cause: each improvement of a layer was built anew as a state of all ranks only to read its skew, which the search knows. Change: the search yields placements with their skews.

--- a/basilcove/experts/remote/planning.py
+++ b/basilcove/experts/remote/planning.py
@@ -80,13 +80,12 @@
         )
 
     def _plan_layer(self, popularity: Shares, layer: Layer) -> list[Stage]:
-        placements = list(_improvements(popularity, layer, self.bounds, self.speeds))
-        if self.bounds.max_copies is None:
-            placements = placements[-1:]
         first = Stage(layer, skew_of(popularity, layer, self.speeds))
+        improvements = list(_improvements(popularity, layer, self.bounds, self.speeds))
+        if self.bounds.max_copies is None:
+            improvements = improvements[-1:]
         stages = [first]
-        for placement in placements:
-            skew = skew_of(popularity, placement, self.speeds)
+        for placement, skew in improvements:
             if first.skew - skew >= MIN_LAYER_SKEW_GAIN:
                 stages.append(Stage(placement, skew, count_copies(layer, placement)))
         return stages
@@ -146,8 +145,10 @@
         return len(set(experts).difference(self.current[rank]))
 
 
-def _improvements(shares: Shares, layer: Layer, bounds: RankBounds, speeds: Speeds) -> Iterator[Layer]:
-    """Yield placements of a layer, each better than the one before; the last one is the best.
+def _improvements(
+    shares: Shares, layer: Layer, bounds: RankBounds, speeds: Speeds
+) -> Iterator[tuple[Layer, float]]:
+    """Yield placements of a layer with their skews, each lower than the one before.
 
     Experts are moved away from slow ranks before the first one.
     """
@@ -163,8 +164,8 @@
     yield from _search(state, limits)
 
 
-def _search(state: LayerState, limits: _Limits) -> Iterator[Layer]:
-    """Yield each placement that is better than those before, up to ``TARGET_SKEW``."""
+def _search(state: LayerState, limits: _Limits) -> Iterator[tuple[Layer, float]]:
+    """Yield each placement that is better than those before, up to ``TARGET_SKEW``, with its skew."""
     best_skew = state.skew
     escapes = 0
     while state.skew > TARGET_SKEW:
@@ -250,5 +251,5 @@
         yield rank
 
 
-def _freeze(state: LayerState) -> Layer:
-    return tuple(tuple(experts) for experts in state.slots)
+def _freeze(state: LayerState) -> tuple[Layer, float]:
+    return tuple(tuple(experts) for experts in state.slots), state.skew
