Wait for both sides of a link in the test of unwanted peers

Cause: the test waited only until the entry had found the agent. The agent reads the entry's introduction later; if the test withdrew its wish in between, the agent opened no link and never lost one, and the test waited 20 s.

--- a/tests/rpc/test_links.py
+++ b/tests/rpc/test_links.py
@@ -110,7 +110,8 @@
             wanted = True
             agent.table.set_peer_filter(lambda _: wanted)
             async with serve(entry, insecure_config(address)), dial(agent, insecure_config('', address)):
-                await wait_until(lambda: entry.events_of(PeerFound))
+                # The entry finds the agent first; an agent that has no link yet would never lose it.
+                await wait_until(lambda: entry.events_of(PeerFound) and agent.events_of(PeerFound))
                 wanted = False
                 await wait_until(lambda: agent.events_of(PeerLost) and entry.events_of(PeerLost))
                 wanted = True
