Plan and change the maps of remote groups sooner, and limit a group after a second of late passes

Cause: where an expert takes 76 ms to copy and popularity changes each 3.6 s, a map took 2.0 s from one reading of counts to the next one, of which 0.4 s passed between reading and plan, since each step waited for a tick of 0.1 s, and 0.6 s between the copies and the step of the switch. Counts of a regime alike have a cosine of 0.98, those of the next one 0.4: blending in earlier counts did not lower the skew of the next window (1.93 and more on the mean, 1.92 with the latest counts alone), so only time gains. A limit on requests in flight needed 3 s of pauses and streams that had ended.

Change: counts, survey and plan follow each other without waiting for ticks; copies are polled each 0.1 s from when they should be complete; a switch is up to four steps ahead of its minimum time, fewer where steps are long; a hold that arrives after its step is tried again with a later one instead of waiting 4 s; counts are read each 0.6 s where copies are bounded. A group may be limited after five intervals whose longest pass was late.

Four new tests fail on the former code.

--- a/basilcove/concurrency/const.py
+++ b/basilcove/concurrency/const.py
@@ -40,6 +40,8 @@
 MEMORY_S: Final = 30.0
 # Intervals that are needed before there is a limit.
 MIN_INTERVALS: Final = 15
+# So many are enough if the longest pass of each was late: no stream of that time can be on time.
+LATE_INTERVALS: Final = 5
 # Factors by which the longest pass of a stream exceeds the level at its start, assumed until so many streams
 # have ended: a load that begins at once fills all slots before many have.
 ASSUMED_EXCESSES: Final = (1.1, 1.2, 1.3, 1.4, 1.6)
--- a/basilcove/concurrency/estimates.py
+++ b/basilcove/concurrency/estimates.py
@@ -11,11 +11,13 @@
 from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 from basilcove.concurrency.const import (
     ASSUMED_EXCESSES,
     ASSUMED_PAUSES,
     INTERVAL_S,
+    LATE_INTERVALS,
     LATE_VALUE,
     LOAD_GROWTH,
     MAX_STREAM_S,
@@ -108,7 +110,10 @@
         The cost grows with the intervals remembered, 150 at most, times those within the time of a stream.
         """
         target_s = self.target_s(now)
-        if target_s is None or len(self.intervals) < MIN_INTERVALS:
+        if target_s is None:
+            return None
+        is_late = self._is_late(target_s)
+        if len(self.intervals) < MIN_INTERVALS and not is_late:
             return None
         levels = tuple(self.law.levels(self.intervals))
         excesses = self._excesses(levels, now)
@@ -121,9 +126,14 @@
             gain,
             loads.share(best_load),
             self._seen_share(target_s, now, PROBATION_S),
-            self._seen_share(target_s, now, RECENT_S),
+            0 if is_late else self._seen_share(target_s, now, RECENT_S),
         )
 
+    def _is_late(self, target_s: float) -> bool:
+        """Return whether every pass of the last intervals was too long for any stream to be on time."""
+        latest = islice(reversed(self.intervals), LATE_INTERVALS)
+        return len(self.intervals) >= LATE_INTERVALS and all(entry.pause_s > target_s for entry in latest)
+
     def _excesses(self, levels: tuple[float, ...], now: float) -> list[float]:
         """Return by which factor the longest pass of a stream exceeded the level at its start, in order."""
         excesses = []
--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -20,9 +20,13 @@
 # The report of a rank lags behind its state by a few hundred milliseconds.
 REPORT_LAG_S: Final = 0.6
 REPORT_INTERVAL_S: Final = 0.2
+# The same while ranks copy, from when they should have finished.
+COPY_POLL_INTERVAL_S: Final = 0.1
 
 # Popularity changes within seconds, but each reading is charged for and pauses the group briefly.
 COUNTS_INTERVAL_S: Final = 1.2
+# The same where copies are bounded since popularity changes while ranks copy: what is known first counts.
+URGENT_COUNTS_INTERVAL_S: Final = 0.6
 # Used until a popularity is known, as after a change of leader: a map needs the difference of two readings.
 FIRST_COUNTS_INTERVAL_S: Final = 0.4
 # Ranks whose counts are read: requests are spread over all ranks, so a few of them are a fair sample. Each
@@ -58,11 +62,15 @@
 
 PREPARE_TIMEOUT_S: Final = 4.0
 HOLD_TIMEOUT_S: Final = 1.5
+# How often a change is tried with a later step if the step to hold had begun.
+MAX_LATE_HOLDS: Final = 3
 # How far ahead the step of the switch is, so that no pass waits for an order.
 ARM_AHEAD_S: Final = 0.25
 # The same while orders are lost: retries reach all ranks in this time even if a third of the orders is lost.
 LOSSY_ARM_AHEAD_S: Final = 0.7
-MIN_ARM_AHEAD_STEPS: Final = 4
+# Added to it: a few steps, or fewer where steps are long.
+MAX_SPARE_STEPS: Final = 4
+SPARE_S: Final = 0.1
 # How long arming is retried at ranks that refuse it before all ranks are disarmed.
 ARM_TIMEOUT_S: Final = 3.0
 # No new change starts for this long after one that failed.
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -19,6 +19,7 @@
     MIN_SKEW_GAIN,
     MIN_UTILISATION,
     PLANNED_RANKS_PER_TICK,
+    URGENT_COUNTS_INTERVAL_S,
 )
 from basilcove.experts.remote.copies import bound_copies
 from basilcove.experts.remote.events import RankAnswered
@@ -70,13 +71,10 @@
     _sync_with_registry(state, ctx.node.part(RegistryState))
     for change in tuple(state.changes.values()):
         yield from advance(change, ctx.now)
-        if change.phase is Phase.SURVEYED:
-            yield from _notify_gateways(state, change, ctx)
-            yield from _begin_plan(change, ctx.now)
         if change.phase is Phase.PLANNING:
             yield from _plan(change, ctx.now)
-        elif change.phase is Phase.IDLE:
-            yield from _collect_counts(state, change, ctx)
+        else:
+            yield from _prepare_plan(state, change, ctx)
 
 
 @handles(RankAnswered, RemoteGroups)
@@ -93,6 +91,8 @@
             'fenced off: a newer leader manages the maps of remote groups',
             (('term', str(state.term)),),
         )
+    else:
+        yield from _prepare_plan(state, change, ctx)
 
 
 def _sync_with_registry(state: RemoteGroups, registry: RegistryState) -> None:
@@ -126,6 +126,17 @@
             yield identity.name, GroupChange(identity, state.term, ranks, layout)
 
 
+def _prepare_plan(state: RemoteGroups, change: GroupChange, ctx: Context) -> Iterator[Effect]:
+    """Read what a plan needs and begin to plan, without waiting for ticks in between."""
+    if change.phase is Phase.IDLE:
+        yield from _collect_counts(state, change, ctx)
+    elif change.phase is Phase.SURVEYED:
+        yield from _notify_gateways(state, change, ctx)
+        yield from _begin_plan(change, ctx.now)
+        if change.draft is not None:
+            yield from _plan(change, ctx.now)
+
+
 def _notify_gateways(state: RemoteGroups, change: GroupChange, ctx: Context) -> Iterator[Effect]:
     """Notify all gateways of slow ranks after each survey, and once when none is left."""
     name = change.identity.name
@@ -151,18 +162,26 @@
 
 
 def _is_due(change: GroupChange, now: float) -> bool:
-    interval_s = COUNTS_INTERVAL_S if any(change.popularity) else FIRST_COUNTS_INTERVAL_S
+    if not any(change.popularity):
+        interval_s = FIRST_COUNTS_INTERVAL_S
+    elif _max_copies(change) is None:
+        interval_s = COUNTS_INTERVAL_S
+    else:
+        interval_s = URGENT_COUNTS_INTERVAL_S
     return now >= max(change.backoff_until, change.counts_read_at + interval_s)
 
 
+def _max_copies(change: GroupChange) -> int | None:
+    layout = change.layout
+    return bound_copies(layout.copy_s, layout.layers, layout.max_new)
+
+
 def _begin_plan(change: GroupChange, now: float) -> Iterator[Effect]:
     shares = shares_of(change)
     if shares is None:
         yield from enter_phase(change, Phase.IDLE, now)
         return
-    layout = change.layout
-    max_copies = bound_copies(layout.copy_s, layout.layers, layout.max_new)
-    bounds = RankBounds(layout.slots, layout.max_new, max_copies)
+    bounds = RankBounds(change.layout.slots, change.layout.max_new, _max_copies(change))
     change.draft = Draft(shares, change.current, bounds, change.speeds())
     yield from enter_phase(change, Phase.PLANNING, now)
 
--- a/basilcove/experts/remote/models.py
+++ b/basilcove/experts/remote/models.py
@@ -109,6 +109,8 @@
     watched_until: float = 0
     last_call_number: int = 0
     called_at: float = 0
+    # When all ranks should have copied the experts of the target; the start of the change if it isn't known.
+    copied_at: float = 0
     counts_read_at: float = 0
     backoff_until: float = 0
     counts: dict[Rank, tuple[int, ...]] = field(default_factory=dict)
@@ -120,6 +122,8 @@
     is_fenced: bool = False
     # An order of the present change had to be sent again.
     has_lost_order: bool = False
+    # How often the step of the present change had begun before its hold arrived.
+    late_holds: int = 0
 
     def speeds(self) -> tuple[float, ...]:
         """Return the speed of each rank by its last report; 1 is the usual speed."""
--- a/basilcove/experts/remote/phases.py
+++ b/basilcove/experts/remote/phases.py
@@ -6,6 +6,7 @@
 the others disarmed, and the hold then stays until no earlier arming order can take effect any more.
 """
 
+from collections import Counter
 from collections.abc import Callable
 
 from basilcove.core.events import Count, Log
@@ -24,17 +25,21 @@
     ARM_AHEAD_S,
     ARM_TIMEOUT_S,
     CHANGE_BACKOFF_S,
+    COPY_POLL_INTERVAL_S,
     HOLD_TIMEOUT_S,
     LOSSY_ARM_AHEAD_S,
+    MAX_LATE_HOLDS,
     MAX_ORDER_DELAY_S,
-    MIN_ARM_AHEAD_STEPS,
+    MAX_SPARE_STEPS,
     PREPARE_TIMEOUT_S,
     REPORT_INTERVAL_S,
     REPORT_LAG_S,
+    SPARE_S,
     UNUSED_VERSION,
     VERSIONS_PER_TOKEN,
     WATCH_INTERVAL_S,
 )
+from basilcove.experts.remote.copies import count_copies
 from basilcove.experts.remote.events import RankAnswered
 from basilcove.experts.remote.models import GroupChange, Phase
 from basilcove.experts.remote.orders import (
@@ -84,6 +89,8 @@
     """Start the change to another map."""
     change.target = layers
     change.has_lost_order = False
+    change.late_holds = 0
+    change.copied_at = now + change.layout.copy_s * _most_copies(change)
     # Two leaders must not give one version to two maps, even if neither knows of the other.
     lowest_version = change.token * VERSIONS_PER_TOKEN
     change.target_version = max(change.version, change.target_version, lowest_version) + 1
@@ -91,6 +98,14 @@
     yield from call_all_ranks(change, PrepareMap(change.target_version, layers), now)
 
 
+def _most_copies(change: GroupChange) -> int:
+    """Return the most experts that any rank copies for the target."""
+    copies: Counter[int] = Counter()
+    for layer, target in zip(change.current, change.target, strict=True):
+        copies.update(count_copies(layer, target))
+    return max(copies.values(), default=0)
+
+
 def read_counts(change: GroupChange, now: float) -> Effects:
     """Read the counts of a sample of the ranks."""
     yield from call_ranks(change, sampled_ranks(change), ReadCounts(), now)
@@ -283,14 +298,15 @@
     is_prepared = all(report.prepared == change.target_version for report in change.reports.values())
     if is_prepared and change.pace:
         yield from _hold(change, now)
-    elif now - change.called_at >= REPORT_INTERVAL_S:
+    elif now >= change.copied_at and now - change.called_at >= COPY_POLL_INTERVAL_S:
         yield from call_all_ranks(change, ReadReport(), now)
 
 
 def _hold(change: GroupChange, now: float) -> Effects:
     newest_step = max(report.step for report in change.reports.values())
     ahead_s = LOSSY_ARM_AHEAD_S if change.has_lost_order else ARM_AHEAD_S
-    change.step = newest_step + MIN_ARM_AHEAD_STEPS + int(change.pace * ahead_s)
+    spare_steps = min(MAX_SPARE_STEPS, 1 + int(change.pace * SPARE_S))
+    change.step = newest_step + spare_steps + int(change.pace * ahead_s)
     yield from enter_phase(change, Phase.HOLDING, now)
     yield from call_ranks(change, (change.holder,), HoldStep(change.step), now)
 
@@ -299,6 +315,11 @@
 def _await_hold(change: GroupChange, now: float) -> Effects:
     if change.holder in change.completed:
         yield from _arm(change, now)
+    elif change.refused_at and not change.has_lost_order and change.late_holds < MAX_LATE_HOLDS:
+        # The step had begun, so the order has no effect.
+        change.late_holds += 1
+        yield from enter_phase(change, Phase.COPYING, now)
+        yield from call_all_ranks(change, ReadReport(), now)
     elif change.refused_at or now - change.since > HOLD_TIMEOUT_S:
         # The order to hold may still take effect, so the hold is released and watched nevertheless.
         change.target = ()
--- a/tests/concurrency/test_replay.py
+++ b/tests/concurrency/test_replay.py
@@ -13,6 +13,9 @@
 # Requests in flight a rank beyond the limit that old counts may cause, on the mean and at most.
 MEAN_EXCESS = 0.25
 MAX_EXCESS = 0.6
+# Requests in flight a rank from which all streams are late where one lengthens passes by 45 ms.
+LATE_LOAD = 3
+MAX_DELAY_S = 2
 
 
 def law(fixed_s: float, stream_s: float, *, seed: int = 1, stalls: float = 0) -> Law:
@@ -49,6 +52,14 @@
         assert limited > MOST
         assert refused < FEW
 
+    def test_limit_comes_soon_where_all_streams_are_late(self) -> None:
+        """Guards against seconds in which a load that begins at once fills all slots and all streams are late."""
+        replay = Replay([Group('r0', 24, 5, steady(0.03, 0.045))], 42, lambda now: 90)
+        replay.run(8)
+        first_late_at = next(now for now, load, _ in replay.loads if load > LATE_LOAD)
+        first_limit_at = next(now for now, _, limit in replay.loads if limit)
+        assert first_limit_at - first_late_at < MAX_DELAY_S
+
     def test_load_stays_close_to_the_limit(self) -> None:
         """Guards against gateways that exceed the limit together since each of them decides on old counts."""
         groups = [Group('r0', 24, 5, steady(0.03, 0.045))]
--- a/tests/experts/remote/test_coordinator.py
+++ b/tests/experts/remote/test_coordinator.py
@@ -1,6 +1,7 @@
 import itertools
 import math
 from collections.abc import Iterable
+from itertools import pairwise
 
 from basilcove.concurrency.limits import LoadLimit
 from basilcove.concurrency.models import ConcurrencyState, GroupRecord
@@ -14,6 +15,7 @@
 from basilcove.experts.remote.models import ExpertLayout, RemoteGroups
 from basilcove.experts.remote.orders import (
     OrderResult,
+    PrepareMap,
     RankCounts,
     RankLists,
     RankReport,
@@ -59,6 +61,7 @@
         self.version = 0
         self.read_at: list[float] = []
         self.orders: list[str] = []
+        self.prepared_at: list[float] = []
         self.notified: list[tuple[InstanceId, ...]] = []
         self.now = 100.0
         self._counted = itertools.count(1)
@@ -95,6 +98,8 @@
             self.read_at.append(self.now)
             return RankCounts(1, (10 * next(self._counted),) * EXPERTS)
         self.orders.append(type(effect.call).__name__)
+        if isinstance(effect.call, PrepareMap):
+            self.prepared_at.append(self.now)
         return OrderResult.ACCEPTED
 
 
@@ -170,3 +175,22 @@
         leader.node.add(ConcurrencyState({GroupName('g'): record}))
         leader.run(3, used_slots=SLOTS // 2)
         assert leader.read_at
+
+    def test_counts_are_read_more_often_where_copies_take_long(self) -> None:
+        """Guards against maps that are planned half a change of popularity later than they could be."""
+        leader = Leader()
+        leader.version = 3
+        leader.groups.layouts[ServiceName('desk')] = ExpertLayout(1, EXPERTS, 4, 2, copy_s=1)
+        leader.run(5)
+        intervals = [later - earlier for earlier, later in pairwise(sorted(set(leader.read_at)))]
+        assert max(intervals) < COUNTS_INTERVAL_S - TICK_S
+
+    def test_plan_follows_a_reading_immediately(self) -> None:
+        """Guards against tenths of a second between reading counts and the orders that follow from them."""
+        leader = Leader()
+        leader.slowness = {2: 5}
+        leader.run(3)
+        assert (
+            leader.prepared_at[0] - max(at for at in leader.read_at if at <= leader.prepared_at[0])
+            < TICK_S / 2
+        )
--- a/tests/experts/remote/test_phases.py
+++ b/tests/experts/remote/test_phases.py
@@ -36,6 +36,17 @@
         """Guards against a group that waits at the step of the switch for orders that are retried."""
         assert self._steps_ahead((PrepareMap,)) > self._steps_ahead(())
 
+    def test_change_goes_on_if_its_step_begins_before_the_hold(self) -> None:
+        """Guards against seconds without a change because passes were shorter than expected once."""
+        group = FakeGroup(seed=1)
+        leader = group.lead(token=1)
+        while leader.phase is not Phase.HOLDING:
+            group.run(0.001)
+        group.step = leader.step
+        group.run(QUICK_CHANGE_S)
+        assert leader.changes
+        assert not group.is_split
+
     def _steps_ahead(self, lost: tuple[type, ...]) -> int:
         """Return how many steps ahead the switch is if these orders are lost for a moment."""
         group = FakeGroup(seed=1, lost=lost)
