Share one memory account and one kind of refusal between all listeners of a process

Cause: a gateway, and a control host with the adapter, had an account for each HTTP package, so together they could take twice the limit. Kinds of refusal, their metric and their log line existed once for each package. Change: listeners of both packages charge the account of max_receive_bytes; receive.max_bytes is removed. A connection of the event loop that another thread evicts is refused on the loop, and a share that was evicted and has given everything back counts as a new one. RefusalKind and Refusals in http1 serve both packages: refused_requests_total has the listener as label and replaces http_connections_refused_total, and malformed and too large bodies of entries and agents are counted as well.

--- a/basilcove/gateway/driver.py
+++ b/basilcove/gateway/driver.py
@@ -38,12 +38,14 @@
 from basilcove.gateway.exchange import Attempt, Exchange
 from basilcove.gateway.headers import GatewayHeaders
 from basilcove.gateway.held import HeldBytes
+from basilcove.http1.account import ReceiveAccount
 from basilcove.http1.client import ClientConfig
 from basilcove.http1.config import ConnectionLimits
 from basilcove.http1.connection import CallerConnection
 from basilcove.http1.headers import Headers, HttpRequest
 from basilcove.http1.pool import UpstreamConnections
 from basilcove.http1.probes import is_refused
+from basilcove.http1.refusals import Refusals
 from basilcove.http1.server import HttpServer
 
 _CLIENT = ClientConfig(
@@ -58,7 +60,13 @@
 class GatewayDriver:
     """Forwards between connections of callers and connections to upstreams; handler of its HTTP server."""
 
-    def __init__(self, cfg: GatewayConfig, apply: Callable[[Event], bool]) -> None:
+    def __init__(
+        self,
+        cfg: GatewayConfig,
+        apply: Callable[[Event], bool],
+        account: ReceiveAccount,
+        refusals: Refusals,
+    ) -> None:
         """Deliver events to ``apply``, on the thread of the event loop; it returns False after a failure."""
         self._cfg = cfg
         self._apply = apply
@@ -67,14 +75,20 @@
         self._by_caller: dict[CallerConnection, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.upstreams = UpstreamConnections(_CLIENT)
-        self.server = HttpServer(cfg.listen, self, cfg.receive)
-        self._held = HeldBytes(self.server.account)
+        self.server = HttpServer(cfg.listen, self, account, refusals, cfg.receive)
+        self._held = HeldBytes(account)
         self._headers = GatewayHeaders(cfg)
 
     @classmethod
-    def from_config(cls, cfg: GatewayConfig, apply: Callable[[Event], bool]) -> 'GatewayDriver':
-        """Build the driver of a gateway."""
-        return cls(cfg, apply)
+    def from_config(
+        cls,
+        cfg: GatewayConfig,
+        apply: Callable[[Event], bool],
+        account: ReceiveAccount,
+        refusals: Refusals,
+    ) -> 'GatewayDriver':
+        """Build the driver of a gateway; what its callers take is charged to ``account``."""
+        return cls(cfg, apply, account, refusals)
 
     async def unload(self) -> None:
         """Close all connections."""
--- a/basilcove/gateway/held.py
+++ b/basilcove/gateway/held.py
@@ -7,7 +7,7 @@
 
 
 class HeldBytes:
-    """Bytes that all open attempts hold together, charged to the account of the callers' listener."""
+    """Bytes that all open attempts hold together, charged to the account of the process."""
 
     def __init__(self, account: ReceiveAccount) -> None:
         """Hold nothing; half of the account is left for requests."""
--- a/basilcove/http/announcements.py
+++ b/basilcove/http/announcements.py
@@ -17,6 +17,7 @@
 from basilcove.http.replies import StartResponse, refuse, reply_json
 from basilcove.http.status import NotReady, StatusPages
 from basilcove.http1.account import ReceiveAccount
+from basilcove.http1.refusals import Refusals
 from basilcove.membership.events import UpstreamAnnounced, UpstreamDeparted
 from basilcove.requests.events import Refusal
 
@@ -70,9 +71,8 @@
         limits = ListenerLimits(
             MAX_ANNOUNCEMENT_BYTES, cfg.max_connections, receive_timeout_s=cfg.receive_timeout_s
         )
-        self._server = start_server(
-            cfg.listen, self._serve, SPARE_THREADS, limits, self._account, self._metrics
-        )
+        refusals = Refusals('agent', self._metrics)
+        self._server = start_server(cfg.listen, self._serve, SPARE_THREADS, limits, self._account, refusals)
 
     def unload(self) -> None:
         """Stop serving."""
--- a/basilcove/http/callers.py
+++ b/basilcove/http/callers.py
@@ -29,6 +29,7 @@
 from basilcove.http.sse import DONE_EVENT
 from basilcove.http.status import NotReady, StatusPages
 from basilcove.http1.account import ReceiveAccount
+from basilcove.http1.refusals import Refusals
 from basilcove.requests.events import CallerGone, Refusal, Request, RequestArrived
 
 _RETRY_WHEN_FULL_S: Final = 1.0
@@ -81,7 +82,8 @@
             cfg.socket_timeout_s,
             cfg.receive_timeout_s,
         )
-        self._server = start_server(cfg.listen, self._serve, threads, limits, self._account, self._metrics)
+        refusals = Refusals('entry', self._metrics)
+        self._server = start_server(cfg.listen, self._serve, threads, limits, self._account, refusals)
 
     def unload(self) -> None:
         """Stop serving; call only when no answer is open, since answers in progress are cut off."""
--- a/basilcove/http/connections.py
+++ b/basilcove/http/connections.py
@@ -8,7 +8,6 @@
 
 from cheroot import wsgi
 
-from basilcove.helpers.metrics import Metrics
 from basilcove.http.const import (
     LISTEN_BACKLOG,
     MAX_BODY_BYTES,
@@ -19,10 +18,10 @@
     SOCKET_TIMEOUT_S,
 )
 from basilcove.http.polling import Poller
-from basilcove.http.refusals import RefusalCounter
 from basilcove.http.replies import StartResponse
 from basilcove.http.requests import Connection
 from basilcove.http1.account import ReceiveAccount
+from basilcove.http1.refusals import Refusals
 
 Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
 
@@ -49,7 +48,7 @@
     ConnectionClass = Connection
     limits = ListenerLimits()
     account: ReceiveAccount
-    refusals: RefusalCounter
+    refusals: Refusals
     _connections: Any
 
     def prepare(self) -> None:
@@ -69,7 +68,7 @@
     threads: int,
     limits: ListenerLimits,
     account: ReceiveAccount,
-    metrics: Metrics,
+    refusals: Refusals,
 ) -> Server:
     """Bind and serve on separate threads; OSError if the address is in use."""
     host, _, port = listen.rpartition(':')
@@ -77,7 +76,7 @@
     server.timeout = limits.timeout_s
     server.limits = limits
     server.account = account
-    server.refusals = RefusalCounter(listen, metrics)
+    server.refusals = refusals
     server.request_queue_size = LISTEN_BACKLOG
     server.max_request_header_size = MAX_HEADER_BYTES
     server.max_request_body_size = limits.max_body_bytes
--- a/basilcove/http/const.py
+++ b/basilcove/http/const.py
@@ -50,8 +50,6 @@
 # each of their steps, and 31 of them delayed an ordinary request by 9 s.
 MAX_PIPELINED: Final = 2
 RETRY_WHEN_FULL_S: Final = 1
-# Shortest interval between two log lines about the same kind of refusal.
-REFUSAL_LOG_INTERVAL_S: Final = 10.0
 
 # Threads in addition to those of open streams, so that refusals and health checks are answered at full load.
 SPARE_THREADS: Final = 8
--- a/basilcove/http/polling.py
+++ b/basilcove/http/polling.py
@@ -4,7 +4,6 @@
 import socket
 import time
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Any, Final
 
 from cheroot.connections import ConnectionManager
@@ -20,15 +19,11 @@
     SWEEP_INTERVAL_S,
 )
 from basilcove.http.pipelining import PipelinedRequests
-from basilcove.http.refusals import RefusalKind, build_refusal
+from basilcove.http.refusals import build_refusal
 from basilcove.http.requests import Connection
+from basilcove.http1.refusals import RefusalKind
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-_STATUSES: Final = {
-    RefusalKind.HEAD: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-    RefusalKind.EMPTY_LINES: HTTPStatus.BAD_REQUEST,
-    RefusalKind.SLOW: HTTPStatus.REQUEST_TIMEOUT,
-}
 
 
 class Poller(ConnectionManager):
@@ -218,10 +213,10 @@
             self._refuse(conn, RefusalKind.MEMORY)
             return
         if conn.is_sending:
-            self._refuse(conn, RefusalKind.UNREAD)
+            self._refuse(conn, RefusalKind.STALLED)
             return
         if conn.receiver.has_begun:
-            self._refuse(conn, RefusalKind.SLOW)
+            self._refuse(conn, RefusalKind.LATE)
             return
         # An unused connection ends without a refusal.
         conn.close()
@@ -234,12 +229,13 @@
         return is_receiving and now - conn.begun_at > limits.receive_timeout_s
 
     def _refuse(self, conn: Connection, kind: RefusalKind) -> None:
-        self.server.refusals.count(kind)
+        if kind is RefusalKind.MEMORY and conn.is_sending:
+            kind = RefusalKind.UNREAD
+        conn.count_refusal(kind)
         if conn.is_sending or not conn.receiver.has_begun:
             conn.close()
             return
-        status = _STATUSES.get(kind, HTTPStatus.SERVICE_UNAVAILABLE)
-        conn.refuse(build_refusal(status))
+        conn.refuse(build_refusal(kind))
 
     def _list_waiting(self) -> list[tuple[int, Connection]]:
         return [entry for entry in self._selector.connections if entry[1] is not self.server]
--- a/basilcove/http/receiving.py
+++ b/basilcove/http/receiving.py
@@ -14,7 +14,7 @@
     MAX_EXTENSION_BYTES,
     MAX_HEADER_BYTES,
 )
-from basilcove.http.refusals import RefusalKind
+from basilcove.http1.refusals import RefusalKind
 from basilcove.requests.events import Refusal
 
 _CRLF: Final = b'\r\n'
@@ -136,7 +136,7 @@
         end = _HEAD_END.search(self._pending, self._left_bytes)
         size = len(self._pending) if end is None else end.end()
         if size > MAX_HEADER_BYTES:
-            self._refuse(RefusalKind.HEAD)
+            self._refuse(RefusalKind.HEADERS_TOO_LARGE)
             return False
         if end is None:
             self._left_bytes = max(0, size - 2)
@@ -151,7 +151,7 @@
         self._empty_bytes += len(self._pending) - len(stripped)
         self._pending = stripped
         if self._empty_bytes > MAX_EMPTY_BYTES:
-            self._refuse(RefusalKind.EMPTY_LINES)
+            self._refuse(RefusalKind.LEADING_BYTES)
 
     def _choose_framing(self) -> None:
         self.expects_continue = _EXPECT.search(self.head) is not None
--- a/basilcove/http/requests.py
+++ b/basilcove/http/requests.py
@@ -10,8 +10,10 @@
 
 from basilcove.http.const import RECEIVE_BYTES, SMALL_READ_BYTES
 from basilcove.http.receiving import RequestReceiver
+from basilcove.http.refusals import REASONS, find_kind
 from basilcove.http.sending import AnswerWriter
 from basilcove.http1.account import ReceiveShare
+from basilcove.http1.refusals import RefusalKind
 
 
 class _HeaderReader(HeaderReader):
@@ -43,8 +45,16 @@
             self.close_connection = True
         return True
 
+    def simple_response(self, status: str, msg: str = '') -> None:
+        """Refuse a request, with the status and phrase that cheroot gives."""
+        self._count_refusal(int(status.split(' ')[0]))
+        super().simple_response(status, msg)
+
     def respond(self) -> None:
-        self.rfile = self.conn.receiver.body
+        body = self.conn.receiver.body
+        if body.fault is not None:
+            self._count_refusal(body.fault.status)
+        self.rfile = body
         self.server.gateway(self).respond()
         if self.ready:
             self.ensure_headers_sent()
@@ -58,8 +68,18 @@
 
     def write(self, chunk: bytes) -> None:
         super().write(chunk)
-        if self.conn.is_streaming:
+        if not self.conn.is_streaming:
+            return
+        try:
             self.conn.wfile.wait(self.server.limits.receive_timeout_s)
+        except TimeoutError:
+            self.conn.count_refusal(RefusalKind.STALLED)
+            raise
+
+    def _count_refusal(self, status: int) -> None:
+        kind = find_kind(status)
+        if kind is not None:
+            self.conn.count_refusal(kind)
 
 
 class Connection(HTTPConnection):
@@ -97,6 +117,10 @@
         with suppress(OSError):
             self.socket.shutdown(socket.SHUT_RD)
 
+    def count_refusal(self, kind: RefusalKind) -> None:
+        """Count and log that a request or an answer of the connection was refused."""
+        self.server.refusals.add(kind, REASONS[kind])
+
     def communicate(self) -> bool:
         """Answer the complete request; True if the connection goes back to the poller."""
         self.rfile = _make_file(self.socket, 'rb', 0, self.receiver.head)
--- a/basilcove/http/status.py
+++ b/basilcove/http/status.py
@@ -10,6 +10,7 @@
 from basilcove.http.const import KIBIBYTE, STATUS_THREADS
 from basilcove.http.replies import StartResponse, reply, reply_json
 from basilcove.http1.account import ReceiveAccount
+from basilcove.http1.refusals import Refusals
 
 NotReady = Callable[[], list[str]]
 
@@ -59,8 +60,9 @@
         """Bind and serve."""
         self._pages.setup(not_ready)
         limits = ListenerLimits(KIBIBYTE, self._cfg.max_connections)
+        refusals = Refusals('status', self._metrics)
         self._server = start_server(
-            self._cfg.listen, self._serve, STATUS_THREADS, limits, self._account, self._metrics
+            self._cfg.listen, self._serve, STATUS_THREADS, limits, self._account, refusals
         )
 
     def unload(self) -> None:
--- a/basilcove/http1/accepting.py
+++ b/basilcove/http1/accepting.py
@@ -12,10 +12,19 @@
 class Acceptor:
     """Accepts connections as long as ``has_room`` says so; it pauses when it doesn't, until ``resume``."""
 
-    def __init__(self, factory: Callable[[], asyncio.BaseProtocol], has_room: Callable[[int], bool]) -> None:
-        """Create a protocol for each connection; ``has_room`` is given the number of unfinished accepts."""
+    def __init__(
+        self,
+        factory: Callable[[], asyncio.BaseProtocol],
+        has_room: Callable[[int], bool],
+        on_error: Callable[[str], None],
+    ) -> None:
+        """Create a protocol for each connection; ``has_room`` is given the number of unfinished accepts.
+
+        ``on_error`` is given the reason why the operating system accepts no connection.
+        """
         self._factory = factory
         self._has_room = has_room
+        self._on_error = on_error
         self._loop = asyncio.get_running_loop()
         self._sock: socket.socket | None = None
         self._is_paused = True
@@ -70,7 +79,7 @@
                 return
             except OSError as exc:
                 # The process has no descriptors or memory left; some are returned as connections end.
-                logger.error('no connection can be accepted: {}', exc)
+                self._on_error(f'no connection can be accepted: {exc}')
                 self._pause()
                 self._loop.call_later(ACCEPT_RETRY_S, self.resume)
                 return
--- a/basilcove/http1/account.py
+++ b/basilcove/http1/account.py
@@ -25,8 +25,15 @@
 
         If this exceeds the account, shares of unfinished requests are evicted, which may include this one.
         The cost grows with the number of unfinished shares, but only while the account is exceeded.
+        An evicted share that is resized to 0 counts as a new one.
         """
-        self.account.resize(self, size_bytes)
+        if size_bytes != self.size_bytes:
+            self.account.charge(self, size_bytes)
+
+    def add(self, size_bytes: int) -> None:
+        """Charge ``size_bytes`` more, or less if negative; for a share that several threads resize."""
+        if size_bytes:
+            self.account.charge(self, size_bytes, is_added=True)
 
     def complete(self) -> bool:
         """Exempt the share from eviction; return False if it was evicted before.
@@ -44,8 +51,9 @@
     """Bounds the bytes of all connections; over the limit the largest unfinished request is evicted.
 
     The load that it handles is many connections that each stay inside the limits of a request and don't
-    complete it. ``give_way`` of an evicted share is called once, without any lock, on the thread that
-    exceeded the account. It may find the share complete or closed by then.
+    complete it. ``give_way`` of an evicted share is called without any lock, on the thread that exceeded
+    the account. It may find the share closed or no longer evicted by then. All listeners of a process share
+    one account.
     """
 
     def __init__(self, max_bytes: int) -> None:
@@ -72,14 +80,12 @@
         """Return a share; ``give_way`` refuses or closes its connection and must not block."""
         return ReceiveShare(self, give_way)
 
-    def resize(self, share: ReceiveShare, size_bytes: int) -> None:
-        """Charge a share; see ``ReceiveShare.resize``."""
-        if size_bytes == share.size_bytes:
-            return
+    def charge(self, share: ReceiveShare, size_bytes: int, *, is_added: bool = False) -> None:
+        """Charge a share; see ``ReceiveShare.resize`` and ``ReceiveShare.add``."""
         with self._lock:
             if share.is_closed:
                 return
-            self._charge(share, size_bytes)
+            self._charge(share, share.size_bytes + size_bytes if is_added else size_bytes)
             victims = self._evict() if self.is_exceeded else []
         for victim in victims:
             _notify(victim)
@@ -107,6 +113,7 @@
         self._used_bytes += added
         if share.is_evicted:
             self._evicted_bytes += added
+            share.is_evicted = size_bytes > 0
         elif share.is_complete:
             return
         elif size_bytes:
--- a/basilcove/http1/config.py
+++ b/basilcove/http1/config.py
@@ -21,15 +21,14 @@
 class ReceiveConfig(BaseModel):
     """Limits on what all connections of a listener take together.
 
-    ``max_bytes`` bounds the memory of requests and answers, ``max_leading_bytes`` the empty lines before a
-    request, and ``max_lingering`` the refused connections that are kept open until their callers have read
-    the refusal. Of the descriptors of the process, ``reserved_descriptors`` are kept for links to other
-    processes.
+    ``max_leading_bytes`` bounds the empty lines before a request, and ``max_lingering`` the refused
+    connections that are kept open until their callers have read the refusal. Of the descriptors of the
+    process, ``reserved_descriptors`` are kept for links to other processes. The memory is bounded by the
+    account of the process.
     """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
-    max_bytes: int = Field(default=32 * 1024 * 1024, gt=0)
     max_connections: int = Field(default=1024, gt=0)
     reserved_descriptors: int = Field(default=128, ge=0)
     max_leading_bytes: int = Field(default=MAX_HEADER_BYTES, gt=0)
--- a/basilcove/http1/connection.py
+++ b/basilcove/http1/connection.py
@@ -14,9 +14,10 @@
     RETRY_AFTER_S,
     WRITE_BUFFER_BYTES,
 )
+from basilcove.http1.handover import bind_to_loop
 from basilcove.http1.headers import Headers, HttpRequest, encode_answer_head, has_body
 from basilcove.http1.reading import RequestReader
-from basilcove.http1.refusals import Refusal
+from basilcove.http1.refusals import RefusalKind
 from basilcove.http1.resets import reset
 from basilcove.http1.timeouts import Activity, Overdue
 from basilcove.http1.unsent import UnsentBytes
@@ -43,12 +44,12 @@
             server.cfg.max_leading_bytes, self._on_read, self._continue, self._refuse
         )
         # Requests that were not passed on, which may be dropped: the unfinished one, and those that wait.
-        self._reading_share = server.account.open(self._evict_reading)
+        self._reading_share = server.account.open(bind_to_loop(self._evict_reading))
         self._waiting_bytes = 0
         # The request that is being answered.
         self._held_share = server.account.open(_do_nothing)
         self._held_share.complete()
-        self._unsent = UnsentBytes(server.account, self._evict_unsent)
+        self._unsent = UnsentBytes(server.account, bind_to_loop(self._evict_unsent))
         self._pipelined: deque[tuple[HttpRequest, int]] = deque()
         self._current: HttpRequest | None = None
         self._is_chunked = False
@@ -220,7 +221,7 @@
         self._unsent.update(transport)
         limits = self._server.limits
         if (self._current is None or is_full) and self._unsent.is_stalled(now, limits.idle_timeout_s):
-            self._server.refusals.add(Refusal.STALLED, 'the caller does not read its answer')
+            self._server.refusals.add(RefusalKind.STALLED, 'the caller does not read its answer')
             reset(transport)
         elif not (self._current or self._pipelined or self._is_throttled or transport.is_closing()):
             body_bytes = self._reader.body_bytes if self._reader.is_reading else None
@@ -232,7 +233,7 @@
 
     def _end_overdue(self, transport: asyncio.Transport, overdue: Overdue) -> None:
         if overdue is Overdue.REQUEST:
-            self._refuse(HTTPStatus.REQUEST_TIMEOUT, Refusal.LATE, 'the request did not arrive in time')
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT, RefusalKind.LATE, 'the request did not arrive in time')
         elif transport.get_write_buffer_size():
             transport.abort()
         else:
@@ -269,7 +270,7 @@
         self._held_share.resize(cost_bytes)
         self._has_begun = False
         if self._server.account.is_exceeded:
-            self._server.refusals.add(Refusal.MEMORY, 'too many bytes of requests and answers are held')
+            self._server.refusals.add(RefusalKind.MEMORY, 'too many bytes of requests and answers are held')
             self.answer(HTTPStatus.SERVICE_UNAVAILABLE.value, _RETRY_AFTER, b'')
             return
         try:
@@ -283,17 +284,26 @@
                 self.answer(HTTPStatus.INTERNAL_SERVER_ERROR.value, [], b'')
 
     def _evict_reading(self) -> None:
+        if not self._reading_share.is_evicted:
+            # Another thread evicted it, and all its requests were passed on before this call.
+            return
         self._pipelined.clear()
         self._waiting_bytes = 0
         reason = 'too many bytes of requests that are unfinished or wait'
-        self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, Refusal.MEMORY, reason, _RETRY_AFTER)
+        self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, RefusalKind.MEMORY, reason, _RETRY_AFTER)
+        self._reading_share.resize(0)
 
     def _evict_unsent(self) -> None:
-        if self._transport is not None:
-            self._server.refusals.add(Refusal.UNREAD, 'too many bytes of answers that are not read')
+        if self._transport is None:
+            return
+        self._unsent.update(self._transport)
+        if self._unsent.is_evicted:
+            self._server.refusals.add(RefusalKind.UNREAD, 'too many bytes of answers that are not read')
             reset(self._transport)
 
-    def _refuse(self, status: HTTPStatus, kind: Refusal, reason: str, headers: Headers | None = None) -> None:
+    def _refuse(
+        self, status: HTTPStatus, kind: RefusalKind, reason: str, headers: Headers | None = None
+    ) -> None:
         if self._is_refused or self._transport is None:
             return
         self._is_refused = True
--- a/basilcove/http1/reading.py
+++ b/basilcove/http1/reading.py
@@ -14,10 +14,10 @@
     REQUEST_PARTS,
 )
 from basilcove.http1.headers import Headers, HttpRequest
-from basilcove.http1.refusals import Refusal
+from basilcove.http1.refusals import RefusalKind
 
 OnRequest = Callable[[HttpRequest, int], None]
-OnFault = Callable[[HTTPStatus, Refusal, str], None]
+OnFault = Callable[[HTTPStatus, RefusalKind, str], None]
 
 
 class RequestReader:
@@ -82,9 +82,9 @@
         try:
             self._parser.feed_data(segment)
         except httptools.HttpParserUpgrade:
-            self._fail(HTTPStatus.BAD_REQUEST, Refusal.MALFORMED, 'no other protocol is spoken')
+            self._fail(HTTPStatus.BAD_REQUEST, RefusalKind.MALFORMED, 'no other protocol is spoken')
         except httptools.HttpParserError as exc:
-            self._fail(HTTPStatus.BAD_REQUEST, Refusal.MALFORMED, str(exc))
+            self._fail(HTTPStatus.BAD_REQUEST, RefusalKind.MALFORMED, str(exc))
         if self.is_reading and self._overhead_bytes > limits.max_header_bytes:
             self._fail_head()
         if was_reading or self.begun > begun:
@@ -93,7 +93,7 @@
         self._leading_bytes += len(segment)
         if self._leading_bytes > self._max_leading:
             reason = 'too many bytes before a request'
-            self._fail(HTTPStatus.BAD_REQUEST, Refusal.LEADING_BYTES, reason)
+            self._fail(HTTPStatus.BAD_REQUEST, RefusalKind.LEADING_BYTES, reason)
         return False
 
     def drop(self) -> None:
@@ -140,7 +140,9 @@
         if self._is_dropped:
             return
         if len(self._body) + len(part) > self._limits.max_body_bytes:
-            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, Refusal.BODY_TOO_LARGE, 'the body is too large')
+            self._fail(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE, RefusalKind.BODY_TOO_LARGE, 'the body is too large'
+            )
             return
         self._body += part
 
@@ -171,9 +173,9 @@
 
     def _fail_head(self) -> None:
         status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        self._fail(status, Refusal.HEADERS_TOO_LARGE, 'the headers are too large')
+        self._fail(status, RefusalKind.HEADERS_TOO_LARGE, 'the headers are too large')
 
-    def _fail(self, status: HTTPStatus, kind: Refusal, reason: str) -> None:
+    def _fail(self, status: HTTPStatus, kind: RefusalKind, reason: str) -> None:
         if not self._is_dropped:
             self.drop()
             self._pass_fault(status, kind, reason)
--- a/basilcove/http1/server.py
+++ b/basilcove/http1/server.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from collections import deque
-from collections.abc import Callable
 from typing import Protocol
 
 from basilcove.http1.accepting import Acceptor
@@ -12,7 +11,7 @@
 from basilcove.http1.connection import CallerConnection
 from basilcove.http1.const import HEAD_READ_BYTES, READ_BYTES, SWEEP_INTERVAL_S
 from basilcove.http1.headers import HttpRequest
-from basilcove.http1.refusals import Refusal, Refusals
+from basilcove.http1.refusals import RefusalKind, Refusals
 
 
 class RequestHandler(Protocol):
@@ -32,18 +31,19 @@
         self,
         listen: str,
         handler: RequestHandler,
+        account: ReceiveAccount,
+        refusals: Refusals,
         cfg: ReceiveConfig | None = None,
-        account: ReceiveAccount | None = None,
     ) -> None:
         """Store the address as ``host:port``; ``setup`` binds it.
 
-        Listeners of one process may share an account.
+        The listeners of a process share an account.
         """
         self._listen = listen
         self.handler = handler
         self.cfg = cfg or ReceiveConfig()
-        self.account = account or ReceiveAccount(self.cfg.max_bytes)
-        self.refusals = Refusals()
+        self.account = account
+        self.refusals = refusals
         self.limits = ConnectionLimits()
         self.connections: set[CallerConnection] = set()
         self.is_stopping = False
@@ -59,7 +59,7 @@
     async def setup(self) -> None:
         """Bind and serve."""
         host, _, port = self._listen.rpartition(':')
-        self._acceptor = Acceptor(lambda: CallerConnection(self), self._has_room)
+        self._acceptor = Acceptor(lambda: CallerConnection(self), self._has_room, self._on_accept_error)
         self._acceptor.bind(host, int(port))
         self._sweeper = asyncio.create_task(self._sweep())
 
@@ -86,10 +86,6 @@
         assert self._acceptor is not None
         return self._acceptor.port
 
-    def count_refusals(self, count: Callable[[Refusal], None]) -> None:
-        """Pass each refusal to ``count``."""
-        self.refusals.on_refused = count
-
     # For connections.
 
     def remove(self, conn: CallerConnection) -> None:
@@ -120,9 +116,12 @@
     def _has_room(self, connecting: int) -> bool:
         if len(self.connections) + connecting < self._max_connections:
             return True
-        self.refusals.add(Refusal.CONNECTIONS, f'{self._max_connections} connections are open')
+        self.refusals.add(RefusalKind.CONNECTIONS, f'{self._max_connections} connections are open')
         return False
 
+    def _on_accept_error(self, reason: str) -> None:
+        self.refusals.add(RefusalKind.DESCRIPTORS, reason)
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
--- a/basilcove/http1/unsent.py
+++ b/basilcove/http1/unsent.py
@@ -32,6 +32,11 @@
             self._share = self._account.open(self._give_way)
         self._share.resize(size_bytes)
 
+    @property
+    def is_evicted(self) -> bool:
+        """Return whether the account asks for what is charged, and it is still unsent."""
+        return self._share is not None and self._share.is_evicted
+
     def is_stalled(self, now: float, timeout_s: float) -> bool:
         """Return whether the caller has read nothing of what is unsent for ``timeout_s``."""
         return self._size_bytes > 0 and now - self._progress_at > timeout_s
--- a/basilcove/roles/gateway.py
+++ b/basilcove/roles/gateway.py
@@ -7,9 +7,10 @@
 from basilcove.gateway import coordinator as _gateway  # noqa: F401
 from basilcove.gateway.driver import GatewayDriver
 from basilcove.gateway.models import GatewayState
+from basilcove.http1.refusals import Refusals
 from basilcove.roles.common import add_common
 from basilcove.wiring.limits import CallerLimits
-from basilcove.wiring.listeners import count_refusals
+from basilcove.wiring.listeners import add_gauges
 
 
 @builds(Role.GATEWAY)
@@ -20,7 +21,9 @@
     add_common(assembly)
     runtime = assembly.runtime
     state = GatewayState.from_config(cfg, assembly.settings.zone, assembly.settings.stop_timeout_s)
-    driver = GatewayDriver.from_config(cfg, runtime.apply)
+    driver = GatewayDriver.from_config(
+        cfg, runtime.apply, assembly.account, Refusals('gateway', assembly.metrics)
+    )
     for part in (state, CallerLimits(state.stop)):
         runtime.node.add(part)
     runtime.add_driver(driver)
@@ -35,7 +38,7 @@
     assembly.metrics.gauge('gateway_cold_upstreams', 'Cold.', lambda: state.count_cold(time.monotonic()))
     assembly.metrics.gauge('gateway_connections_opened', 'To upstreams.', lambda: driver.upstreams.opened)
     assembly.metrics.gauge('gateway_held_bytes', 'Held of incomplete answers.', lambda: driver.held_bytes)
-    count_refusals(assembly.metrics, 'gateway', driver.server)
+    add_gauges(assembly.metrics, 'gateway', driver.server)
     assembly.readiness.append(lambda: None if state.table is not None else 'no document is in effect')
     assembly.idle_checks.append(lambda: driver.open_exchanges == 0)
     assembly.setups.append(driver.server.setup)
--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+from basilcove.const import MAX_RECEIVE_BYTES
 from basilcove.core.events import PeerFound, Received
 from basilcove.core.ids import Revision, Zone
 from basilcove.core.reducer import Node
@@ -17,6 +18,8 @@
 from basilcove.gateway.models import GatewayState
 from basilcove.helpers.logs import LogDriver
 from basilcove.helpers.metrics import Metrics
+from basilcove.http1.account import ReceiveAccount
+from basilcove.http1.refusals import Refusals
 from basilcove.http1.resets import reset
 from basilcove.registry.messages import Registrations
 from tests.gateway.world import CONTROL, HOST, KEY, STOP_TIMEOUT_S, document, registration
@@ -174,7 +177,9 @@
     cfg = GatewayConfig(listen='127.0.0.1:0')
     state = GatewayState.from_config(cfg, Zone('a'), STOP_TIMEOUT_S)
     runtime = Runtime(Node(state))
-    driver = GatewayDriver.from_config(cfg, runtime.apply)
+    driver = GatewayDriver.from_config(
+        cfg, runtime.apply, ReceiveAccount(MAX_RECEIVE_BYTES), Refusals('gateway', Metrics())
+    )
     for each in (driver, Metrics(), LogDriver('gateway', 'CRITICAL')):
         runtime.add_driver(each)
     await runtime.start()
--- a/tests/http/test_receiving.py
+++ b/tests/http/test_receiving.py
@@ -7,7 +7,7 @@
 
 from basilcove.http.const import MAX_EMPTY_BYTES, MAX_HEADER_BYTES
 from basilcove.http.receiving import RequestReceiver, Stage
-from basilcove.http.refusals import RefusalKind
+from basilcove.http1.refusals import RefusalKind
 
 MAX_BODY_BYTES = 1000
 CHUNKED = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -63,12 +63,12 @@
     def test_head_without_end(self) -> None:
         """Guards against a head over the limit that is kept."""
         receiver = feed(b'a' * (MAX_HEADER_BYTES + 1), [])
-        assert (receiver.refusal, receiver.cost_bytes) == (RefusalKind.HEAD, 0)
+        assert (receiver.refusal, receiver.cost_bytes) == (RefusalKind.HEADERS_TOO_LARGE, 0)
 
     def test_empty_lines(self) -> None:
         """Guards against empty lines without end before a request; a few are ignored."""
         assert feed(b'\r\n' * (MAX_EMPTY_BYTES // 2) + NEXT, [1, 5]).head == NEXT
-        assert feed(b'\r\n' * MAX_EMPTY_BYTES, [1, 5]).refusal is RefusalKind.EMPTY_LINES
+        assert feed(b'\r\n' * MAX_EMPTY_BYTES, [1, 5]).refusal is RefusalKind.LEADING_BYTES
 
     def test_trailers_and_extensions_without_end(self) -> None:
         """Guards against bytes after or beside the content that have no limit."""
--- a/tests/http1/test_account.py
+++ b/tests/http1/test_account.py
@@ -65,6 +65,18 @@
             other.share.resize(size)
         assert (slow.evictions, other.evictions) == (1, 0)
 
+    def test_handled_eviction(self) -> None:
+        """Guards against a share that, once evicted, is never counted or evicted again."""
+        account = ReceiveAccount(MAX_BYTES)
+        holder = Holder(account, is_slow=True)
+        for evictions in (1, 2):
+            holder.share.resize(MAX_BYTES + 1)
+            assert (holder.share.is_evicted, holder.evictions) == (True, evictions)
+            holder.share.resize(0)
+            assert not holder.share.is_evicted
+        holder.share.resize(MAX_BYTES)
+        assert account.used_bytes == MAX_BYTES
+
     def test_failing_holder(self) -> None:
         """Guards against a failure of one holder that leaves others evicted without notice."""
         account = ReceiveAccount(MAX_BYTES)
--- a/tests/http1/test_reading.py
+++ b/tests/http1/test_reading.py
@@ -9,11 +9,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from basilcove.http1.config import ConnectionLimits, ReceiveConfig
+from basilcove.helpers.metrics import Metrics
+from basilcove.http1.account import ReceiveAccount
+from basilcove.http1.config import ConnectionLimits
 from basilcove.http1.connection import CallerConnection
 from basilcove.http1.headers import HttpRequest
 from basilcove.http1.reading import RequestReader
-from basilcove.http1.refusals import Refusal
+from basilcove.http1.refusals import RefusalKind, Refusals
 from basilcove.http1.server import HttpServer
 
 MAX_LEADING = 64
@@ -35,7 +37,7 @@
         """Start to read."""
         self.requests: list[HttpRequest] = []
         self.costs: list[int] = []
-        self.faults: list[Refusal] = []
+        self.faults: list[RefusalKind] = []
         self.expectations = 0
         self.reader = RequestReader(MAX_LEADING, self._add, self._expect, self._fail)
 
@@ -53,7 +55,7 @@
     def _expect(self) -> None:
         self.expectations += 1
 
-    def _fail(self, status: HTTPStatus, kind: Refusal, reason: str) -> None:
+    def _fail(self, status: HTTPStatus, kind: RefusalKind, reason: str) -> None:
         self.faults.append(kind)
 
 
@@ -74,9 +76,9 @@
         reading.feed(head + b''.join(map(chunk, parts)) + b'0\r\n\r\n', cuts)
         if len(head) > LIMITS.max_header_bytes:
             # Heads over the limit by their framing alone may pass, since only their content is kept.
-            assert reading.faults in ([], [Refusal.HEADERS_TOO_LARGE])
+            assert reading.faults in ([], [RefusalKind.HEADERS_TOO_LARGE])
         elif len(body) > LIMITS.max_body_bytes:
-            assert reading.faults == [Refusal.BODY_TOO_LARGE]
+            assert reading.faults == [RefusalKind.BODY_TOO_LARGE]
         else:
             assert [request.body for request in reading.requests] == [body]
             assert len(reading.requests[0].headers) == len(lines) + 2
@@ -105,7 +107,7 @@
         """Guards against trailers that never end, which are dropped but must not go on for ever."""
         reading = Reading()
         reading.feed(CHUNKED + b'0\r\n' + line * 200, [len(CHUNKED) + 3, *range(200, 1400, 60), *cuts])
-        assert reading.faults == [Refusal.HEADERS_TOO_LARGE]
+        assert reading.faults == [RefusalKind.HEADERS_TOO_LARGE]
 
 
 class TestConnections:
@@ -120,7 +122,7 @@
         """Guards against bytes that stay charged after their connections have ended."""
 
         async def check() -> None:
-            server = HttpServer('127.0.0.1:0', Mock(), ReceiveConfig(max_bytes=2000))
+            server = HttpServer('127.0.0.1:0', Mock(), ReceiveAccount(2000), Refusals('gateway', Metrics()))
             conns = [CallerConnection(server) for _ in range(5)]
             for conn in conns:
                 transport = Mock(spec=asyncio.Transport)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -2,9 +2,13 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from basilcove.const import MAX_RECEIVE_BYTES
+from basilcove.helpers.metrics import Metrics
+from basilcove.http1.account import ReceiveAccount
 from basilcove.http1.config import ConnectionLimits
 from basilcove.http1.connection import CallerConnection
 from basilcove.http1.headers import HttpRequest
+from basilcove.http1.refusals import Refusals
 from basilcove.http1.server import HttpServer
 
 TIMEOUT_S = 5
@@ -32,7 +36,9 @@
 def run(check: Check, limits: ConnectionLimits | None = None) -> None:
     async def serve() -> None:
         echo = Echo()
-        server = HttpServer('127.0.0.1:0', echo)
+        server = HttpServer(
+            '127.0.0.1:0', echo, ReceiveAccount(MAX_RECEIVE_BYTES), Refusals('gateway', Metrics())
+        )
         server.limits = limits or ConnectionLimits()
         await server.setup()
         reader, writer = await asyncio.open_connection('127.0.0.1', server.port)
--- a/tests/http1/test_server_bounds.py
+++ b/tests/http1/test_server_bounds.py
@@ -1,16 +1,21 @@
 """Bounds on what all connections of a server take together."""
 
 import asyncio
+import io
 import resource
+import threading
 from collections.abc import Awaitable, Callable
 
 import pytest
 from pydantic import ValidationError
 
+from basilcove.const import MAX_RECEIVE_BYTES
+from basilcove.helpers.metrics import Metrics
+from basilcove.http1.account import ReceiveAccount
 from basilcove.http1.config import ConnectionLimits, ReceiveConfig, find_max_connections
 from basilcove.http1.connection import CallerConnection
 from basilcove.http1.headers import HttpRequest
-from basilcove.http1.refusals import Refusal, Refusals
+from basilcove.http1.refusals import RefusalKind, Refusals
 from basilcove.http1.server import HttpServer
 
 TIMEOUT_S = 8
@@ -39,16 +44,30 @@
         """Nothing is in progress after an answer."""
 
 
+class RecordedRefusals(Refusals):
+    """Refusals that are also listed."""
+
+    def __init__(self) -> None:
+        """Start without refusals."""
+        super().__init__('gateway', Metrics())
+        self.kinds: list[RefusalKind] = []
+
+    def add(self, kind: RefusalKind, reason: str) -> bool:
+        """List a refusal."""
+        self.kinds.append(kind)
+        return super().add(kind, reason)
+
+
 class Running:
     """A running server and its clients."""
 
-    def __init__(self, cfg: ReceiveConfig, limits: ConnectionLimits) -> None:
+    def __init__(self, account: ReceiveAccount, cfg: ReceiveConfig, limits: ConnectionLimits) -> None:
         """Prepare the server."""
         self.handler = Answering()
-        self.server = HttpServer('127.0.0.1:0', self.handler, cfg)
+        refusals = RecordedRefusals()
+        self.refused = refusals.kinds
+        self.server = HttpServer('127.0.0.1:0', self.handler, account, refusals, cfg)
         self.server.limits = limits
-        self.refused: list[Refusal] = []
-        self.server.count_refusals(self.refused.append)
         self.writers: list[asyncio.StreamWriter] = []
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -64,12 +83,17 @@
 
 
 def run(
-    check: Callable[[Running], Awaitable[None]], limits: ConnectionLimits | None = None, **cfg: int
+    check: Callable[[Running], Awaitable[None]],
+    limits: ConnectionLimits | None = None,
+    max_bytes: int = MAX_RECEIVE_BYTES,
+    **cfg: int,
 ) -> None:
     """Run a check against a server; afterwards nothing may be charged any more."""
 
     async def serve() -> None:
-        running = Running(ReceiveConfig.model_validate(cfg), limits or ConnectionLimits())
+        running = Running(
+            ReceiveAccount(max_bytes), ReceiveConfig.model_validate(cfg), limits or ConnectionLimits()
+        )
         await running.server.setup()
         try:
             await asyncio.wait_for(check(running), TIMEOUT_S)
@@ -98,18 +122,64 @@
             assert b' 200 ' in await other.readline()
             assert b' 503 ' in await large.readline()
             assert b'retry-after: 1' in (await large.readuntil(b'\r\n\r\n')).lower()
-            assert running.refused == [Refusal.MEMORY]
+            assert running.refused == [RefusalKind.MEMORY]
             assert len(running.handler.requests) == 1
 
         run(check, max_bytes=150_000)
 
+    def test_eviction_by_another_thread(self) -> None:
+        """Guards against a connection that a thread of another listener uses beside the event loop."""
+
+        async def check(running: Running) -> None:
+            reader, writer = await running.connect()
+            writer.write(CHUNKED + b'10000\r\n' + b'x' * 60_000)
+            account = running.server.account
+            await running.until(lambda: account.used_bytes > 60_000)
+            refused_by: list[int] = []
+            running.server.refusals.add = lambda *_: refused_by.append(threading.get_ident())
+            other = account.open(lambda: None)
+            await asyncio.to_thread(other.resize, 50_000)
+            assert b' 503 ' in await reader.readline()
+            assert refused_by == [threading.get_ident()]
+            other.close()
+
+        run(check, max_bytes=100_000)
+
+    def test_request_passed_on_before_the_eviction(self) -> None:
+        """Guards against a refusal of the next request, if the loop learns late of an eviction."""
+
+        async def check(running: Running) -> None:
+            reader, writer = await running.connect()
+            writer.write(CHUNKED + b'8000\r\n' + b'x' * 0x8000)
+            account = running.server.account
+            await running.until(lambda: account.used_bytes > 0x8000)
+            other = account.open(lambda: None)
+            other.complete()
+            evicting = threading.Thread(target=other.resize, args=(90_000,))
+            # The rest of the request is parsed in the same iteration, before the thread's call to the loop.
+            conn = next(iter(running.server.connections))
+            evicting.start()
+            evicting.join()
+            assert account.evictions == 1
+            other.close()
+            rest = b'\r\n0\r\n\r\n'
+            io.BytesIO(rest).readinto(conn.get_buffer(-1))
+            conn.buffer_updated(len(rest))
+            assert b' 200 ' in await reader.readline()
+            await reader.readuntil(b'x' * 0x8000)
+            writer.write(CHUNKED + b'1\r\na\r\n0\r\n\r\n')
+            assert b' 200 ' in await reader.readline()
+            assert not running.refused
+
+        run(check, max_bytes=100_000)
+
     def test_nothing_into_an_answer(self) -> None:
         """Guards against a refusal that a caller reads as a part of the answer in progress."""
 
         async def check(running: Running) -> None:
             reader, writer = await running.connect()
             writer.write(b'GET /wait HTTP/1.1\r\n\r\n' + CHUNKED + b'10000\r\n' + b'x' * 60_000)
-            await running.until(lambda: Refusal.MEMORY in running.refused)
+            await running.until(lambda: RefusalKind.MEMORY in running.refused)
             running.handler.waiting[0].answer(200, [], b'whole')
             assert (await reader.readuntil(b'whole')).count(b'HTTP/1.1') == 1
             assert await reader.read() == b''
@@ -141,7 +211,7 @@
                 await running.connect()
             reader, writer = await running.connect()
             writer.write(CHUNKED + b'0\r\n\r\n')
-            await running.until(lambda: Refusal.CONNECTIONS in running.refused)
+            await running.until(lambda: RefusalKind.CONNECTIONS in running.refused)
             assert len(running.server.connections) <= 4
             assert b' 200 ' in await reader.readline()
 
@@ -159,7 +229,7 @@
             while not ended.done():
                 idle_writer.write(b'\r\n')
                 await asyncio.sleep(0.1)
-            assert running.refused == [Refusal.LEADING_BYTES]
+            assert running.refused == [RefusalKind.LEADING_BYTES]
 
         run(check, ConnectionLimits(idle_timeout_s=0.5), max_leading_bytes=500)
 
@@ -196,20 +266,19 @@
     def test_rate(self) -> None:
         """Guards against a log line for each refused request."""
         now = [0.0]
-        refusals = Refusals(lambda: now[0])
-        counted: list[Refusal] = []
-        refusals.on_refused = counted.append
-        lines = [refusals.add(Refusal.LATE, 'late') for _ in range(50)]
+        metrics = Metrics()
+        refusals = Refusals('gateway', metrics, lambda: now[0])
+        lines = [refusals.add(RefusalKind.LATE, 'late') for _ in range(50)]
         now[0] = 2.0
-        lines.append(refusals.add(Refusal.LATE, 'late'))
+        lines.append(refusals.add(RefusalKind.LATE, 'late'))
         assert lines.count(True) == 2
-        assert len(counted) == 51
+        assert 'refused_requests_total{kind="late",listener="gateway"} 51.0' in metrics.render().decode()
 
 
 class TestSettings:
     """Validation of the limits."""
 
-    @pytest.mark.parametrize('name', ['max_bytes', 'max_connections', 'max_leading_bytes'])
+    @pytest.mark.parametrize('name', ['max_connections', 'max_leading_bytes'])
     def test_zero(self, name: str) -> None:
         """Guards against settings with which no request is ever served."""
         with pytest.raises(ValidationError):
