Charge the parts of streams that wait for slow callers, and cut off the largest over the account

Cause: parts of a stream that its caller didn't read were queued in AnswerTable without a charge or a bound, and the thread of the caller was held for receive_timeout_s whatever the memory of the process. Change: each answer of an entry has a queue with a share of the account. A stream gives way by the size of its unread parts: they are dropped, the socket is shut down so that its thread ends, and the reducer gets CallerGone. Answers that are collected are charged until they are sent and don't give way. Timeouts of readers are counted as stalled. Exchange and AnswerStream are a module of their own.

--- a/basilcove/http/callers.py
+++ b/basilcove/http/callers.py
@@ -1,9 +1,8 @@
 """HTTP server for callers, based on cheroot."""
 
-import queue
 import threading
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from http import HTTPStatus
 from typing import Any, Final, Self
@@ -15,22 +14,21 @@
 from basilcove.environment.models import Environment
 from basilcove.helpers.metrics import Metrics
 from basilcove.helpers.traces import Tracing, trace_id_of, traceparent_of
-from basilcove.http.answers import AnswerTable, Body, Broken, Complete, Head, Part, Refused
+from basilcove.http.answers import AnswerTable, Broken, Complete, Head, Part, Refused
+from basilcove.http.bodies import find_abort
 from basilcove.http.calls import build_request, read_call
 from basilcove.http.config import HttpConfig
 from basilcove.http.connections import ListenerLimits, Server, start_server
 from basilcove.http.const import (
-    ANSWER_GRACE_S,
     EVENT_STREAM,
     SPARE_THREADS,
 )
-from basilcove.http.problems import error_event
+from basilcove.http.exchanges import AnswerStream, Exchange
 from basilcove.http.replies import StartResponse, refuse, status_line
-from basilcove.http.sse import DONE_EVENT
 from basilcove.http.status import NotReady, StatusPages
 from basilcove.http1.account import ReceiveAccount
 from basilcove.http1.refusals import Refusals
-from basilcove.requests.events import CallerGone, Refusal, Request, RequestArrived
+from basilcove.requests.events import Refusal, Request
 
 _RETRY_WHEN_FULL_S: Final = 1.0
 
@@ -116,14 +114,14 @@
         except BaseException:
             self._slots.release()
             raise
-        if isinstance(answer, _AnswerStream):
+        if isinstance(answer, AnswerStream):
             return answer
         self._slots.release()
         return answer
 
     def _answer(
         self, environ: dict[str, Any], start_response: StartResponse
-    ) -> 'Iterable[bytes] | _AnswerStream':
+    ) -> 'Iterable[bytes] | AnswerStream':
         environment = self._environment
         if environment is None:
             return refuse(
@@ -135,13 +133,15 @@
         if isinstance(req, Refusal):
             self._metrics.count('requests_refused', (('reason', 'client'),), 1)
             return refuse(start_response, req)
-        return self._exchange(req, start_response)
+        return self._exchange(req, find_abort(environ), start_response)
 
-    def _exchange(self, req: Request, start_response: StartResponse) -> 'Iterable[bytes] | _AnswerStream':
+    def _exchange(
+        self, req: Request, abort: Callable[[], None], start_response: StartResponse
+    ) -> 'Iterable[bytes] | AnswerStream':
         fields = {'request_id': req.request_id, 'team': req.team, 'priority': req.priority}
         span = self._tracing.start('entry', req.traceparent, fields)
         req = replace(req, traceparent=traceparent_of(span, req.traceparent))
-        exchange = _Exchange(req, self._answers, self._post_event)
+        exchange = Exchange(req, self._answers, abort, self._post_event)
         started = time.monotonic()
         first = exchange.next_part()
         self._metrics.first_byte_s.labels(req.priority).observe(time.monotonic() - started)
@@ -151,13 +151,13 @@
             span.end()
 
     def _relay(
-        self, exchange: '_Exchange', first: Part, start_response: StartResponse
-    ) -> 'Iterable[bytes] | _AnswerStream':
+        self, exchange: 'Exchange', first: Part, start_response: StartResponse
+    ) -> 'Iterable[bytes] | AnswerStream':
         request_id = exchange.req.request_id
-        if isinstance(first, Head) and first.headers.get('Content-Type', '').startswith(EVENT_STREAM):
+        if isinstance(first, Head) and first.is_stream:
             headers = [('Content-Type', EVENT_STREAM), ('Cache-Control', 'no-store')]
             start_response(status_line(first.status), [*headers, ('X-Basilcove-Request-Id', request_id)])
-            return _AnswerStream(exchange, self._slots.release)
+            return AnswerStream(exchange, self._slots.release)
         content, last = exchange.collect()
         exchange.close()
         trace_id = trace_id_of(exchange.req.traceparent)
@@ -177,80 +177,3 @@
     def _post_event(self, event: Event) -> None:
         if self._post is not None:
             self._post(event)
-
-
-class _Exchange:
-    """A request that was posted to the reducer and the parts of its answer."""
-
-    def __init__(self, req: Request, answers: AnswerTable, post: Callable[[Event], object]) -> None:
-        self.req = req
-        self._answers = answers
-        self._post = post
-        self._give_up_at = time.monotonic() + req.timeout_s + ANSWER_GRACE_S
-        self._is_ended = False
-        self._parts = answers.open(req.request_id)
-        post(RequestArrived(req))
-
-    def next_part(self) -> Part:
-        """Wait for the next part; after the deadline plus ``ANSWER_GRACE_S`` the outcome is unknown."""
-        try:
-            part = self._parts.get(timeout=max(0, self._give_up_at - time.monotonic()))
-        except queue.Empty:
-            part = Refused(
-                Refusal(HTTPStatus.GATEWAY_TIMEOUT, Outcome.UNKNOWN, 'no decision within the deadline')
-            )
-            self._post(CallerGone(self.req.request_id))
-        self._is_ended = isinstance(part, Complete | Broken | Refused)
-        return part
-
-    def collect(self) -> tuple[bytes, Part | None]:
-        """Return the rest of the body and the part that ended it."""
-        content = bytearray()
-        last: Part | None = None
-        while not self._is_ended:
-            last = self.next_part()
-            if isinstance(last, Body):
-                content += last.content
-        return bytes(content), last
-
-    def close(self) -> None:
-        """Close the request; posts ``CallerGone`` if the answer had not ended."""
-        self._answers.close(self.req.request_id)
-        if not self._is_ended:
-            self._is_ended = True
-            self._post(CallerGone(self.req.request_id))
-
-
-class _AnswerStream:
-    """A streamed answer, iterated and closed by cheroot."""
-
-    def __init__(self, exchange: _Exchange, release: Callable[[], None]) -> None:
-        self._exchange = exchange
-        self._release: Callable[[], None] | None = release
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield complete events; the stream ends with ``[DONE]`` only if it is complete."""
-        while True:
-            part = self._exchange.next_part()
-            if isinstance(part, Body):
-                yield part.content
-                continue
-            if isinstance(part, Complete):
-                yield DONE_EVENT
-            else:
-                yield error_event(_find_reason(part), self._exchange.req.request_id)
-            return
-
-    def close(self) -> None:
-        """End the exchange and free its slot."""
-        self._exchange.close()
-        release = self._release
-        self._release = None
-        if release is not None:
-            release()
-
-
-def _find_reason(part: Part) -> str:
-    if isinstance(part, Broken):
-        return part.reason
-    return part.refusal.reason if isinstance(part, Refused) else 'the answer has no end'
--- a/basilcove/http/connections.py
+++ b/basilcove/http/connections.py
@@ -19,7 +19,7 @@
 )
 from basilcove.http.polling import Poller
 from basilcove.http.replies import StartResponse
-from basilcove.http.requests import Connection
+from basilcove.http.requests import Connection, RequestGateway
 from basilcove.http1.account import ReceiveAccount
 from basilcove.http1.refusals import Refusals
 
@@ -73,6 +73,7 @@
     """Bind and serve on separate threads; OSError if the address is in use."""
     host, _, port = listen.rpartition(':')
     server = Server((host, int(port)), app, numthreads=threads, max=threads)
+    server.gateway = RequestGateway
     server.timeout = limits.timeout_s
     server.limits = limits
     server.account = account
--- a/basilcove/http/const.py
+++ b/basilcove/http/const.py
@@ -14,6 +14,8 @@
 # Memory of a short header line in the mappings of cheroot, WSGI and a call, besides its text: three entries
 # of two strings each.
 HEADER_LINE_BYTES: Final = 512
+# Memory of a part of an answer in its queue, besides its bytes.
+PART_COST_BYTES: Final = 128
 MAX_BODY_BYTES: Final = 4 * KIBIBYTE * KIBIBYTE
 MAX_ANNOUNCEMENT_BYTES: Final = 64 * KIBIBYTE
 # Connections that wait to be accepted. The operating system drops any more, and their callers retry after
--- a/basilcove/http/requests.py
+++ b/basilcove/http/requests.py
@@ -6,8 +6,10 @@
 from contextlib import suppress
 from typing import Any
 
+from cheroot import wsgi
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 
+from basilcove.http.bodies import ABORT_KEY
 from basilcove.http.const import RECEIVE_BYTES, SMALL_READ_BYTES
 from basilcove.http.receiving import RequestReceiver
 from basilcove.http.refusals import REASONS, find_kind
@@ -16,6 +18,15 @@
 from basilcove.http1.refusals import RefusalKind
 
 
+class RequestGateway(wsgi.Gateway_10):
+    """Cheroot's side of WSGI, which also passes how to abort the connection."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Return the environment of a request."""
+        environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
+        return {**environ, ABORT_KEY: self.req.conn.abort}
+
+
 class _HeaderReader(HeaderReader):
     """Ignores Expect, which was answered when the head had arrived."""
 
@@ -121,6 +132,12 @@
         """Count and log that a request or an answer of the connection was refused."""
         self.server.refusals.add(kind, REASONS[kind])
 
+    def abort(self) -> None:
+        """Cut off an answer that isn't read, on any thread; the one that sends it finds the socket broken."""
+        self.count_refusal(RefusalKind.UNREAD)
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
     def communicate(self) -> bool:
         """Answer the complete request; True if the connection goes back to the poller."""
         self.rfile = _make_file(self.socket, 'rb', 0, self.receiver.head)
--- a/basilcove/roles/entry.py
+++ b/basilcove/roles/entry.py
@@ -30,7 +30,7 @@
     runtime.node.add(requests)
     runtime.node.add(ClaimsState(identity.node, settings.environment))
     runtime.node.add(EvidenceState(settings.environment, settings.stage))
-    answers = AnswerTable(build_observer(runtime.apply))
+    answers = AnswerTable(assembly.account, build_observer(runtime.apply))
     server = CallerServer.from_config(cfg, answers, assembly.metrics, assembly.tracing, assembly.account)
     for driver in (answers, server, ClaimBridge(runtime.apply)):
         runtime.add_driver(driver)
--- a/tests/http/test_senders.py
+++ b/tests/http/test_senders.py
@@ -61,7 +61,8 @@
 @pytest.fixture(scope='module')
 def entry_server() -> Iterator[Target]:
     """An entry that answers each request immediately with status 200."""
-    answers = AnswerTable()
+    account = ReceiveAccount(ACCOUNT_BYTES)
+    answers = AnswerTable(account)
     cfg = HttpConfig(
         listen=free_address(), socket_timeout_s=SOCKET_TIMEOUT_S, receive_timeout_s=RECEIVE_TIMEOUT_S
     )
@@ -74,9 +75,7 @@
             answers.put(event.request.request_id, Head(200, {}))
             answers.put(event.request.request_id, Complete())
 
-    server = CallerServer.from_config(
-        cfg, answers, Metrics(), Tracing(TraceConfig(), 'e0'), ReceiveAccount(ACCOUNT_BYTES)
-    )
+    server = CallerServer.from_config(cfg, answers, Metrics(), Tracing(TraceConfig(), 'e0'), account)
     server.change_environment(make_environment(key_digests=[digest_of_secret(KEY)]))
     server.setup(post, list)
     yield target
