Make limits on empty lines, extensions of chunks and descriptors settings of cheroot's listeners

Cause: clients can meet these limits, but they were constants. Change: max_leading_bytes, max_extension_bytes and reserved_descriptors in the sections http, agent and status, validated, with the former constants as defaults. The limits of a listener are a module of their own. A test shows that entries and agents count malformed and too large requests by kind.

--- a/basilcove/http/announcements.py
+++ b/basilcove/http/announcements.py
@@ -12,8 +12,9 @@
 from basilcove.helpers.metrics import Metrics
 from basilcove.http.bodies import read_body
 from basilcove.http.config import AnnounceConfig
-from basilcove.http.connections import ListenerLimits, Server, start_server
+from basilcove.http.connections import Server, start_server
 from basilcove.http.const import MAX_ANNOUNCEMENT_BYTES, SPARE_THREADS
+from basilcove.http.limits import ListenerLimits
 from basilcove.http.replies import StartResponse, refuse, reply_json
 from basilcove.http.status import NotReady, StatusPages
 from basilcove.http1.account import ReceiveAccount
@@ -72,7 +73,9 @@
             MAX_ANNOUNCEMENT_BYTES, cfg.max_connections, receive_timeout_s=cfg.receive_timeout_s
         )
         refusals = Refusals('agent', self._metrics)
-        self._server = start_server(cfg.listen, self._serve, SPARE_THREADS, limits, self._account, refusals)
+        self._server = start_server(
+            cfg.listen, self._serve, SPARE_THREADS, cfg.build_limits(limits), self._account, refusals
+        )
 
     def unload(self) -> None:
         """Stop serving."""
--- a/basilcove/http/callers.py
+++ b/basilcove/http/callers.py
@@ -18,12 +18,13 @@
 from basilcove.http.bodies import find_abort
 from basilcove.http.calls import build_request, read_call
 from basilcove.http.config import HttpConfig
-from basilcove.http.connections import ListenerLimits, Server, start_server
+from basilcove.http.connections import Server, start_server
 from basilcove.http.const import (
     EVENT_STREAM,
     SPARE_THREADS,
 )
 from basilcove.http.exchanges import AnswerStream, Exchange
+from basilcove.http.limits import ListenerLimits
 from basilcove.http.replies import StartResponse, refuse, status_line
 from basilcove.http.status import NotReady, StatusPages
 from basilcove.http1.account import ReceiveAccount
@@ -81,7 +82,9 @@
             cfg.receive_timeout_s,
         )
         refusals = Refusals('entry', self._metrics)
-        self._server = start_server(cfg.listen, self._serve, threads, limits, self._account, refusals)
+        self._server = start_server(
+            cfg.listen, self._serve, threads, cfg.build_limits(limits), self._account, refusals
+        )
 
     def unload(self) -> None:
         """Stop serving; call only when no answer is open, since answers in progress are cut off."""
--- a/basilcove/http/connections.py
+++ b/basilcove/http/connections.py
@@ -3,20 +3,12 @@
 import resource
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Any, Final
 
 from cheroot import wsgi
 
-from basilcove.http.const import (
-    LISTEN_BACKLOG,
-    MAX_BODY_BYTES,
-    MAX_CONNECTIONS,
-    MAX_HEADER_BYTES,
-    RECEIVE_TIMEOUT_S,
-    RESERVED_DESCRIPTORS,
-    SOCKET_TIMEOUT_S,
-)
+from basilcove.http.const import LISTEN_BACKLOG, MAX_HEADER_BYTES
+from basilcove.http.limits import ListenerLimits
 from basilcove.http.polling import Poller
 from basilcove.http.replies import StartResponse
 from basilcove.http.requests import Connection, RequestGateway
@@ -28,20 +20,6 @@
 _MIN_CONNECTIONS: Final = 16
 
 
-@dataclass(frozen=True, slots=True)
-class ListenerLimits:
-    """Limits of one listener on its requests and connections.
-
-    A sender that is silent for ``timeout_s``, or needs longer than ``receive_timeout_s`` for a complete
-    request, gets 408.
-    """
-
-    max_body_bytes: int = MAX_BODY_BYTES
-    max_connections: int = MAX_CONNECTIONS
-    timeout_s: float = SOCKET_TIMEOUT_S
-    receive_timeout_s: float = RECEIVE_TIMEOUT_S
-
-
 class Server(wsgi.Server):
     """Cheroot's server, whose connections are polled until their requests are complete."""
 
@@ -55,7 +33,7 @@
         """Bind and start the threads."""
         super().prepare()
         self._connections.close()
-        self._connections = Poller(self, bound_connections(self.limits.max_connections))
+        self._connections = Poller(self, bound_connections(self.limits))
 
     def forget(self, conn: Connection) -> None:
         """Count a closed connection no longer."""
@@ -86,9 +64,9 @@
     return server
 
 
-def bound_connections(max_connections: int) -> int:
+def bound_connections(limits: ListenerLimits) -> int:
     """Return how many connections leave enough descriptors to the rest of the process."""
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if allowed == resource.RLIM_INFINITY:
-        return max_connections
-    return min(max_connections, max(_MIN_CONNECTIONS, allowed - RESERVED_DESCRIPTORS))
+        return limits.max_connections
+    return min(limits.max_connections, max(_MIN_CONNECTIONS, allowed - limits.reserved_descriptors))
--- a/basilcove/http/const.py
+++ b/basilcove/http/const.py
@@ -7,10 +7,11 @@
 MAX_HEADER_BYTES: Final = 32 * KIBIBYTE
 # The size line of a chunk, with its extensions.
 MAX_CHUNK_LINE_BYTES: Final = 4 * KIBIBYTE
-# Extensions of all chunks of a body together; none of them is used.
+# Default of the extensions of all chunks of a body together; none of them is used.
 MAX_EXTENSION_BYTES: Final = 256 * KIBIBYTE
-# Empty lines before a request. RFC 9112, section 2.2, asks that at least one be ignored.
-MAX_EMPTY_BYTES: Final = 64
+# Default of the empty lines before a request. RFC 9112, section 2.2, asks that at least one be ignored.
+MAX_LEADING_BYTES: Final = 64
+MIN_LEADING_BYTES: Final = 2
 # Memory of a short header line in the mappings of cheroot, WSGI and a call, besides its text: three entries
 # of two strings each.
 HEADER_LINE_BYTES: Final = 512
@@ -32,7 +33,7 @@
 MAX_CONNECTIONS: Final = 512
 MAX_ANNOUNCING_CONNECTIONS: Final = 128
 MAX_STATUS_CONNECTIONS: Final = 64
-# Descriptors that connections leave to links, upstreams and files.
+# Default of the descriptors that connections leave to links, upstreams and files.
 RESERVED_DESCRIPTORS: Final = 256
 # Upper bound of one read from a connection, after which other connections are served.
 RECEIVE_BYTES: Final = 64 * KIBIBYTE
--- a/basilcove/http/receiving.py
+++ b/basilcove/http/receiving.py
@@ -10,10 +10,9 @@
 from basilcove.http.const import (
     HEADER_LINE_BYTES,
     MAX_CHUNK_LINE_BYTES,
-    MAX_EMPTY_BYTES,
-    MAX_EXTENSION_BYTES,
     MAX_HEADER_BYTES,
 )
+from basilcove.http.limits import ListenerLimits
 from basilcove.http1.refusals import RefusalKind
 from basilcove.requests.events import Refusal
 
@@ -63,9 +62,9 @@
     number of times, also in chunks of one byte. A malformed body completes the request with a fault.
     """
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(self, limits: ListenerLimits) -> None:
         """Expect the first request."""
-        self._max_body_bytes = max_body_bytes
+        self._limits = limits
         self._pending = bytearray()
         self._parsed = 0
         self._empty_bytes = 0
@@ -116,7 +115,7 @@
 
     def build_next(self) -> 'RequestReceiver':
         """Return the receiver of the next request, which may have arrived already."""
-        following = RequestReceiver(self._max_body_bytes)
+        following = RequestReceiver(self._limits)
         following.feed(bytes(self._pending))
         return following
 
@@ -150,7 +149,7 @@
         stripped = self._pending.lstrip(_CRLF) if self._pending.startswith((b'\r', b'\n')) else self._pending
         self._empty_bytes += len(self._pending) - len(stripped)
         self._pending = stripped
-        if self._empty_bytes > MAX_EMPTY_BYTES:
+        if self._empty_bytes > self._limits.max_leading_bytes:
             self._refuse(RefusalKind.LEADING_BYTES)
 
     def _choose_framing(self) -> None:
@@ -163,7 +162,7 @@
             self.stage = Stage.CHUNK_LINE
             return
         self._left_bytes = self.body.length or 0
-        if not self._left_bytes or self._left_bytes > self._max_body_bytes:
+        if not self._left_bytes or self._left_bytes > self._limits.max_body_bytes:
             # A body over the limit is refused by its length alone.
             self.stage = Stage.COMPLETE
         else:
@@ -187,7 +186,7 @@
             start = line.end()
             end = start + int(line[1], _HEXADECIMAL)
             is_taken = start < end and pending[end : end + 2] == _CRLF
-            if not is_taken or len(content) + end - start > self._max_body_bytes:
+            if not is_taken or len(content) + end - start > self._limits.max_body_bytes:
                 break
             content += pending[start:end]
             at = end + 2
@@ -217,12 +216,12 @@
             return
         size, _, extension = line.partition(b';')
         self._extension_bytes += len(extension)
-        if self._extension_bytes > MAX_EXTENSION_BYTES:
+        if self._extension_bytes > self._limits.max_extension_bytes:
             self._fail('too long extensions of chunks')
             return
         self._left_bytes = int(size, _HEXADECIMAL)
         self.stage = Stage.CHUNK if self._left_bytes else Stage.TRAILER
-        if len(self.body.content) + self._left_bytes > self._max_body_bytes:
+        if len(self.body.content) + self._left_bytes > self._limits.max_body_bytes:
             self._complete(self.head)
             self.body.fault = Refusal(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE, Outcome.NOT_RUN, 'the body is too large'
--- a/basilcove/http/requests.py
+++ b/basilcove/http/requests.py
@@ -104,7 +104,7 @@
         del self.resolve_peer_creds, self.get_peer_creds
         sock.setblocking(False)
         self.wfile: AnswerWriter = AnswerWriter(sock)
-        self.receiver = RequestReceiver(server.limits.max_body_bytes)
+        self.receiver = RequestReceiver(server.limits)
         self.share: ReceiveShare = server.account.open(self.give_way)
         self.is_evicted = False
         self.is_streaming = False
@@ -174,7 +174,7 @@
             return
         self.is_closed = True
         self.share.close()
-        self.receiver = RequestReceiver(0)
+        self.receiver = RequestReceiver(self.server.limits)
         # Data that was not read would reset the connection before the client has read the answer.
         with suppress(OSError):
             self.socket.recv(RECEIVE_BYTES)
--- a/basilcove/http/status.py
+++ b/basilcove/http/status.py
@@ -6,8 +6,9 @@
 
 from basilcove.helpers.metrics import Metrics
 from basilcove.http.config import StatusConfig
-from basilcove.http.connections import ListenerLimits, Server, start_server
+from basilcove.http.connections import Server, start_server
 from basilcove.http.const import KIBIBYTE, STATUS_THREADS
+from basilcove.http.limits import ListenerLimits
 from basilcove.http.replies import StartResponse, reply, reply_json
 from basilcove.http1.account import ReceiveAccount
 from basilcove.http1.refusals import Refusals
@@ -62,7 +63,12 @@
         limits = ListenerLimits(KIBIBYTE, self._cfg.max_connections)
         refusals = Refusals('status', self._metrics)
         self._server = start_server(
-            self._cfg.listen, self._serve, STATUS_THREADS, limits, self._account, refusals
+            self._cfg.listen,
+            self._serve,
+            STATUS_THREADS,
+            self._cfg.build_limits(limits),
+            self._account,
+            refusals,
         )
 
     def unload(self) -> None:
--- a/tests/http/test_receiving.py
+++ b/tests/http/test_receiving.py
@@ -1,22 +1,30 @@
 """Property tests of the receiver: bytes split at any place."""
 
 import itertools
+import resource
+from dataclasses import replace
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from pydantic import ValidationError
 
-from basilcove.http.const import MAX_EMPTY_BYTES, MAX_HEADER_BYTES
+from basilcove.http.config import AnnounceConfig, HttpConfig, StatusConfig
+from basilcove.http.connections import bound_connections
+from basilcove.http.const import MAX_HEADER_BYTES, MAX_LEADING_BYTES
+from basilcove.http.limits import ListenerLimits
 from basilcove.http.receiving import RequestReceiver, Stage
 from basilcove.http1.refusals import RefusalKind
 
 MAX_BODY_BYTES = 1000
+LIMITS = ListenerLimits(MAX_BODY_BYTES)
 CHUNKED = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
 NEXT = b'GET /next HTTP/1.1\r\n\r\n'
 
 
-def feed(content: bytes, cuts: list[int]) -> RequestReceiver:
+def feed(content: bytes, cuts: list[int], limits: ListenerLimits = LIMITS) -> RequestReceiver:
     """Feed the content in pieces that end at the cuts, and no more once the request has ended."""
-    receiver = RequestReceiver(MAX_BODY_BYTES)
+    receiver = RequestReceiver(limits)
     ends = [0, *sorted(cut % (len(content) + 1) for cut in cuts), len(content)]
     for start, end in itertools.pairwise(ends):
         receiver.feed(content[start:end])
@@ -67,8 +75,8 @@
 
     def test_empty_lines(self) -> None:
         """Guards against empty lines without end before a request; a few are ignored."""
-        assert feed(b'\r\n' * (MAX_EMPTY_BYTES // 2) + NEXT, [1, 5]).head == NEXT
-        assert feed(b'\r\n' * MAX_EMPTY_BYTES, [1, 5]).refusal is RefusalKind.LEADING_BYTES
+        assert feed(b'\r\n' * (MAX_LEADING_BYTES // 2) + NEXT, [1, 5]).head == NEXT
+        assert feed(b'\r\n' * MAX_LEADING_BYTES, [1, 5]).refusal is RefusalKind.LEADING_BYTES
 
     def test_trailers_and_extensions_without_end(self) -> None:
         """Guards against bytes after or beside the content that have no limit."""
@@ -77,6 +85,27 @@
         assert trailers.body.fault is not None
         assert extensions.body.fault is not None
 
+    def test_limits_of_the_settings(self) -> None:
+        """Guards against settings that leave the defaults in force."""
+        cfg = HttpConfig(listen=':1', max_leading_bytes=4, max_extension_bytes=14, reserved_descriptors=3)
+        limits = cfg.build_limits(ListenerLimits(MAX_BODY_BYTES))
+        assert feed(b'\r\n' * 2 + NEXT, [1], limits).head == NEXT
+        assert feed(b'\r\n' * 3, [1], limits).refusal is RefusalKind.LEADING_BYTES
+        assert feed(encode([b'a', b'b'], b';' + b'x' * 5), [], limits).body.fault is None
+        assert feed(encode([b'a', b'b'], b';' + b'x' * 6), [], limits).body.fault is not None
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        assert bound_connections(replace(limits, max_connections=10**9)) == soft - 3
+
+    @pytest.mark.parametrize(
+        ('name', 'value'),
+        [('max_leading_bytes', 1), ('max_extension_bytes', -1), ('reserved_descriptors', -1)],
+    )
+    def test_useless_settings(self, name: str, value: int) -> None:
+        """Guards against settings with which a legal request is refused, or that are meaningless."""
+        for config in (HttpConfig, AnnounceConfig, StatusConfig):
+            with pytest.raises(ValidationError):
+                config.model_validate({'listen': ':1', name: value})
+
     def test_cut_off_request_has_a_fault(self) -> None:
         """Guards against a call with the partial body of a sender that was cut off."""
         receiver = feed(CHUNKED + b'5\r\nab', [])
--- a/tests/http/test_senders.py
+++ b/tests/http/test_senders.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import partial
 
 import pytest
 
@@ -34,6 +35,8 @@
     listen: str
     head: bytes
     body: bytes
+    listener: str = 'entry'
+    metrics: Metrics = field(default_factory=Metrics)
     events: list[Event] = field(default_factory=list)
 
     def connect(self) -> socket.socket:
@@ -66,7 +69,9 @@
     cfg = HttpConfig(
         listen=free_address(), socket_timeout_s=SOCKET_TIMEOUT_S, receive_timeout_s=RECEIVE_TIMEOUT_S
     )
-    target = Target(cfg.listen, b'POST /services/carts/book HTTP/1.1\r\nHost: a\r\n', b'{"cart": "A7"}')
+    target = Target(
+        cfg.listen, b'POST /services/carts/book HTTP/1.1\r\nHost: a\r\n', b'{"cart": "A7"}', 'entry'
+    )
     target.head += b'Authorization: Bearer %s\r\n' % KEY.encode()
 
     def post(event: Event) -> None:
@@ -75,7 +80,7 @@
             answers.put(event.request.request_id, Head(200, {}))
             answers.put(event.request.request_id, Complete())
 
-    server = CallerServer.from_config(cfg, answers, Metrics(), Tracing(TraceConfig(), 'e0'), account)
+    server = CallerServer.from_config(cfg, answers, target.metrics, Tracing(TraceConfig(), 'e0'), account)
     server.change_environment(make_environment(key_digests=[digest_of_secret(KEY)]))
     server.setup(post, list)
     yield target
@@ -87,8 +92,8 @@
     """An agent's server for announcements."""
     cfg = AnnounceConfig(listen=free_address(), receive_timeout_s=RECEIVE_TIMEOUT_S)
     body = json.dumps(ANNOUNCEMENT).encode()
-    target = Target(cfg.listen, b'PUT /announce HTTP/1.1\r\nHost: a\r\n', body)
-    server = AnnouncementServer.from_config(cfg, Metrics(), ReceiveAccount(ACCOUNT_BYTES))
+    target = Target(cfg.listen, b'PUT /announce HTTP/1.1\r\nHost: a\r\n', body, 'agent')
+    server = AnnouncementServer.from_config(cfg, target.metrics, ReceiveAccount(ACCOUNT_BYTES))
     server.setup(target.events.append, list)
     yield target
     server.unload()
@@ -109,6 +114,26 @@
     return target
 
 
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ('content', 'kind'),
+        [
+            (b'X: %s\r\n\r\n' % (b'a' * 40_000), 'headers_too_large'),
+            (b'Content-Length: two\r\n\r\n', 'malformed'),
+            (b'Transfer-Encoding: chunked\r\n\r\nzz\r\n', 'malformed'),
+            (b'Transfer-Encoding: chunked\r\n\r\nfffffff\r\n', 'body_too_large'),
+            (b'Content-Length: 99999999\r\n\r\n', 'body_too_large'),
+        ],
+    )
+    def test_refusals_are_counted(self, target: Target, content: bytes, kind: str) -> None:
+        """Guards against kinds of refusal that only one of the HTTP packages counts."""
+        labels = {'listener': target.listener, 'kind': kind}
+        read = partial(target.metrics.registry.get_sample_value, 'basilcove_refused_requests_total', labels)
+        before = read() or 0
+        assert target.send_request(content).startswith(b'HTTP/1.1 4')
+        assert read() == before + 1
+
+
 class TestSlowSenders:
     @pytest.mark.parametrize('make', [lambda sent: b'X-Slow: ', lambda sent: b'Content-Length: 200\r\n\r\n'])
     def test_trickling_sender_gets_408(self, target: Target, make: Callable[[bytes], bytes]) -> None:
