--- a/basilcove/http/answers.py
+++ b/basilcove/http/answers.py
@@ -3,6 +3,7 @@
 import queue
 import threading
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -112,8 +113,10 @@
             if self._is_ended:
                 return
             self._is_ended = True
-            while not self._parts.empty():
-                self._parts.get_nowait()
+            # The caller's thread may take the last part meanwhile.
+            with suppress(queue.Empty):
+                while True:
+                    self._parts.get_nowait()
             self._parts.put(CutOff('too many bytes of answers that are not read'))
             self._abort()
         self._share.close()
