--- a/basilcove/http/announcements.py
+++ b/basilcove/http/announcements.py
@@ -12,11 +12,13 @@
 from basilcove.helpers.metrics import Metrics
 from basilcove.http.bodies import read_body
 from basilcove.http.config import AnnounceConfig
-from basilcove.http.connections import ListenerLimits, Server, start_server
+from basilcove.http.connections import Server, start_server
 from basilcove.http.const import MAX_ANNOUNCEMENT_BYTES, SPARE_THREADS
+from basilcove.http.limits import ListenerLimits
 from basilcove.http.replies import StartResponse, refuse, reply_json
 from basilcove.http.status import NotReady, StatusPages
 from basilcove.http1.account import ReceiveAccount
+from basilcove.http1.refusals import Refusals
 from basilcove.membership.events import UpstreamAnnounced, UpstreamDeparted
 from basilcove.requests.events import Refusal
 
@@ -70,8 +72,9 @@
         limits = ListenerLimits(
             MAX_ANNOUNCEMENT_BYTES, cfg.max_connections, receive_timeout_s=cfg.receive_timeout_s
         )
+        refusals = Refusals('agent', self._metrics)
         self._server = start_server(
-            cfg.listen, self._serve, SPARE_THREADS, limits, self._account, self._metrics
+            cfg.listen, self._serve, SPARE_THREADS, cfg.build_limits(limits), self._account, refusals
         )
 
     def unload(self) -> None:
--- a/basilcove/http/connections.py
+++ b/basilcove/http/connections.py
@@ -3,60 +3,37 @@
 import resource
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Any, Final
 
 from cheroot import wsgi
 
-from basilcove.helpers.metrics import Metrics
-from basilcove.http.const import (
-    LISTEN_BACKLOG,
-    MAX_BODY_BYTES,
-    MAX_CONNECTIONS,
-    MAX_HEADER_BYTES,
-    RECEIVE_TIMEOUT_S,
-    RESERVED_DESCRIPTORS,
-    SOCKET_TIMEOUT_S,
-)
+from basilcove.http.const import LISTEN_BACKLOG, MAX_HEADER_BYTES
+from basilcove.http.limits import ListenerLimits
 from basilcove.http.polling import Poller
-from basilcove.http.refusals import RefusalCounter
 from basilcove.http.replies import StartResponse
-from basilcove.http.requests import Connection
+from basilcove.http.requests import Connection, RequestGateway
 from basilcove.http1.account import ReceiveAccount
+from basilcove.http1.refusals import Refusals
 
 Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
 
 _MIN_CONNECTIONS: Final = 16
 
 
-@dataclass(frozen=True, slots=True)
-class ListenerLimits:
-    """Limits of one listener on its requests and connections.
-
-    A sender that is silent for ``timeout_s``, or needs longer than ``receive_timeout_s`` for a complete
-    request, gets 408.
-    """
-
-    max_body_bytes: int = MAX_BODY_BYTES
-    max_connections: int = MAX_CONNECTIONS
-    timeout_s: float = SOCKET_TIMEOUT_S
-    receive_timeout_s: float = RECEIVE_TIMEOUT_S
-
-
 class Server(wsgi.Server):
     """Cheroot's server, whose connections are polled until their requests are complete."""
 
     ConnectionClass = Connection
     limits = ListenerLimits()
     account: ReceiveAccount
-    refusals: RefusalCounter
+    refusals: Refusals
     _connections: Any
 
     def prepare(self) -> None:
         """Bind and start the threads."""
         super().prepare()
         self._connections.close()
-        self._connections = Poller(self, bound_connections(self.limits.max_connections))
+        self._connections = Poller(self, bound_connections(self.limits))
 
     def forget(self, conn: Connection) -> None:
         """Count a closed connection no longer."""
@@ -69,15 +46,16 @@
     threads: int,
     limits: ListenerLimits,
     account: ReceiveAccount,
-    metrics: Metrics,
+    refusals: Refusals,
 ) -> Server:
     """Bind and serve on separate threads; OSError if the address is in use."""
     host, _, port = listen.rpartition(':')
     server = Server((host, int(port)), app, numthreads=threads, max=threads)
+    server.gateway = RequestGateway
     server.timeout = limits.timeout_s
     server.limits = limits
     server.account = account
-    server.refusals = RefusalCounter(listen, metrics)
+    server.refusals = refusals
     server.request_queue_size = LISTEN_BACKLOG
     server.max_request_header_size = MAX_HEADER_BYTES
     server.max_request_body_size = limits.max_body_bytes
@@ -86,9 +64,9 @@
     return server
 
 
-def bound_connections(max_connections: int) -> int:
+def bound_connections(limits: ListenerLimits) -> int:
     """Return how many connections leave enough descriptors to the rest of the process."""
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if allowed == resource.RLIM_INFINITY:
-        return max_connections
-    return min(max_connections, max(_MIN_CONNECTIONS, allowed - RESERVED_DESCRIPTORS))
+        return limits.max_connections
+    return min(limits.max_connections, max(_MIN_CONNECTIONS, allowed - limits.reserved_descriptors))
--- a/basilcove/http/const.py
+++ b/basilcove/http/const.py
@@ -7,13 +7,16 @@
 MAX_HEADER_BYTES: Final = 32 * KIBIBYTE
 # The size line of a chunk, with its extensions.
 MAX_CHUNK_LINE_BYTES: Final = 4 * KIBIBYTE
-# Extensions of all chunks of a body together; none of them is used.
+# Default of the extensions of all chunks of a body together; none of them is used.
 MAX_EXTENSION_BYTES: Final = 256 * KIBIBYTE
-# Empty lines before a request. RFC 9112, section 2.2, asks that at least one be ignored.
-MAX_EMPTY_BYTES: Final = 64
+# Default of the empty lines before a request. RFC 9112, section 2.2, asks that at least one be ignored.
+MAX_LEADING_BYTES: Final = 64
+MIN_LEADING_BYTES: Final = 2
 # Memory of a short header line in the mappings of cheroot, WSGI and a call, besides its text: three entries
 # of two strings each.
 HEADER_LINE_BYTES: Final = 512
+# Memory of a part of an answer in its queue, besides its bytes.
+PART_COST_BYTES: Final = 128
 MAX_BODY_BYTES: Final = 4 * KIBIBYTE * KIBIBYTE
 MAX_ANNOUNCEMENT_BYTES: Final = 64 * KIBIBYTE
 # Connections that wait to be accepted. The operating system drops any more, and their callers retry after
@@ -30,7 +33,7 @@
 MAX_CONNECTIONS: Final = 512
 MAX_ANNOUNCING_CONNECTIONS: Final = 128
 MAX_STATUS_CONNECTIONS: Final = 64
-# Descriptors that connections leave to links, upstreams and files.
+# Default of the descriptors that connections leave to links, upstreams and files.
 RESERVED_DESCRIPTORS: Final = 256
 # Upper bound of one read from a connection, after which other connections are served.
 RECEIVE_BYTES: Final = 64 * KIBIBYTE
@@ -50,8 +53,6 @@
 # each of their steps, and 31 of them delayed an ordinary request by 9 s.
 MAX_PIPELINED: Final = 2
 RETRY_WHEN_FULL_S: Final = 1
-# Shortest interval between two log lines about the same kind of refusal.
-REFUSAL_LOG_INTERVAL_S: Final = 10.0
 
 # Threads in addition to those of open streams, so that refusals and health checks are answered at full load.
 SPARE_THREADS: Final = 8
--- a/basilcove/http/requests.py
+++ b/basilcove/http/requests.py
@@ -6,12 +6,25 @@
 from contextlib import suppress
 from typing import Any
 
+from cheroot import wsgi
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 
+from basilcove.http.bodies import ABORT_KEY
 from basilcove.http.const import RECEIVE_BYTES, SMALL_READ_BYTES
 from basilcove.http.receiving import RequestReceiver
+from basilcove.http.refusals import REASONS, find_kind
 from basilcove.http.sending import AnswerWriter
 from basilcove.http1.account import ReceiveShare
+from basilcove.http1.refusals import RefusalKind
+
+
+class RequestGateway(wsgi.Gateway_10):
+    """Cheroot's side of WSGI, which also passes how to abort the connection."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Return the environment of a request."""
+        environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
+        return {**environ, ABORT_KEY: self.req.conn.abort}
 
 
 class _HeaderReader(HeaderReader):
@@ -43,8 +56,16 @@
             self.close_connection = True
         return True
 
+    def simple_response(self, status: str, msg: str = '') -> None:
+        """Refuse a request, with the status and phrase that cheroot gives."""
+        self._count_refusal(int(status.split(' ')[0]))
+        super().simple_response(status, msg)
+
     def respond(self) -> None:
-        self.rfile = self.conn.receiver.body
+        body = self.conn.receiver.body
+        if body.fault is not None:
+            self._count_refusal(body.fault.status)
+        self.rfile = body
         self.server.gateway(self).respond()
         if self.ready:
             self.ensure_headers_sent()
@@ -58,8 +79,18 @@
 
     def write(self, chunk: bytes) -> None:
         super().write(chunk)
-        if self.conn.is_streaming:
+        if not self.conn.is_streaming:
+            return
+        try:
             self.conn.wfile.wait(self.server.limits.receive_timeout_s)
+        except TimeoutError:
+            self.conn.count_refusal(RefusalKind.STALLED)
+            raise
+
+    def _count_refusal(self, status: int) -> None:
+        kind = find_kind(status)
+        if kind is not None:
+            self.conn.count_refusal(kind)
 
 
 class Connection(HTTPConnection):
@@ -73,7 +104,7 @@
         del self.resolve_peer_creds, self.get_peer_creds
         sock.setblocking(False)
         self.wfile: AnswerWriter = AnswerWriter(sock)
-        self.receiver = RequestReceiver(server.limits.max_body_bytes)
+        self.receiver = RequestReceiver(server.limits)
         self.share: ReceiveShare = server.account.open(self.give_way)
         self.is_evicted = False
         self.is_streaming = False
@@ -97,6 +128,16 @@
         with suppress(OSError):
             self.socket.shutdown(socket.SHUT_RD)
 
+    def count_refusal(self, kind: RefusalKind) -> None:
+        """Count and log that a request or an answer of the connection was refused."""
+        self.server.refusals.add(kind, REASONS[kind])
+
+    def abort(self) -> None:
+        """Cut off an answer that isn't read, on any thread; the one that sends it finds the socket broken."""
+        self.count_refusal(RefusalKind.UNREAD)
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
     def communicate(self) -> bool:
         """Answer the complete request; True if the connection goes back to the poller."""
         self.rfile = _make_file(self.socket, 'rb', 0, self.receiver.head)
@@ -133,7 +174,7 @@
             return
         self.is_closed = True
         self.share.close()
-        self.receiver = RequestReceiver(0)
+        self.receiver = RequestReceiver(self.server.limits)
         # Data that was not read would reset the connection before the client has read the answer.
         with suppress(OSError):
             self.socket.recv(RECEIVE_BYTES)
--- a/basilcove/http/status.py
+++ b/basilcove/http/status.py
@@ -6,10 +6,12 @@
 
 from basilcove.helpers.metrics import Metrics
 from basilcove.http.config import StatusConfig
-from basilcove.http.connections import ListenerLimits, Server, start_server
+from basilcove.http.connections import Server, start_server
 from basilcove.http.const import KIBIBYTE, STATUS_THREADS
+from basilcove.http.limits import ListenerLimits
 from basilcove.http.replies import StartResponse, reply, reply_json
 from basilcove.http1.account import ReceiveAccount
+from basilcove.http1.refusals import Refusals
 
 NotReady = Callable[[], list[str]]
 
@@ -59,8 +61,14 @@
         """Bind and serve."""
         self._pages.setup(not_ready)
         limits = ListenerLimits(KIBIBYTE, self._cfg.max_connections)
+        refusals = Refusals('status', self._metrics)
         self._server = start_server(
-            self._cfg.listen, self._serve, STATUS_THREADS, limits, self._account, self._metrics
+            self._cfg.listen,
+            self._serve,
+            STATUS_THREADS,
+            self._cfg.build_limits(limits),
+            self._account,
+            refusals,
         )
 
     def unload(self) -> None:
