Change maps from 30% of the slots where copies are bounded

Change: the lower threshold of the first map holds for groups whose copies are bounded, too. The new test fails on the former code.

--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -36,8 +36,9 @@
 COUNTS_DECAY: Final = 0.3
 # Part of its slots that a group must have in use for its map to change; below it, passes are short enough.
 MIN_UTILISATION: Final = 0.6
-# The same for the first map, which assigns experts in turn: its slowest rank has several times the mean load.
-FIRST_MAP_UTILISATION: Final = 0.3
+# The same for the first map, which assigns experts in turn: its slowest rank has several times the mean load;
+# and where copies are bounded, since a map that is planned only once passes are long comes too late.
+EARLY_UTILISATION: Final = 0.3
 # By how much a new map must lower the expected skew, which is the slowest over the mean load of the ranks.
 MIN_SKEW_GAIN: Final = 0.25
 # A layer whose expected skew falls by less keeps its experts, which saves their copies.
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -14,8 +14,8 @@
 from basilcove.experts.remote.calls import enter_phase, is_complete
 from basilcove.experts.remote.const import (
     COUNTS_INTERVAL_S,
+    EARLY_UTILISATION,
     FIRST_COUNTS_INTERVAL_S,
-    FIRST_MAP_UTILISATION,
     MIN_SKEW_GAIN,
     MIN_UTILISATION,
     PLANNED_RANKS_PER_TICK,
@@ -217,7 +217,8 @@
         row = registry.rows.get(rank_address.instance)
         slots += row.registration.slots if row is not None else 0
         in_use += open_attempts.get(rank_address.instance, 0)
-    min_utilisation = FIRST_MAP_UTILISATION if change.version == 0 else MIN_UTILISATION
+    is_early = change.version == 0 or _max_copies(change) is not None
+    min_utilisation = EARLY_UTILISATION if is_early else MIN_UTILISATION
     return in_use >= min_utilisation * min(slots, _limit_of(change, ctx))
 
 
--- a/tests/concurrency/test_replay.py
+++ b/tests/concurrency/test_replay.py
@@ -53,7 +53,7 @@
         assert refused < FEW
 
     def test_limit_comes_soon_where_all_streams_are_late(self) -> None:
-        """Guards against seconds in which a load that begins at once fills all slots and all streams are late."""
+        """Guards against seconds in which all slots are in use and all streams are late."""
         replay = Replay([Group('r0', 24, 5, steady(0.03, 0.045))], 42, lambda now: 90)
         replay.run(8)
         first_late_at = next(now for now, load, _ in replay.loads if load > LATE_LOAD)
--- a/tests/experts/remote/test_coordinator.py
+++ b/tests/experts/remote/test_coordinator.py
@@ -1,7 +1,6 @@
 import itertools
 import math
 from collections.abc import Iterable
-from itertools import pairwise
 
 from basilcove.concurrency.limits import LoadLimit
 from basilcove.concurrency.models import ConcurrencyState, GroupRecord
@@ -182,9 +181,17 @@
         leader.version = 3
         leader.groups.layouts[ServiceName('desk')] = ExpertLayout(1, EXPERTS, 4, 2, copy_s=1)
         leader.run(5)
-        intervals = [later - earlier for earlier, later in pairwise(sorted(set(leader.read_at)))]
+        intervals = [later - earlier for earlier, later in itertools.pairwise(sorted(set(leader.read_at)))]
         assert max(intervals) < COUNTS_INTERVAL_S - TICK_S
 
+    def test_maps_change_at_a_lower_load_where_copies_take_long(self) -> None:
+        """Guards against maps that are planned only once passes are long, and come too late for that load."""
+        leader = Leader()
+        leader.version = 3
+        leader.groups.layouts[ServiceName('desk')] = ExpertLayout(1, EXPERTS, 4, 2, copy_s=1)
+        leader.run(3, used_slots=SLOTS // 2)
+        assert leader.read_at
+
     def test_plan_follows_a_reading_immediately(self) -> None:
         """Guards against tenths of a second between reading counts and the orders that follow from them."""
         leader = Leader()
