Count the tokens that requests hold in the memory of upstreams

Cause: upstreams were selected by slots alone. A few long prompts that met at one upstream exceeded its memory, and it crashed or broke off a stream.

Change: a service may state memory_tokens; the platform's adapter takes it from kv_capacity. A gateway reads the tokens of a request from the header named by gateway.headers.token_usage, or estimates them from the body. OpenAttempts and OtherAttempts carry the tokens by instance. basilcove/memory/ decides how many tokens an upstream may hold for a further request; long requests are drawn among the upstreams with room. A request that fits nowhere is refused as by a full group and counted.

--- a/basilcove/environment/models.py
+++ b/basilcove/environment/models.py
@@ -125,13 +125,15 @@
 
     ``max_connections`` is how many connections one of its upstreams accepts from all callers together. An
     upstream takes ``cold_limit_per_s`` requests a second while it is cold, that is for ``cold_time_s`` after
-    its start; without both its upstreams are never cold.
+    its start; without both its upstreams are never cold. ``memory_tokens`` is how many prompt and generated
+    tokens the requests at one upstream may have together.
     """
 
     calls: tuple[Call, ...] = ()
     max_connections: PositiveInt | None = None
     cold_limit_per_s: PositiveFloat | None = None
     cold_time_s: PositiveFloat | None = None
+    memory_tokens: PositiveInt | None = None
     experts: ExpertSlots | None = None
 
 
--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -26,6 +26,7 @@
     TIMED_OUT,
     end_quarantined,
     end_refused,
+    end_without_memory,
     progress_fields,
 )
 from basilcove.gateway.pools import Choice, PooledUpstream
@@ -38,7 +39,7 @@
     blocked = find_blocked_part(state, req, ctx.now)
     if blocked is not None:
         return give_up(state, req, ctx) if req.may_have_run else end_quarantined(state, req, blocked, ctx)
-    chosen = state.pools.choose(req.service, ctx.now, req.tried, req.request_id)
+    chosen = state.pools.choose(req.service, ctx.now, req.tried, req.request_id, req.tokens)
     if chosen is None:
         return give_up(state, req, ctx)
     if not req.sent and not _admit(state, req, chosen, ctx):
@@ -91,6 +92,7 @@
         *progress_fields(req, ctx.now),
     )
     chosen.open_attempts += 1
+    chosen.held_tokens += req.tokens
     chosen.throttle.count_request(ctx.now)
     start = StartAttempt(
         req.key,
@@ -113,11 +115,12 @@
 
 
 def release_upstream(state: GatewayState, req: OpenRequest) -> PooledUpstream | None:
-    """Subtract the attempt of a request from the open attempts of its upstream; return the upstream."""
+    """Subtract the attempt of a request and its tokens from those of its upstream; return the upstream."""
     upstream = state.pools.by_instance.get(req.instance) if req.instance else None
     req.instance = None
     if upstream is not None:
         upstream.open_attempts -= 1
+        upstream.held_tokens -= req.tokens
     return upstream
 
 
@@ -132,7 +135,7 @@
     """Return whether a request has time for an attempt at an upstream that it has not tried."""
     if req.deadline - ctx.now < MIN_ATTEMPT_S:
         return False
-    return state.pools.has_candidate(req.service, ctx.now, req.tried)
+    return state.pools.has_candidate(req.service, ctx.now, req.tried, req.tokens)
 
 
 def give_up(state: GatewayState, req: OpenRequest, ctx: Context) -> list[Effect]:
@@ -146,6 +149,8 @@
         return [DeliverBuffered(req.key)]
     if req.may_have_run:
         return end_refused(state, req, ANSWER_LOST, ctx)
+    if state.pools.lacks_memory(req.service, ctx.now, req.tried, req.tokens):
+        return end_without_memory(state, req, ctx)
     held_s = state.pools.held_for_s(req.service, ctx.now)
     if held_s is not None:
         retry_after_s = min(MAX_HELD_RETRY_AFTER_S, held_s)
--- a/basilcove/gateway/config.py
+++ b/basilcove/gateway/config.py
@@ -20,6 +20,7 @@
     leaving: str = 'Basilcove-Leaving'
     limit: str = 'Basilcove-Limit'
     prompt_parts: str = 'Basilcove-Prompt-Parts'
+    token_usage: str = 'Basilcove-Token-Usage'
 
 
 class RetryConfig(BaseModel):
--- a/basilcove/gateway/coordinator.py
+++ b/basilcove/gateway/coordinator.py
@@ -8,6 +8,7 @@
 from basilcove.gateway import evacuations as _evacuations  # noqa: F401
 from basilcove.gateway import hinting as _hinting  # noqa: F401
 from basilcove.gateway import limiting as _limiting  # noqa: F401
+from basilcove.gateway import memory as _memory  # noqa: F401
 from basilcove.gateway import relief as _relief  # noqa: F401
 from basilcove.gateway import sharing as _sharing  # noqa: F401
 from basilcove.gateway import throttling as _throttling  # noqa: F401
@@ -132,6 +133,7 @@
         now + timeout_s,
         head.parts,
         head.digest,
+        head.tokens,
     )
 
 
--- a/basilcove/gateway/events.py
+++ b/basilcove/gateway/events.py
@@ -35,7 +35,8 @@
 
     ``path`` has no query; ``timeout_s`` is how long the caller waits, None if it doesn't say. ``parts`` are
     those of the prompt that other requests may share, in order; ``digest`` is equal only for requests with
-    the same prompt, target and body, and empty without a prompt.
+    the same prompt, target and body, and empty without a prompt. ``tokens`` is how many its prompt and its
+    answer have at most.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     timeout_s: float | None
     parts: tuple[PartId, ...] = ()
     digest: PartId = NO_PART
+    tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilcove/gateway/headers.py
+++ b/basilcove/gateway/headers.py
@@ -9,6 +9,7 @@
 from basilcove.gateway.events import RequestHead, StartAttempt
 from basilcove.gateway.prompts import digest_request, parse_shared_parts
 from basilcove.http1.headers import HttpRequest, encode_request, remove_hop_by_hop
+from basilcove.memory.usage import count_tokens
 
 
 class GatewayHeaders:
@@ -21,6 +22,7 @@
         self._request_id = names.request_id.lower().encode()
         self._timeout_ms = names.timeout_ms.lower().encode()
         self._prompt_parts = names.prompt_parts.lower().encode()
+        self._token_usage = names.token_usage.lower().encode()
         self._names = names
         self._replaced_names = frozenset(
             name.lower().encode()
@@ -40,6 +42,7 @@
             _parse_timeout_s(request.header(self._timeout_ms)),
             parse_shared_parts(prompt),
             digest_request(prompt, request.target, request.body),
+            count_tokens(request.header(self._token_usage), len(request.body)),
         )
 
     def build_request(self, request: HttpRequest, start: StartAttempt) -> bytes:
--- a/basilcove/gateway/messages.py
+++ b/basilcove/gateway/messages.py
@@ -1,6 +1,6 @@
 """Messages that inform gateways of the open attempts of other gateways and of slow upstreams."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from basilcove.core.events import Message
 from basilcove.core.ids import InstanceId
@@ -14,18 +14,21 @@
     """Number of open attempts of the sender by instance; instances without any are omitted.
 
     A gateway sets ``wants_totals`` for only one control host, which sends it the counts of the others.
+    ``tokens`` has the tokens of these attempts by instance, only for services that state a memory.
     """
 
     counts: dict[str, int]
     wants_totals: bool = False
+    tokens: dict[str, int] = field(default_factory=dict)
 
 
 @message('gateway.other_attempts', pb.OtherAttempts)
 @dataclass(frozen=True, slots=True)
 class OtherAttempts(Message):
-    """Number of open attempts by instance, summed over all gateways except the receiver."""
+    """Number of open attempts and their tokens by instance, summed over all gateways except the receiver."""
 
     counts: dict[str, int]
+    tokens: dict[str, int] = field(default_factory=dict)
 
 
 @message('gateway.slow_instances', pb.SlowInstances)
--- a/basilcove/gateway/models.py
+++ b/basilcove/gateway/models.py
@@ -25,7 +25,7 @@
 
     ``number`` is that of its last attempt, ``sent`` counts the attempts that reached an upstream, and
     ``tried`` holds all upstreams that were chosen. ``instance`` is the upstream of its open attempt, and
-    ``registration`` that of its last one.
+    ``registration`` that of its last one. ``tokens`` is how many its prompt and answer have at most.
     """
 
     key: int
@@ -38,6 +38,7 @@
     deadline: float
     parts: tuple[PartId, ...] = ()
     digest: PartId = NO_PART
+    tokens: int = 0
     number: int = 0
     sent: int = 0
     tried: set[InstanceId] = field(default_factory=set)
@@ -67,12 +68,13 @@
     """Exchange of open attempts with control hosts.
 
     ``hosts`` are the linked control hosts with their availability zones, ``host`` is the one that sends
-    totals, and ``last_sent`` holds the counts that were last sent to all of them.
+    totals, and ``last_sent`` holds the counts, and ``last_tokens`` the tokens, last sent to all of them.
     """
 
     hosts: dict[NodeId, Zone] = field(default_factory=dict)
     host: NodeId | None = None
     last_sent: dict[str, int] = field(default_factory=dict)
+    last_tokens: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/basilcove/gateway/outcomes.py
+++ b/basilcove/gateway/outcomes.py
@@ -105,6 +105,13 @@
     return end_refused(state, req, QUARANTINED, ctx, ('part', part))
 
 
+def end_without_memory(state: GatewayState, req: OpenRequest, ctx: Context) -> list[Effect]:
+    """End a request whose tokens fit into the memory of no upstream that may take it."""
+    fields = (('tokens', str(req.tokens)), ('memory_tokens', str(state.pools.memory.sizes[req.service])))
+    effects = end_refused(state, req, NO_ROOM, ctx, *fields)
+    return [*effects, Count('gateway_memory_refusals', (('service', req.service),))]
+
+
 def progress_fields(req: OpenRequest, now: float) -> tuple[tuple[str, str], ...]:
     """Return the log fields that describe the progress of a request."""
     return (
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -2,13 +2,14 @@
 
 import math
 import random
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from basilcove.concurrency.rooms import GroupLimits, GroupRoom
 from basilcove.core.ids import GroupName, InstanceId, NodeId, ServiceName, Zone
 from basilcove.gateway.const import (
     ADMISSION_SAMPLE,
+    ASSUMED_GATEWAYS,
     DEFAULT_RETRY_AFTER_S,
     FAILURE_COST,
     FAILURE_HALF_LIFE_S,
@@ -22,6 +23,8 @@
 )
 from basilcove.gateway.events import ReportedLoad
 from basilcove.helpers.hashing import stable_hash
+from basilcove.memory.const import MAX_DRAWN_COST
+from basilcove.memory.models import UpstreamMemory
 from basilcove.registry.messages import Registration, RegistrationState
 from basilcove.throttling.shares import Throttle
 
@@ -34,12 +37,14 @@
     ``others_load`` is the number of requests that it had from other gateways when it last reported its
     load. ``failure_average`` is the share of failures at the time of the last result. No request is sent
     before ``held_until``, and then only one at a time until ``hold_stated_until`` or an answer.
+    ``held_tokens`` are those of the open attempts of this gateway.
     ``restored_at`` is when its evacuated zone was last restored; 0 for never.
     """
 
     registration: Registration
     liveness: dict[NodeId, bool] = field(default_factory=dict)
     open_attempts: int = 0
+    held_tokens: int = 0
     others_load: float = 0
     reported_at: float = 0
     failure_average: float = 0
@@ -140,6 +145,7 @@
     # No request is sent to an upstream of these availability zones.
     evacuated: frozenset[Zone] = frozenset()
     limits: GroupLimits = field(default_factory=GroupLimits)
+    memory: UpstreamMemory = field(default_factory=UpstreamMemory)
 
     def update(self, registration: Registration, source: NodeId, *, silent: bool) -> PooledUpstream | None:
         """Apply a registration from a control host; return None if the gateway has a newer one."""
@@ -217,20 +223,33 @@
         return cost if registration.zone == self.zone else cost + REMOTE_ZONE_COST
 
     def choose(
-        self, service: ServiceName, now: float, excluded: Collection[InstanceId], salt: str
+        self,
+        service: ServiceName,
+        now: float,
+        excluded: Collection[InstanceId],
+        salt: str,
+        tokens: int = 0,
     ) -> Choice | None:
         """Choose the upstream with the lowest cost in a sample; a silent one only if there is no other.
 
+        ``tokens`` must fit into the memory of the upstream if its service states one.
+
         Gateways learn of each other's requests some time after these are sent. If all of them chose the least
         loaded upstream of all, it would get the requests of all gateways at once.
         """
         candidates = self._candidates(service, now, excluded)
+        states_memory = service in self.memory.sizes
+        if states_memory:
+            candidates = self._with_memory(service, candidates, tokens)
         if not candidates:
             return None
         size = math.ceil(len(candidates) * GATEWAYS_PER_UPSTREAM / max(1, self.gateways))
+        rooms = self.rooms(service, now)
+        if states_memory and self.memory.is_long(service, tokens):
+            drawn = [each for each in candidates if self._is_drawn(each, now, rooms)]
+            candidates, size = (drawn, 1) if drawn else (candidates, size)
         rng = random.Random(stable_hash(salt, len(excluded)))
         sample = rng.sample(candidates, min(size, len(candidates)))
-        rooms = self.rooms(service, now)
         costs = [self.cost(upstream, now, rooms.get(upstream.registration.group)) for upstream in sample]
         chosen = sample[costs.index(min(costs))]
         room = rooms.get(chosen.registration.group)
@@ -239,13 +258,44 @@
         least = min(self.utilisation(upstream, now) for upstream in sample[:ADMISSION_SAMPLE])
         return Choice(chosen, self.load(chosen, now), least, True, room)
 
+    def _is_drawn(self, upstream: PooledUpstream, now: float, rooms: Mapping[GroupName, GroupRoom]) -> bool:
+        """Return whether an upstream is one of those among which a long request is drawn."""
+        if self.utilisation(upstream, now) >= 1:
+            return False
+        return self.cost(upstream, now, rooms.get(upstream.registration.group)) <= MAX_DRAWN_COST
+
     def utilisation(self, upstream: PooledUpstream, now: float) -> float:
         """Return the estimated number of open requests at an upstream over its slots."""
         return self.load(upstream, now) / max(1, upstream.registration.slots)
 
-    def has_candidate(self, service: ServiceName, now: float, excluded: Collection[InstanceId]) -> bool:
-        """Return whether an upstream that is not excluded accepts new requests."""
-        return bool(self._candidates(service, now, excluded))
+    def has_candidate(
+        self, service: ServiceName, now: float, excluded: Collection[InstanceId], tokens: int = 0
+    ) -> bool:
+        """Return whether an upstream that is not excluded accepts a request with these tokens."""
+        candidates = self._candidates(service, now, excluded)
+        if service in self.memory.sizes:
+            candidates = self._with_memory(service, candidates, tokens)
+        return bool(candidates)
+
+    def lacks_memory(
+        self, service: ServiceName, now: float, excluded: Collection[InstanceId], tokens: int
+    ) -> bool:
+        """Return whether only their memory keeps a request from all upstreams that are not excluded."""
+        if service not in self.memory.sizes:
+            return False
+        candidates = self._candidates(service, now, excluded)
+        return bool(candidates) and not self._with_memory(service, candidates, tokens)
+
+    def _with_memory(
+        self, service: ServiceName, candidates: list[PooledUpstream], tokens: int
+    ) -> list[PooledUpstream]:
+        bound = self.memory.bound(service, tokens, self.gateways or ASSUMED_GATEWAYS)
+        others = self.memory.others or {}
+        return [
+            upstream
+            for upstream in candidates
+            if upstream.held_tokens + others.get(upstream.registration.instance, 0) <= bound
+        ]
 
     def _candidates(
         self, service: ServiceName, now: float, excluded: Collection[InstanceId]
--- a/basilcove/gateway/sharing.py
+++ b/basilcove/gateway/sharing.py
@@ -29,14 +29,15 @@
     msg = event.message
     if isinstance(msg, OtherAttempts) and event.peer.node == state.sharing.host:
         state.pools.other_attempts = msg.counts
+        state.pools.memory.others = msg.tokens
     return []
 
 
 @handles(Tick, GatewayState)
 def _on_tick(state: GatewayState, event: Tick, ctx: Context) -> Iterator[Effect]:
-    counts = _own_counts(state)
-    if counts != state.sharing.last_sent:
-        yield from _send_to_all(state, counts)
+    counts, tokens = _own_counts(state), _own_tokens(state)
+    if counts != state.sharing.last_sent or tokens != state.sharing.last_tokens:
+        yield from _send_to_all(state, counts, tokens)
 
 
 def choose_totals_host(hosts: dict[NodeId, Zone], zone: Zone) -> NodeId | None:
@@ -51,15 +52,27 @@
     if chosen != state.sharing.host:
         state.sharing.host = chosen
         state.pools.other_attempts = None
-    yield from _send_to_all(state, _own_counts(state))
+        state.pools.memory.others = None
+    yield from _send_to_all(state, _own_counts(state), _own_tokens(state))
 
 
-def _send_to_all(state: GatewayState, counts: dict[str, int]) -> Iterator[Effect]:
-    state.sharing.last_sent = counts
+def _send_to_all(state: GatewayState, counts: dict[str, int], tokens: dict[str, int]) -> Iterator[Effect]:
+    state.sharing.last_sent, state.sharing.last_tokens = counts, tokens
     for node in state.sharing.hosts:
-        yield Send(node, OpenAttempts(counts, node == state.sharing.host))
+        yield Send(node, OpenAttempts(counts, node == state.sharing.host, tokens))
 
 
 def _own_counts(state: GatewayState) -> dict[str, int]:
     upstreams = state.pools.by_instance
     return {name: upstream.open_attempts for name, upstream in upstreams.items() if upstream.open_attempts}
+
+
+def _own_tokens(state: GatewayState) -> dict[str, int]:
+    """Return the tokens held by instance, only for services that state a memory."""
+    pools = state.pools
+    return {
+        name: upstream.held_tokens
+        for service in pools.memory.sizes
+        for name, upstream in pools.by_service.get(service, {}).items()
+        if upstream.held_tokens
+    }
--- a/basilcove/gateway/totals.py
+++ b/basilcove/gateway/totals.py
@@ -11,10 +11,10 @@
 
 @dataclass(slots=True)
 class AttemptTotals:
-    """The last report of each linked gateway, and the counts last sent to those that want totals."""
+    """The last report of each linked gateway, and the totals last sent to those that want them."""
 
     reported: dict[NodeId, OpenAttempts] = field(default_factory=dict)
-    last_sent: dict[NodeId, dict[str, int]] = field(default_factory=dict)
+    last_sent: dict[NodeId, OtherAttempts] = field(default_factory=dict)
     has_changed: bool = False
 
     def totals(self) -> Counter[str]:
@@ -24,6 +24,13 @@
             totals.update(report.counts)
         return totals
 
+    def token_totals(self) -> Counter[str]:
+        """Return the sum of the tokens that all linked gateways hold by instance."""
+        totals: Counter[str] = Counter()
+        for report in self.reported.values():
+            totals.update(report.tokens)
+        return totals
+
 
 @handles_message(OpenAttempts, AttemptTotals)
 def _on_open_attempts(state: AttemptTotals, event: Received, ctx: Context) -> list[Effect]:
@@ -49,15 +56,17 @@
     if not state.has_changed:
         return []
     state.has_changed = False
-    totals = state.totals()
+    totals, token_totals = state.totals(), state.token_totals()
     effects: list[Effect] = []
     for node, report in state.reported.items():
         if not report.wants_totals:
             continue
-        others = _subtract_own(totals, report.counts)
+        others = OtherAttempts(
+            _subtract_own(totals, report.counts), _subtract_own(token_totals, report.tokens)
+        )
         if state.last_sent.get(node) != others:
             state.last_sent[node] = others
-            effects.append(Send(node, OtherAttempts(others)))
+            effects.append(Send(node, others))
     return effects
 
 
--- /dev/null
+++ b/basilcove/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Tokens that requests hold in the memory of upstreams, and whether another request fits."""
--- a/tests/concurrency/replay.py
+++ b/tests/concurrency/replay.py
@@ -86,6 +86,7 @@
     def __init__(self, groups: list[Group], gateways: int, rate: Callable[[float], float], **options: Any):
         self.rng = random.Random(options.pop('seed', 7))
         self.target_s = options.pop('target_s', TARGET_S)
+        self.link_s = options.pop('link_s', LINK_S)
         self.events = options.pop('events', 19)
         self.urgent_share = options.pop('urgent_share', 0.7)
         self.groups = {group.name: group for group in groups}
@@ -148,7 +149,7 @@
     def _carry_out(self, index: int, effect: Effect) -> None:
         if isinstance(effect, Send):
             received = Received(self.peers[index], effect.message)
-            self.at(self.now + LINK_S, lambda: self._apply_control(received))
+            self.at(self.now + self.link_s, lambda: self._apply_control(received))
         elif isinstance(effect, StartAttempt):
             path, _ = self.arrivals[effect.key]
             group = self.groups[effect.instance.rpartition('-')[0]]
@@ -162,7 +163,7 @@
             if isinstance(effect, Send) and effect.node.startswith('g'):
                 index = int(effect.node[1:])
                 received = Received(CONTROL, effect.message)
-                self.at(self.now + LINK_S, partial(self.apply, index, received))
+                self.at(self.now + self.link_s, partial(self.apply, index, received))
 
     def _tick_gateway(self, index: int) -> None:
         self.apply(index, Tick())
--- a/tests/gateway/test_totals.py
+++ b/tests/gateway/test_totals.py
@@ -31,6 +31,21 @@
         )
         assert sent == {'g1': {'up': 5, 'down': 1}, 'g2': {'up': 6}}
 
+    def test_tokens_are_summed_and_leave_with_their_gateway(self) -> None:
+        """Guards against memory that a dead gateway occupies, and totals that change unnoticed."""
+        tick = (
+            Received(gateway('g1'), OpenAttempts({'up': 1}, True, {'up': 5})),
+            Received(gateway('g2'), OpenAttempts({'up': 1}, False, {'up': 700})),
+        )
+        effects = [effect for event in (*tick, Tick()) for effect in reduce(self.node, event, 0, 0)]
+        assert effects == [Send(NodeId('g1'), OtherAttempts({'up': 1}, {'up': 700}))]
+        more = Received(gateway('g2'), OpenAttempts({'up': 1}, False, {'up': 900}))
+        effects = [effect for event in (more, Tick()) for effect in reduce(self.node, event, 0, 0)]
+        assert effects == [Send(NodeId('g1'), OtherAttempts({'up': 1}, {'up': 900}))]
+        lost = PeerLost(gateway('g2'))
+        effects = [effect for event in (lost, Tick()) for effect in reduce(self.node, event, 0, 0)]
+        assert effects == [Send(NodeId('g1'), OtherAttempts({}, {}))]
+
     def test_lost_gateway_no_longer_counts(self) -> None:
         """Guards against slots that a dead gateway occupies forever."""
         self.run_tick(
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -93,14 +93,16 @@
         names = tuple(InstanceId(name) for name in silent)
         self.apply(Received(source, Registrations(registrations, names, 1)))
 
-    def report_others(self, counts: dict[str, int]) -> None:
-        """Receive the number of attempts that the other gateways have open."""
-        self.apply(Received(CONTROL, OtherAttempts(counts)))
+    def report_others(self, counts: dict[str, int], tokens: dict[str, int] | None = None) -> None:
+        """Receive the number of attempts that the other gateways have open, and their tokens."""
+        self.apply(Received(CONTROL, OtherAttempts(counts, tokens or {})))
 
-    def ask(self, path: str = '/lookup/x', key: str = KEY, timeout_s: float | None = 5) -> list[Effect]:
+    def ask(
+        self, path: str = '/lookup/x', key: str = KEY, timeout_s: float | None = 5, tokens: int = 0
+    ) -> list[Effect]:
         """Return the effects of a new request."""
         number = next(self._keys)
-        head = RequestHead(f'request-{number}', HOST, path, key, timeout_s)
+        head = RequestHead(f'request-{number}', HOST, path, key, timeout_s, tokens=tokens)
         return self.apply(RequestArrived(number, head))
 
     def end(self, start: StartAttempt, result: AttemptResult, **details: Any) -> list[Effect]:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -48,6 +48,13 @@
         limits = [(each.cold_limit_per_s, each.cold_time_s) for each in environment.services.values()]
         assert limits == [(26, 6.5), (None, None), (None, None)]
 
+    def test_memory_of_engines(self) -> None:
+        """Guards against engines whose memory is lost, and a service without engines that gets one."""
+        service = {'name': 's-1', 'engine': {'kv_capacity': 116666}}
+        others = [{'name': 's-2', 'engine': {'kv_capacity': 0}}, {'name': 's-3'}]
+        environment = load_accepted(translate(configuration(services=[service, *others])))
+        assert [each.memory_tokens for each in environment.services.values()] == [116666, None, None]
+
     def test_meaning_is_kept(self) -> None:
         """Guards against a route, limit, team or key whose meaning the translation changes."""
         environment = load_accepted(translate(configuration()))
