Don't subtract attempts at a former start of an upstream from its new start

Cause: an attempt that ended after its upstream had registered anew lowered the open attempts of the new start, down to -1, so it seemed less loaded to all gateways for as long as it ran. Change: attempts and tokens are subtracted only from the start that had them.

--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -115,10 +115,15 @@
 
 
 def release_upstream(state: GatewayState, req: OpenRequest) -> PooledUpstream | None:
-    """Subtract the attempt of a request and its tokens from those of its upstream; return the upstream."""
+    """Subtract the attempt of a request and its tokens from those of its upstream; return the upstream.
+
+    A later start of the upstream never had this attempt.
+    """
     upstream = state.pools.by_instance.get(req.instance) if req.instance else None
     req.instance = None
-    if upstream is not None:
+    if upstream is None or req.registration is None:
+        return upstream
+    if upstream.registration.born_ms == req.registration.born_ms:
         upstream.open_attempts -= 1
         upstream.held_tokens -= req.tokens
     return upstream
--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -3,9 +3,9 @@
 
 from basilcove.core.events import PeerLost
 from basilcove.core.ids import ServiceName, Zone
-from basilcove.gateway.events import ReportedLoad
+from basilcove.gateway.events import AttemptResult, ReportedLoad
 from basilcove.registry.messages import RegistrationState
-from tests.gateway.world import CONTROL, OTHER_CONTROL, SLOTS, World, registration, starts
+from tests.gateway.world import CONTROL, OTHER_CONTROL, SLOTS, World, only_start, registration, starts
 
 DESK = ServiceName('desk')
 
@@ -130,6 +130,15 @@
         world.register(registration('up-1', 1, born_ms=2))
         assert chosen(world) == 'up-1'
 
+    def test_attempts_at_a_former_start_do_not_count_for_the_new_one(self) -> None:
+        """Guards against a new start that seems less loaded with each attempt that its former start loses."""
+        world = World('up-1')
+        start = only_start(world.ask(tokens=900))
+        world.register(registration('up-1', 1, born_ms=2))
+        world.end(start, AttemptResult.LOST)
+        upstream = world.state.pools.by_instance['up-1']  # type: ignore[index]
+        assert (upstream.open_attempts, upstream.held_tokens) == (0, 0)
+
     def test_late_registration_of_a_former_start_is_ignored(self) -> None:
         """Guards against a departure of a former process that removes the new one."""
         world = World('up-1')
