Record the restore of a zone in the cold state of its upstreams

Cause: PooledUpstream.restored_at was copied to the cold state each time an upstream was considered, on the path of every request. Change: apply_evacuations calls ColdState.restore, which keeps the time; the field and the three checks of it are gone. The tests set zones as evacuated and restored in place of setting the field.

--- a/basilcove/gateway/cold.py
+++ b/basilcove/gateway/cold.py
@@ -33,7 +33,6 @@
     ``is_start`` tells whether this process or the whole system has just started.
     """
     cold, registration = upstream.throttle.cold, upstream.registration
-    cold.restore(upstream.restored_at)
     unsure = None if is_start else ColdSource.FIRST_SEEN
     if former is not None and former is not upstream:
         unsure = ColdSource.RESTARTED
@@ -86,7 +85,6 @@
     told: list[TimedLimit] = []
     is_any_cold = False
     for instance, upstream in state.pools.by_instance.items():
-        upstream.throttle.cold.restore(upstream.restored_at)
         upstream.throttle.cold.expire(ctx.now)
         limit = _timed_limit(instance, upstream, ctx.now)
         if limit is not None:
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -38,7 +38,6 @@
     load. ``failure_average`` is the share of failures at the time of the last result. No request is sent
     before ``held_until``, and then only one at a time until ``hold_stated_until`` or an answer.
     ``held_tokens`` are those of the open attempts of this gateway.
-    ``restored_at`` is when its evacuated zone was last restored; 0 for never.
     """
 
     registration: Registration
@@ -54,7 +53,6 @@
     leaving_until: float = 0
     held_until: float = 0
     hold_stated_until: float = 0
-    restored_at: float = 0
     throttle: Throttle = field(default_factory=Throttle)
 
     @property
@@ -71,8 +69,6 @@
         """Return whether the upstream is ready, doesn't leave and holds off no requests of this gateway."""
         if not self.is_ready or now < max(self.leaving_until, self.held_until):
             return False
-        if self.restored_at:
-            self.throttle.cold.restore(self.restored_at)
         if (self.throttle.limit_per_s or self.throttle.cold.until) and self.throttle.wait_s(now) != 0:
             return False
         return now >= self.hold_stated_until or not self.open_attempts
@@ -185,7 +181,7 @@
         self.evacuated = zones
         for upstream in self.by_instance.values():
             if upstream.registration.zone in restored:
-                upstream.restored_at = now
+                upstream.throttle.cold.restore(now)
         return restored
 
     def is_evacuated(self, service: ServiceName) -> bool:
--- a/basilcove/throttling/cold_state.py
+++ b/basilcove/throttling/cold_state.py
@@ -91,11 +91,9 @@
         self.unsure_since, self.unsure_source = now, ColdSource.LOST
         self._update_until()
 
-    def restore(self, restored_at: float) -> None:
+    def restore(self, now: float) -> None:
         """Count the upstream as cold from the restoration of its zone until it states that it is warm."""
-        if restored_at == self.restored_at:
-            return
-        self.restored_at, self.is_restored = restored_at, True
+        self.restored_at, self.is_restored = now, True
         self._update_until()
 
     def _update_until(self) -> None:
--- a/tests/gateway/test_cold.py
+++ b/tests/gateway/test_cold.py
@@ -1,7 +1,7 @@
 import pytest
 
 from basilcove.core.events import PeerFound, PeerLost, Received, Send, Tick
-from basilcove.core.ids import InstanceId
+from basilcove.core.ids import InstanceId, Zone
 from basilcove.gateway.const import RETRY_AFTER_SPREAD
 from basilcove.gateway.events import AttemptResult, Refuse
 from basilcove.throttling.const import LEASE_S, START_WINDOW_S
@@ -78,15 +78,19 @@
     def test_zone_that_was_restored(self) -> None:
         """Guards against the usual load at an upstream that may have started while it was evacuated."""
         world = Cold('up-1', 'up-2')
-        upstream = world.state.pools.by_instance[InstanceId('up-1')]
-        upstream.restored_at = world.now
+        world.register(registration('up-2', sequence=2, zone=Zone('b')))
+        self._restore(world)
         assert world.count_sent(1) == 0
         world.register(registration('up-1', sequence=2))
         assert world.count_sent(1) > 2
-        upstream.restored_at = world.now
+        self._restore(world)
         assert world.count_sent(COLD_S - 0.1) == 0
         assert world.count_sent(2) > 2
 
+    def _restore(self, world: Cold) -> None:
+        for zones in (frozenset((Zone('a'),)), frozenset[Zone]()):
+            world.state.pools.apply_evacuations(zones, world.now)
+
     def test_connection_lost_while_no_control_host_is_linked(self) -> None:
         """Guards against the usual load at an upstream whose new start this gateway can't be told of."""
         world = Cold('up-1')
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -141,5 +141,6 @@
         set_zones(world, 1, FAR)
         world.now += 30
         set_zones(world, 2)
-        times = {name: each.restored_at for name, each in world.state.pools.by_instance.items()}
-        assert times == {'near-1': 0, 'near-2': 0, 'far-1': world.now, 'far-2': world.now}
+        cold = {name: each.throttle.cold for name, each in world.state.pools.by_instance.items()}
+        times = {name: each.restored_at for name, each in cold.items() if each.is_restored}
+        assert times == {'far-1': world.now, 'far-2': world.now}
