Sum the load of groups once for each report of other gateways

Cause: with limits in force, each choice summed the loads of all upstreams of a service. Change: Pools keeps the totals of groups by service until other gateways' counts or registrations change. Attempts of this gateway are added to and subtracted from the kept totals at once. Without counts of other gateways the totals are computed for each choice as before. A test of random changes compares the totals with fresh sums; it fails if they are not cleared by a registration or report, don't follow own attempts, or count attempts at ended upstreams.

--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -44,7 +44,7 @@
         return give_up(state, req, ctx)
     if not req.sent and not _admit(state, req, chosen, ctx):
         return _refuse(state, req, chosen, ctx)
-    return _send(req, chosen.upstream, chosen.load, ctx)
+    return _send(state, req, chosen.upstream, chosen.load, ctx)
 
 
 def find_blocked_part(state: GatewayState, req: OpenRequest, now: float) -> PartId | None:
@@ -76,7 +76,9 @@
     return [*effects, Count('gateway_limit_refusals', (('group', group),))]
 
 
-def _send(req: OpenRequest, chosen: PooledUpstream, load: float, ctx: Context) -> list[Effect]:
+def _send(
+    state: GatewayState, req: OpenRequest, chosen: PooledUpstream, load: float, ctx: Context
+) -> list[Effect]:
     registration = chosen.registration
     req.number += 1
     req.sent += 1
@@ -91,8 +93,7 @@
         ('failure_share', f'{chosen.failure_share(ctx.now):.2f}'),
         *progress_fields(req, ctx.now),
     )
-    chosen.open_attempts += 1
-    chosen.held_tokens += req.tokens
+    state.pools.begin_attempt(chosen, req.tokens)
     chosen.throttle.count_request(ctx.now)
     start = StartAttempt(
         req.key,
@@ -124,8 +125,7 @@
     if upstream is None or req.registration is None:
         return upstream
     if upstream.registration.born_ms == req.registration.born_ms:
-        upstream.open_attempts -= 1
-        upstream.held_tokens -= req.tokens
+        state.pools.end_attempt(upstream, req.tokens)
     return upstream
 
 
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, field
 
-from basilcove.concurrency.rooms import GroupLimits, GroupRoom
+from basilcove.concurrency.rooms import GroupLimits, GroupRoom, GroupTotals, TotalsCache, sum_groups
 from basilcove.core.ids import GroupName, InstanceId, NodeId, ServiceName, Zone
 from basilcove.gateway.const import (
     ADMISSION_SAMPLE,
@@ -141,6 +141,7 @@
     # No request is sent to an upstream of these availability zones.
     evacuated: frozenset[Zone] = frozenset()
     limits: GroupLimits = field(default_factory=GroupLimits)
+    group_totals: TotalsCache = field(default_factory=TotalsCache)
     memory: UpstreamMemory = field(default_factory=UpstreamMemory)
 
     def update(self, registration: Registration, source: NodeId, *, silent: bool) -> PooledUpstream | None:
@@ -158,6 +159,7 @@
         service_upstreams = self.by_service.setdefault(registration.service, {})
         if registration.standing is not RegistrationState.GONE:
             service_upstreams[registration.instance] = upstream
+        self.group_totals.by_service.clear()
         return upstream
 
     def forget_source(self, source: NodeId) -> None:
@@ -203,9 +205,36 @@
         """Return the groups of a service that have a limit."""
         if not self.limits.limits:
             return {}
+        return self.limits.rooms(self._totals(service, now), now)
+
+    def _totals(self, service: ServiceName, now: float) -> dict[GroupName, GroupTotals]:
+        """Return the totals of the groups of a service, computed once for each report of other gateways."""
+        others = self.other_attempts
+        totals = None if others is None else self.group_totals.get(service, others)
+        if totals is not None:
+            return totals
         upstreams = self.by_service.get(service, {}).values()
-        loads = ((upstream.registration, self.load(upstream, now)) for upstream in upstreams)
-        return self.limits.rooms(loads, now)
+        totals = sum_groups((upstream.registration, self.load(upstream, now)) for upstream in upstreams)
+        # Without reports the load of other gateways decays with time.
+        if others is not None:
+            self.group_totals.by_service[service] = totals
+        return totals
+
+    def begin_attempt(self, upstream: PooledUpstream, tokens: int) -> None:
+        """Count an attempt at an upstream and the tokens that it holds there."""
+        self._count_attempts(upstream, 1, tokens)
+
+    def end_attempt(self, upstream: PooledUpstream, tokens: int) -> None:
+        """Subtract an attempt at an upstream and its tokens."""
+        self._count_attempts(upstream, -1, -tokens)
+
+    def _count_attempts(self, upstream: PooledUpstream, attempts: int, tokens: int) -> None:
+        upstream.open_attempts += attempts
+        upstream.held_tokens += tokens
+        registration = upstream.registration
+        # An upstream that has ended is no longer part of the totals.
+        if registration.instance in self.by_service.get(registration.service, {}):
+            self.group_totals.adjust(registration.service, registration.group, attempts)
 
     def cost(self, upstream: PooledUpstream, now: float, room: GroupRoom | None = None) -> float:
         """Return the cost of one more request, as a fraction of the upstream's slots."""
--- a/tests/gateway/test_limiting.py
+++ b/tests/gateway/test_limiting.py
@@ -1,16 +1,21 @@
 import asyncio
+import itertools
+import random
 from dataclasses import replace
 from typing import Any
 
+import pytest
+
 from basilcove.concurrency.const import LIMIT_LIFETIME_S
 from basilcove.concurrency.messages import ConcurrencyLimits, GroupLimit, PauseReport
 from basilcove.concurrency.pauses import PauseMeter, bucket_of
+from basilcove.concurrency.rooms import sum_groups
 from basilcove.core.events import Received, Send, Tick
-from basilcove.core.ids import GroupName, Rank, Revision, Zone
+from basilcove.core.ids import GroupName, InstanceId, Rank, Revision, Zone
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.environment.models import Environment
-from basilcove.gateway.events import Refuse, StreamPaused
-from basilcove.registry.messages import Registrations
+from basilcove.gateway.events import AttemptResult, Refuse, StartAttempt, StreamPaused
+from basilcove.registry.messages import Registrations, RegistrationState
 from tests.gateway.loopback import TIMEOUT_S, Upstream, UpstreamCall, running
 from tests.gateway.world import (
     CONTROL,
@@ -24,6 +29,7 @@
 )
 
 GROUP = GroupName('g')
+SERVICE = registration('up-0').service
 RANKS = 4
 TARGET_S = 0.15
 # Time between two events of a stream.
@@ -179,3 +185,60 @@
                 assert meter.seen[0][0] < 6 * PAUSE_S
 
         asyncio.run(asyncio.wait_for(check(), 2 * TIMEOUT_S))
+
+
+class Changing(Limited):
+    """A limited gateway whose attempts, upstreams and counts change at random."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__()
+        self.limit(RANKS * SLOTS / 2)
+        self.rng = random.Random(seed)
+        self.open: list[StartAttempt] = []
+        self.sequences = itertools.count(2)
+
+    def change(self) -> None:
+        """Apply one change."""
+        changes = (self._ask, self._ask, self._end, self._report, self._register, self._restart, self._lose)
+        self.rng.choice(changes)(f'up-{self.rng.randrange(RANKS)}')
+
+    def _ask(self, name: str) -> None:
+        self.open.extend(starts(self.ask('/brief/')))
+
+    def _end(self, name: str) -> None:
+        if self.open:
+            self.end(self.open.pop(self.rng.randrange(len(self.open))), AttemptResult.ANSWERED)
+
+    def _report(self, name: str) -> None:
+        self.report_others({name: self.rng.randrange(4)})
+
+    def _register(self, name: str) -> None:
+        details = {
+            'born_ms': self.state.pools.by_instance[InstanceId(name)].registration.born_ms,
+            'group': self.rng.choice((GROUP, GROUP, GroupName('h'))),
+            'standing': self.rng.choice((*RegistrationState, RegistrationState.READY)),
+        }
+        self.register(registration(name, next(self.sequences), **details))
+
+    def _restart(self, name: str) -> None:
+        self.register(registration(name, 1, group=GROUP, born_ms=next(self.sequences)))
+
+    def _lose(self, name: str) -> None:
+        if not self.rng.randrange(10):
+            self.state.pools.other_attempts = None
+
+
+class TestTotals:
+    @pytest.mark.parametrize('seed', range(20))
+    def test_totals_follow_every_change(self, seed: int) -> None:
+        """Guards against a group that seems to have room, or none, since an old sum of its load is used."""
+        world = Changing(seed)
+        pools, seen = world.state.pools, set()
+        for _ in range(120):
+            world.change()
+            upstreams = pools.by_service[SERVICE].values()
+            totals = sum_groups((each.registration, pools.load(each, world.now)) for each in upstreams)
+            expected = pools.limits.rooms(totals, world.now)
+            assert pools.rooms(SERVICE, world.now) == expected
+            seen.update(room.load for room in expected.values())
+        assert len(seen) > 3
