Evacuate zones, let engines return cold and connect clients without limits in the soak test

Cause: the soak test covered none of evacuations, cold upstreams and clients that keep to no limit. Change: three series run beside the random faults. The operators' tool evacuates and restores a zone, also while the leader is killed; engines become cold in service and after a crash; crowds of tests/harness/crowd.py send requests that stop short of their end to gateways. Checked are requests to evacuated zones and to cold engines, the list of zones at the end, processes that end by themselves and the peak memory of each. Processes and engines are in two zones.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import itertools
 import json
 import random
 import shutil
@@ -20,6 +21,8 @@
 from soak.faults import inject_faults
 from soak.kinds import Kind
 from soak.operators import Operator
+from soak.series import run_series, watch_processes
+from soak.zones import ZoneOperator
 
 _POLL_S = 0.2
 
@@ -51,6 +54,9 @@
     for record in ledger.requests.values():
         outcome.answers[f'{record.kind} {_describe_answer(record.status, record.is_whole)}'] += 1
     outcome.disruptions.update(span.name for span in deployment.spans)
+    outcome.disruptions.update(deployment.crowds)
+    outcome.disruptions.update(evacuate=len(ledger.evacuations), cold=len(ledger.cold))
+    outcome.disruptions['peak_mb'] = max(deployment.peaks.values(), default=0) // 1_000_000
     return outcome
 
 
@@ -59,9 +65,13 @@
         return ['no first configuration was acknowledged, or not every gateway served a request']
     jobs = [deployment.callers.run(random.Random(f'{seed} caller {number}')) for number in range(CALLERS)]
     jobs.extend((operator.run_changes(), operator.run_reads(), operator.run_probes()))
+    end_at = time.monotonic() + WARM_UP_S + seconds
+    zones = ZoneOperator(deployment, random.Random(f'{seed} zones'))
+    jobs.extend((watch_processes(deployment), run_series(deployment, zones, seed, end_at)))
     deployment.tasks.extend(asyncio.create_task(job) for job in jobs)
     await asyncio.sleep(WARM_UP_S)
-    await inject_faults(deployment, time.monotonic() + seconds)
+    # The last job is the series, which ends by itself.
+    await asyncio.gather(inject_faults(deployment, end_at), deployment.tasks[-1])
     ended_at = time.monotonic()
     operator.is_stopped = True
     faults = (
@@ -71,9 +81,11 @@
     )
     await asyncio.sleep(max(0, ended_at + RECOVERY_S / 2 - time.monotonic()))
     deployment.callers.is_stopped = True
+    deployment.is_stopped = True
     for task in deployment.tasks:
         await task
-    return [*faults, *await operator.check_end()]
+    ends = await asyncio.gather(operator.check_end(), zones.check_end())
+    return list(itertools.chain(faults, *ends))
 
 
 async def _all_serve(deployment: Deployment, timeout_s: float) -> bool:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -53,7 +53,7 @@
         self, gateway: str, kind: Kind, path: str = '', key: str | None = None, team: str = ''
     ) -> RequestRecord:
         """Send one request on a new connection."""
-        record = self._prepare(kind, team)
+        record = self._prepare(kind, team, gateway)
         conn = await self._connect(gateway)
         if conn is None:
             record.is_unsent = True
@@ -71,7 +71,7 @@
     ) -> tuple[RequestRecord, _Connection | None]:
         kind = rng.choice(_KINDS)
         team = rng.choice(tuple(self.keys))
-        record = self._prepare(kind, team)
+        record = self._prepare(kind, team, gateway)
         conn = conn or await self._connect(gateway)
         if conn is None:
             record.is_unsent = True
@@ -88,8 +88,8 @@
             self.ledger.record_fault(f'{record.request_id} did not end within {_TIMEOUT_S} s')
         return record, None
 
-    def _prepare(self, kind: Kind, team: str) -> RequestRecord:
-        record = RequestRecord(f'q{next(self._numbers)}', kind.value, time.monotonic())
+    def _prepare(self, kind: Kind, team: str, gateway: str) -> RequestRecord:
+        record = RequestRecord(f'q{next(self._numbers)}', kind.value, time.monotonic(), gateway=gateway)
         self.ledger.requests[record.request_id] = record
         self.owners[record.request_id] = team
         return record
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -12,7 +12,7 @@
 import yaml
 
 from soak.callers import Callers
-from soak.const import BUDGET_BASE, BUDGET_RATIO, BUDGET_WINDOW_S, CONTROL, ENGINES, GATEWAYS
+from soak.const import BUDGET_BASE, BUDGET_RATIO, BUDGET_WINDOW_S, CONTROL, ENGINES, GATEWAYS, ZONE_OF
 from soak.engines import Engine
 from soak.ledger import Ledger
 from soak.proxy import Proxy
@@ -40,6 +40,7 @@
     def settings(self, address: str, *, first: bool) -> str:
         """Return settings in which links and gateways listen on the addresses behind the proxies."""
         content = yaml.safe_load(super().settings(address, first=first))
+        content['zone'] = ZONE_OF[address]
         for name, section in content.items():
             if name in {'rpc', 'gateway'}:
                 section['listen'] = target_address(section['listen'])
@@ -62,7 +63,12 @@
     # Number of starts of each process.
     starts: Counter[str] = field(default_factory=Counter)
     started_at: dict[str, float] = field(default_factory=dict)
+    # Number of crowds that were connected, by kind.
+    crowds: Counter[str] = field(default_factory=Counter)
+    # Peak of the resident memory of each process over all its starts, in bytes.
+    peaks: Counter[str] = field(default_factory=Counter)
     tasks: list['asyncio.Task[None]'] = field(default_factory=list)
+    is_stopped: bool = False
 
     @classmethod
     def from_seed(cls, folder: Path, seed: int) -> 'Deployment':
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -11,10 +11,10 @@
 from basilcove.http1.resets import reset
 from soak.calls import call
 from soak.connections import Acceptor
-from soak.const import ANNOUNCE_INTERVAL_S, CONTROL, EVENT_INTERVAL_S, SERVICE, SLOTS
+from soak.const import ANNOUNCE_INTERVAL_S, COLD_S, CONTROL, EVENT_INTERVAL_S, SERVICE, SLOTS, ZONE_OF
 from soak.http import BrokenError, Message, chunk, read_message, write_message
 from soak.kinds import Kind, generate_events
-from soak.ledger import Arrival, Ledger, SignedAnswer
+from soak.ledger import Arrival, Ledger, Period, SignedAnswer
 
 _WORK_S = (0.005, 0.15)
 # Shares of requests that the engine fails with an error, and whose answers it truncates.
@@ -50,6 +50,7 @@
     state: str = 'ready'
     instance: str = ''
     born_ms: int = 0
+    cold: Period | None = None
     _active: int = 0
     _starts: int = 0
     _serials: 'itertools.count[int]' = field(default_factory=itertools.count)
@@ -64,6 +65,7 @@
         self.instance = f'i-{self.announced_address.rpartition(":")[0]}-{self._starts}'
         self.born_ms = time.time_ns() // 1_000_000
         self.state = 'ready'
+        self.cold = None
         self._sequence = itertools.count(1)
         self._acceptor = Acceptor(self.listen, self._serve)
         await self._acceptor.setup()
@@ -71,6 +73,8 @@
 
     async def unload(self) -> None:
         """Reset all connections and stop immediately, like a crash."""
+        if self.cold is not None:
+            self.cold.ended_at = min(self.cold.ended_at, time.monotonic())
         if self._announcer is not None:
             self._announcer.cancel()
             await asyncio.gather(self._announcer, return_exceptions=True)
@@ -79,21 +83,31 @@
         if self._acceptor is not None:
             await self._acceptor.unload()
 
+    def chill(self) -> None:
+        """Become cold for ``COLD_S`` from now."""
+        self.cold = Period(self.instance, ended_at=time.monotonic() + COLD_S)
+        self.ledger.cold.append(self.cold)
+
     async def announce_once(self) -> bool:
         """Announce the engine to one control host after another; return whether one acknowledged it."""
+        cold = self.cold
+        left_s = 0 if cold is None else max(0, cold.ended_at - time.monotonic())
         content = {
             'service': SERVICE,
             'address': self.announced_address,
-            'zone': 'a',
+            'zone': ZONE_OF[self.announced_address.partition(':')[0]],
             'slots': SLOTS,
             'state': self.state,
             'sequence': next(self._sequence),
             'born': self.born_ms,
+            'cold_remaining_ms': round(left_s * 1000),
         }
         path = f'/instances/{self.instance}'
         for host in self.rng.sample(CONTROL, len(CONTROL)):
             answer = await call(f'{host}:{self.api_port}', 'PUT', path, json.dumps(content).encode())
             if answer is not None and answer.status == HTTPStatus.OK:
+                if cold is not None:
+                    cold.acknowledged_at = min(cold.acknowledged_at, time.monotonic())
                 return True
         return False
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -122,6 +122,7 @@
 async def lose_power(deployment: Deployment, target: str) -> None:
     """Kill all control hosts that no other fault affects, and restart them in random order."""
     hosts = [host for host in CONTROL if host not in deployment.busy]
+    deployment.spans[-1].targets = tuple(hosts)
     deployment.busy.update(hosts)
     for host in hosts:
         deployment.processes.processes[host].kill()
@@ -206,10 +207,11 @@
 
 @fault(ENGINES)
 async def crash_engine(deployment: Deployment, target: str) -> None:
-    """Crash an engine and start it as a new incarnation at the same address."""
+    """Crash an engine and start it as a new, cold incarnation at the same address."""
     await deployment.engines[target].unload()
     await _wait_random_time(deployment)
     await deployment.engines[target].setup()
+    deployment.engines[target].chill()
 
 
 @fault(ENGINES)
--- a/soak/kinds.py
+++ b/soak/kinds.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from basilcove.helpers.hashing import stable_hash
-from soak.const import HOST, MAX_ATTEMPTS, SERVICE
+from soak.const import COLD_PER_S, COLD_S, HOST, MAX_ATTEMPTS, SERVICE
 
 _MAX_EVENTS = 25
 
@@ -58,7 +58,7 @@
     return {
         'version': version,
         'routes': routes,
-        'services': [{'name': SERVICE}],
+        'services': [{'name': SERVICE, 'cold_per_s': COLD_PER_S, 'cold_start_s': COLD_S}],
         'tenants': [{'name': name, 'api_keys': [key]} for name, key in keys.items()],
     }
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,10 +1,24 @@
 import time
 
-from soak.checks import check_budget, check_cancellation, check_runs
-from soak.const import AFTERMATH_S, BUDGET_BASE, BUDGET_WINDOW_S, CANCEL_S
+import pytest
+
+from soak.checks import check_budget, check_cancellation, check_cold, check_evacuations, check_runs
+from soak.const import (
+    AFTERMATH_S,
+    BUDGET_BASE,
+    BUDGET_WINDOW_S,
+    CANCEL_S,
+    CONTROL,
+    ENGINES,
+    EVACUATE_S,
+    GATEWAYS,
+    MAX_COLD_IN_A_SECOND,
+    SPREAD_S,
+    ZONE_OF,
+)
 from soak.deployment import FaultSpan
 from soak.kinds import Kind
-from soak.ledger import Arrival, Ledger, RequestRecord
+from soak.ledger import Arrival, Ledger, Period, RequestRecord
 
 
 def add_request(
@@ -82,6 +96,63 @@
         assert not check_cancellation(ledger, (span,))
 
 
+# Begins 1 s after the periods of these tests; the first gateway may miss news in each of them.
+OUTAGES = (
+    (FaultSpan('freeze', (GATEWAYS[0],), 1, 2),),
+    (FaultSpan('kill', (CONTROL[0],), 0, 2), FaultSpan('silence', (CONTROL[1],), 1, 3)),
+    (FaultSpan('lose_power', CONTROL, 1, None),),
+)
+NO_OUTAGES = (
+    FaultSpan('kill', (GATEWAYS[0],), 1, 2),
+    FaultSpan('freeze', (GATEWAYS[1],), 1, 2),
+    FaultSpan('kill', (CONTROL[0],), 1, 2),
+)
+INSTANCE = f'i-{ENGINES[0]}-1'
+
+
+def arrive(ledger: Ledger, *times: float) -> None:
+    """Add requests through the first gateway to the first engine."""
+    for at in times:
+        name = f'q{len(ledger.requests)}'
+        add_request(ledger, name, Kind.LOOKUP, 200, Arrival(INSTANCE, at, has_run=True))
+        ledger.requests[name].gateway = GATEWAYS[0]
+
+
+class TestEvacuations:
+    def test_requests_to_an_evacuated_zone(self) -> None:
+        """Guards against a soak that misses a request to a zone while its evacuation is in force."""
+        ledger = Ledger(evacuations=[Period(ZONE_OF[ENGINES[0]], 0, 20), Period('other', 0)])
+        arrive(ledger, EVACUATE_S - 0.1, 20.1)
+        assert not check_evacuations(ledger, NO_OUTAGES)
+        arrive(ledger, EVACUATE_S + 0.1)
+        assert len(check_evacuations(ledger, NO_OUTAGES)) == 1
+
+    @pytest.mark.parametrize('spans', OUTAGES)
+    def test_gateway_that_may_miss_the_evacuation(self, spans: tuple[FaultSpan, ...]) -> None:
+        """Guards against reports on a gateway that isn't linked to a control host, which is allowed."""
+        ledger = Ledger(evacuations=[Period(ZONE_OF[ENGINES[0]], 0, 20)])
+        arrive(ledger, EVACUATE_S + 0.1)
+        assert not check_evacuations(ledger, spans)
+
+
+class TestCold:
+    def test_requests_to_a_cold_engine(self) -> None:
+        """Guards against a soak that misses a second with too many requests to a cold engine."""
+        ledger = Ledger(cold=[Period(INSTANCE, 0, 5), Period('i-127.77.2.2-1', 0, 5), Period(INSTANCE)])
+        arrive(ledger, *(2 + number / 10 for number in range(int(MAX_COLD_IN_A_SECOND))))
+        arrive(ledger, SPREAD_S - 0.1, 5.1)
+        assert not check_cold(ledger, NO_OUTAGES)
+        arrive(ledger, 2.95)
+        assert len(check_cold(ledger, NO_OUTAGES)) == 1
+
+    def test_requests_that_a_proxy_held_back(self) -> None:
+        """Guards against a fault by requests that were sent over several seconds and arrive together."""
+        ledger = Ledger(cold=[Period(INSTANCE, 0, 5)])
+        arrive(ledger, *(3 + number / 100 for number in range(50)))
+        assert check_cold(ledger, (FaultSpan('crash_engine', (ENGINES[0],), 2, 2.9),))
+        assert not check_cold(ledger, (FaultSpan('silence', (ENGINES[0],), 2, 2.9),))
+
+
 class TestLedger:
     def test_faults_detected_during_the_run(self) -> None:
         """Guards against a fault without the time that is needed to find it in the logs."""
