--- a/soak/kinds.py
+++ b/soak/kinds.py
@@ -8,6 +8,13 @@
 from soak.const import COLD_PER_S, COLD_S, HOST, MAX_ATTEMPTS, SERVICE
 
 _MAX_EVENTS = 25
+# Those of the known sites.
+_LIMITS = {
+    'max_header_bytes': 16_384,
+    'max_body_bytes': 4_194_304,
+    'header_timeout_ms': 3000,
+    'idle_timeout_ms': 15_000,
+}
 
 
 class Kind(enum.Enum):
@@ -59,6 +66,7 @@
         'version': version,
         'routes': routes,
         'services': [{'name': SERVICE, 'cold_per_s': COLD_PER_S, 'cold_start_s': COLD_S}],
+        'limits': _LIMITS,
         'tenants': [{'name': name, 'api_keys': [key]} for name, key in keys.items()],
     }
 
