Restart a gateway during the longer evacuations of the soak test

Change: in half of the evacuations a gateway is killed after the acknowledgement, and the evacuation stays for 8 s after that; the others stay for 1 s.

--- a/soak/series.py
+++ b/soak/series.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable
 from typing import Final
 
-from soak.const import COLD_S, ENGINES, GATEWAYS, HOST, MAX_PEAK_BYTES, READ_BYTES, ZONES
+from soak.const import COLD_S, ENGINES, EVACUATE_S, GATEWAYS, HOST, MAX_PEAK_BYTES, READ_BYTES, ZONES
 from soak.deployment import KEYS, Deployment, target_address
 from soak.faults import inject
 from soak.http import chunk
@@ -15,7 +15,7 @@
 
 _PAUSES_S: Final = (0.0, 1.0, 3.0)
 # Around the time after which an evacuation is in force.
-_EVACUATIONS_S: Final = (1.0, 8.0, 11.0)
+_EVACUATIONS_S: Final = (1.0, 8.0)
 # From the start of the tool to the kill of the leader, around the time at which the tool gets its answer.
 _KILLS_AFTER_S: Final = (0.2, 0.5, 0.8)
 _WATCH_INTERVAL_S: Final = 0.5
@@ -42,28 +42,39 @@
 
 
 async def _run_evacuations(deployment: Deployment, operator: ZoneOperator, end_at: float) -> None:
-    """Evacuate and restore one zone after another, also while the leader is killed; the last may remain."""
+    """Evacuate and restore one zone after another; the last one may remain evacuated.
+
+    In half of the cases the leader is killed during a change. A gateway restarts in the longer evacuations.
+    """
     rng = operator.rng
     while time.monotonic() < end_at:
         await asyncio.sleep(rng.choice(_PAUSES_S))
         zone = rng.choice(ZONES)
         await _change(deployment, operator, operator.evacuate(zone))
-        await asyncio.sleep(rng.choice(_EVACUATIONS_S))
+        duration_s = rng.choice(_EVACUATIONS_S)
+        if duration_s > EVACUATE_S:
+            await _kill(deployment, rng.choice(GATEWAYS))
+        await asyncio.sleep(duration_s)
         if time.monotonic() < end_at or rng.choice((True, False)):
             await _change(deployment, operator, operator.restore(zone))
 
 
 async def _change(deployment: Deployment, operator: ZoneOperator, change: Awaitable[None]) -> None:
-    """Make a change; in half of the cases kill the leader meanwhile, unless another fault affects it."""
+    """Make a change; in half of the cases kill the leader meanwhile."""
     kills, after_s = operator.rng.choice((True, False)), operator.rng.choice(_KILLS_AFTER_S)
     leader = await operator.find_leader() if kills else ''
     changing = asyncio.ensure_future(change)
     await asyncio.sleep(after_s)
-    if leader and leader not in deployment.busy:
-        await inject(deployment, 'kill', leader)
+    await _kill(deployment, leader)
     await changing
 
 
+async def _kill(deployment: Deployment, target: str) -> None:
+    """Kill and restart a process, if one is named that no other fault affects."""
+    if target and target not in deployment.busy:
+        await inject(deployment, 'kill', target)
+
+
 async def _run_cold_engines(deployment: Deployment, rng: random.Random, end_at: float) -> None:
     """Let one engine after another become cold in service."""
     while time.monotonic() < end_at:
