Begin the series of the soak test after the warm-up, and let longer evacuations outlast other faults

Cause: the check that engines stop after a caller has left counts callers far from any fault, most of them in the warm-up; the kills of the series had begun within it. Change: the series begin with the other faults. Two thirds of the evacuations last 10 s and restart a gateway that no other fault affects. After an outage a gateway counts again 5 s after its end, 9 s before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,7 +29,10 @@
 
 @dataclass(slots=True)
 class Outcome:
-    """Result of one run: failed checks, and the answers and injected faults counted by kind."""
+    """Result of one run: failed checks, and the answers and injected faults counted by kind.
+
+    ``disruptions`` also has ``peak_mb``, the highest memory of any process.
+    """
 
     faults: list[str] = field(default_factory=list)
     answers: Counter[str] = field(default_factory=Counter)
@@ -65,13 +68,12 @@
         return ['no first configuration was acknowledged, or not every gateway served a request']
     jobs = [deployment.callers.run(random.Random(f'{seed} caller {number}')) for number in range(CALLERS)]
     jobs.extend((operator.run_changes(), operator.run_reads(), operator.run_probes()))
-    end_at = time.monotonic() + WARM_UP_S + seconds
-    zones = ZoneOperator(deployment, random.Random(f'{seed} zones'))
-    jobs.extend((watch_processes(deployment), run_series(deployment, zones, seed, end_at)))
+    jobs.append(watch_processes(deployment))
     deployment.tasks.extend(asyncio.create_task(job) for job in jobs)
     await asyncio.sleep(WARM_UP_S)
-    # The last job is the series, which ends by itself.
-    await asyncio.gather(inject_faults(deployment, end_at), deployment.tasks[-1])
+    end_at = time.monotonic() + seconds
+    zones = ZoneOperator(deployment, random.Random(f'{seed} zones'))
+    await asyncio.gather(inject_faults(deployment, end_at), run_series(deployment, zones, seed, end_at))
     ended_at = time.monotonic()
     operator.is_stopped = True
     faults = (
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -153,18 +153,20 @@
 
 
 def _find_known(period: Period, wait_s: float, spans: Sequence[FaultSpan]) -> Iterator[tuple[str, float]]:
-    """Yield each gateway and when it must know of a period: ``wait_s`` later without an outage."""
+    """Yield each gateway and when it must know of a period: after ``wait_s`` and any outage meanwhile."""
     for gateway in GATEWAYS:
         known_at = period.acknowledged_at + wait_s
         for begun_at, ended_at in sorted(_find_outages(gateway, spans)):
             if begun_at < known_at:
-                known_at = max(known_at, ended_at + wait_s)
+                known_at = max(known_at, ended_at + SPREAD_S)
         yield gateway, known_at
 
 
 def _find_outages(gateway: str, spans: Sequence[FaultSpan]) -> Iterator[tuple[float, float]]:
     """Yield when a gateway may miss news: it is suspended, or faults affect several control hosts.
 
+    Includes the time in which it is linked again.
+
     A gateway that restarts isn't ready before it knows what is in force.
     """
     control: list[tuple[float, float, str]] = []
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -122,6 +122,7 @@
 async def lose_power(deployment: Deployment, target: str) -> None:
     """Kill all control hosts that no other fault affects, and restart them in random order."""
     hosts = [host for host in CONTROL if host not in deployment.busy]
+    # The span that has just been recorded for this fault.
     deployment.spans[-1].targets = tuple(hosts)
     deployment.busy.update(hosts)
     for host in hosts:
--- a/soak/series.py
+++ b/soak/series.py
@@ -14,8 +14,8 @@
 from tests.harness.crowd import Crowd, peak_bytes
 
 _PAUSES_S: Final = (0.0, 1.0, 3.0)
-# Around the time after which an evacuation is in force.
-_EVACUATIONS_S: Final = (1.0, 8.0)
+# Below the time after which an evacuation is in force, and long enough to outlast faults that may hide it.
+_EVACUATIONS_S: Final = (1.0, 10.0, 10.0)
 # From the start of the tool to the kill of the leader, around the time at which the tool gets its answer.
 _KILLS_AFTER_S: Final = (0.2, 0.5, 0.8)
 _WATCH_INTERVAL_S: Final = 0.5
@@ -53,7 +53,9 @@
         await _change(deployment, operator, operator.evacuate(zone))
         duration_s = rng.choice(_EVACUATIONS_S)
         if duration_s > EVACUATE_S:
-            await _kill(deployment, rng.choice(GATEWAYS))
+            await _kill(
+                deployment, rng.choice([name for name in GATEWAYS if name not in deployment.busy] or [''])
+            )
         await asyncio.sleep(duration_s)
         if time.monotonic() < end_at or rng.choice((True, False)):
             await _change(deployment, operator, operator.restore(zone))
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -96,7 +96,7 @@
         assert not check_cancellation(ledger, (span,))
 
 
-# Begins 1 s after the periods of these tests; the first gateway may miss news in each of them.
+# In each of these the first gateway may miss news of the periods below, which begin at 0.
 OUTAGES = (
     (FaultSpan('freeze', (GATEWAYS[0],), 1, 2),),
     (FaultSpan('kill', (CONTROL[0],), 0, 2), FaultSpan('silence', (CONTROL[1],), 1, 3)),
@@ -106,6 +106,8 @@
     FaultSpan('kill', (GATEWAYS[0],), 1, 2),
     FaultSpan('freeze', (GATEWAYS[1],), 1, 2),
     FaultSpan('kill', (CONTROL[0],), 1, 2),
+    # It knows of the periods by then.
+    FaultSpan('freeze', (GATEWAYS[0],), EVACUATE_S + 1, EVACUATE_S + 2),
 )
 INSTANCE = f'i-{ENGINES[0]}-1'
 
@@ -134,6 +136,13 @@
         arrive(ledger, EVACUATE_S + 0.1)
         assert not check_evacuations(ledger, spans)
 
+    @pytest.mark.parametrize('spans', OUTAGES[:2])
+    def test_gateway_that_is_linked_again(self, spans: tuple[FaultSpan, ...]) -> None:
+        """Guards against a soak that never checks a gateway again after it was suspended or cut off."""
+        ledger = Ledger(evacuations=[Period(ZONE_OF[ENGINES[0]], 0, 20)])
+        arrive(ledger, 3 + AFTERMATH_S + SPREAD_S + 0.1)
+        assert len(check_evacuations(ledger, spans)) == 1
+
 
 class TestCold:
     def test_requests_to_a_cold_engine(self) -> None:
