Don't shut down a new connection that got the descriptor of an evicted one

Cause: a thread that evicts a connection shuts its socket down while the poller may close it; the descriptor may then belong to a connection that was accepted meanwhile. Found by reading, after an ordinary request beside a crowd was disconnected without an answer in whole runs of tests/system/test_untrusted_clients.py at a load of 20 on 7 cores; that this was its cause is not shown. Change: shutting down and closing exclude each other.

--- a/basilcove/http/requests.py
+++ b/basilcove/http/requests.py
@@ -2,6 +2,7 @@
 
 import io
 import socket
+import threading
 import time
 from contextlib import suppress
 from typing import Any
@@ -113,6 +114,7 @@
         self.closes_when_sent = False
         self.read_bytes = SMALL_READ_BYTES
         self.is_closed = False
+        self._closing = threading.Lock()
         # Since when the client has been silent, and since when its present request arrives or answer waits.
         self.active_at = time.monotonic()
         self.begun_at = self.active_at
@@ -125,8 +127,7 @@
     def give_way(self) -> None:
         """Let the poller refuse the connection: it finds the socket readable."""
         self.is_evicted = True
-        with suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RD)
+        self._shut_down(socket.SHUT_RD)
 
     def count_refusal(self, kind: RefusalKind) -> None:
         """Count and log that a request or an answer of the connection was refused."""
@@ -135,8 +136,7 @@
     def abort(self) -> None:
         """Cut off an answer that isn't read, on any thread; the one that sends it finds the socket broken."""
         self.count_refusal(RefusalKind.UNREAD)
-        with suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
+        self._shut_down(socket.SHUT_RDWR)
 
     def communicate(self) -> bool:
         """Answer the complete request; True if the connection goes back to the poller."""
@@ -170,9 +170,10 @@
 
     def close(self) -> None:
         """Close the socket and give back what is charged; may be called again."""
-        if self.is_closed:
-            return
-        self.is_closed = True
+        with self._closing:
+            if self.is_closed:
+                return
+            self.is_closed = True
         self.share.close()
         self.receiver = RequestReceiver(self.server.limits)
         # Data that was not read would reset the connection before the client has read the answer.
@@ -183,6 +184,14 @@
         self.socket.close()
         self.server.forget(self)
 
+    def _shut_down(self, how: int) -> None:
+        # Without the lock, another thread could close the socket before the system call, which would then
+        # reach a new connection that got the same descriptor.
+        with self._closing:
+            if not self.is_closed:
+                with suppress(OSError):
+                    self.socket.shutdown(how)
+
 
 class _Head(io.BytesIO):
     """Cheroot's input file: the head of a complete request."""
