--- a/tests/system/test_control_failures.py
+++ b/tests/system/test_control_failures.py
@@ -131,7 +131,8 @@
             ]
             cluster.processes[leader].stop()
             answers = [job.result() for job in jobs]
-        assert not [answer.data for answer in answers if answer.status != 201]
+        refusals = [answer.data for answer in answers if answer.status != 201]
+        assert not refusals
         assert cluster.processes[leader].wait() == 0
         assert len(bookings(cluster)) == 40
         logs = ''.join(cluster.processes[name].log.read_text() for name in cluster.control)
