Arm the maps of large groups as far ahead as before

Ruled out: memory of upstreams and the account, as first pieces were as fast as before. Change: the time for orders grows with the number of ranks, so that large groups get all four spare steps.

--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -69,7 +69,8 @@
 ARM_AHEAD_S: Final = 0.25
 # The same while orders are lost: retries reach all ranks in this time even if a third of the orders is lost.
 LOSSY_ARM_AHEAD_S: Final = 0.7
-# Added to it: a few steps, or fewer where steps are long.
+# Added to it: a few steps, or fewer in small groups whose steps are long. While a group waits at the step, an
+# event of every stream is late.
 MAX_SPARE_STEPS: Final = 4
 SPARE_S: Final = 0.1
 # How long arming is retried at ranks that refuse it before all ranks are disarmed.
--- a/basilcove/experts/remote/phases.py
+++ b/basilcove/experts/remote/phases.py
@@ -34,6 +34,7 @@
     PREPARE_TIMEOUT_S,
     REPORT_INTERVAL_S,
     REPORT_LAG_S,
+    RESEND_PER_CALL_S,
     SPARE_S,
     UNUSED_VERSION,
     VERSIONS_PER_TOKEN,
@@ -305,7 +306,8 @@
 def _hold(change: GroupChange, now: float) -> Effects:
     newest_step = max(report.step for report in change.reports.values())
     ahead_s = LOSSY_ARM_AHEAD_S if change.has_lost_order else ARM_AHEAD_S
-    spare_steps = min(MAX_SPARE_STEPS, 1 + int(change.pace * SPARE_S))
+    spare_s = SPARE_S + RESEND_PER_CALL_S * len(change.ranks)
+    spare_steps = min(MAX_SPARE_STEPS, 1 + int(change.pace * spare_s))
     change.step = newest_step + spare_steps + int(change.pace * ahead_s)
     yield from enter_phase(change, Phase.HOLDING, now)
     yield from call_ranks(change, (change.holder,), HoldStep(change.step), now)
--- a/tests/experts/remote/test_phases.py
+++ b/tests/experts/remote/test_phases.py
@@ -72,6 +72,15 @@
         group.run(30)
         assert not group.is_split
 
+    @pytest.mark.parametrize('seed', SEEDS)
+    def test_large_group_does_not_wait_at_the_step(self, seed: int) -> None:
+        """Guards against events of all streams that are late since orders to many ranks take longer."""
+        group = FakeGroup(seed, size=72, work_s=0.002)
+        leader = group.lead(token=1)
+        group.run(30)
+        assert leader.changes >= 8
+        assert not group.stalled_s
+
     def test_few_ranks_of_a_large_group_are_read(self) -> None:
         """Guards against readings of counts, each of which pauses the group, that make all streams late."""
         group = FakeGroup(seed=1, size=129)
