--- a/basilcove/experts/remote/copies.py
+++ b/basilcove/experts/remote/copies.py
@@ -48,6 +48,14 @@
     return {rank: count for rank, count in enumerate(counts) if count}
 
 
+def count_most_copies(current: Sequence[Layer], target: Sequence[Layer]) -> int:
+    """Return the most experts that are new to any rank over all layers."""
+    copies: Counter[int] = Counter()
+    for layer, placement in zip(current, target, strict=True):
+        copies.update(count_copies(layer, placement))
+    return max(copies.values(), default=0)
+
+
 def choose_stages(stages: Sequence[Sequence[Stage]], max_copies: int) -> list[Stage]:
     """Return a stage of each layer, so that no rank copies more than ``max_copies`` experts.
 
--- a/basilcove/experts/remote/phases.py
+++ b/basilcove/experts/remote/phases.py
@@ -6,7 +6,6 @@
 the others disarmed, and the hold then stays until no earlier arming order can take effect any more.
 """
 
-from collections import Counter
 from collections.abc import Callable
 
 from basilcove.core.events import Count, Log
@@ -40,7 +39,7 @@
     VERSIONS_PER_TOKEN,
     WATCH_INTERVAL_S,
 )
-from basilcove.experts.remote.copies import count_copies
+from basilcove.experts.remote.copies import count_most_copies
 from basilcove.experts.remote.events import RankAnswered
 from basilcove.experts.remote.models import GroupChange, Phase
 from basilcove.experts.remote.orders import (
@@ -49,17 +48,14 @@
     HoldStep,
     OrderResult,
     PrepareMap,
-    RankCounts,
-    RankLists,
-    RankReport,
     ReadCounts,
     ReadLists,
     ReadReport,
     ReleaseStep,
-    Reply,
 )
 from basilcove.experts.remote.planning import first_layers
-from basilcove.experts.remote.popularity import add_counts, sampled_ranks
+from basilcove.experts.remote.popularity import sampled_ranks
+from basilcove.experts.remote.replies import is_of_another_epoch, record_reply
 
 PhaseHandler = Callable[[GroupChange, float], Effects]
 
@@ -91,7 +87,7 @@
     change.target = layers
     change.has_lost_order = False
     change.late_holds = 0
-    change.copied_at = now + change.layout.copy_s * _most_copies(change)
+    change.copied_at = now + change.layout.copy_s * count_most_copies(change.current, change.target)
     # Two leaders must not give one version to two maps, even if neither knows of the other.
     lowest_version = change.token * VERSIONS_PER_TOKEN
     change.target_version = max(change.version, change.target_version, lowest_version) + 1
@@ -99,14 +95,6 @@
     yield from call_all_ranks(change, PrepareMap(change.target_version, layers), now)
 
 
-def _most_copies(change: GroupChange) -> int:
-    """Return the most experts that any rank copies for the target."""
-    copies: Counter[int] = Counter()
-    for layer, target in zip(change.current, change.target, strict=True):
-        copies.update(count_copies(layer, target))
-    return max(copies.values(), default=0)
-
-
 def read_counts(change: GroupChange, now: float) -> Effects:
     """Read the counts of a sample of the ranks."""
     yield from call_ranks(change, sampled_ranks(change), ReadCounts(), now)
@@ -124,7 +112,7 @@
     if pending is None or not pending.first_number <= event.number <= pending.number:
         return
     reply = event.reply
-    if reply is OrderResult.UNKNOWN or _is_of_another_epoch(change, reply):
+    if reply is OrderResult.UNKNOWN or is_of_another_epoch(change, reply):
         # The call is retried when it is due; until then it is unknown whether the rank carried it out.
         return
     if reply is OrderResult.FENCED:
@@ -137,7 +125,7 @@
         return
     change.pending_calls.pop(event.rank)
     change.refused_at.pop(event.rank, None)
-    _record_reply(change, event.rank, reply, now)
+    record_reply(change, event.rank, reply, now)
     change.completed.add(event.rank)
     yield from advance(change, now)
 
@@ -148,27 +136,6 @@
         change.pending_calls.pop(rank)
 
 
-def _record_reply(change: GroupChange, rank: Rank, reply: Reply, now: float) -> None:
-    if isinstance(reply, RankReport):
-        _record_report(change, rank, reply, now)
-    elif isinstance(reply, RankLists):
-        change.lists[rank] = reply
-    elif isinstance(reply, RankCounts):
-        add_counts(change, rank, reply)
-
-
-def _is_of_another_epoch(change: GroupChange, reply: Reply) -> bool:
-    return not isinstance(reply, OrderResult) and reply.epoch != change.identity.epoch
-
-
-def _record_report(change: GroupChange, rank: Rank, report: RankReport, now: float) -> None:
-    former, at = change.reports.get(rank), change.reported_at.get(rank, now)
-    if former is not None and now - at > REPORT_INTERVAL_S / 2 and report.step >= former.step:
-        change.pace = (report.step - former.step) / (now - at)
-    change.reports[rank] = report
-    change.reported_at[rank] = now
-
-
 # Phases.
 
 
