--- a/tests/system/test_shared_account.py
+++ b/tests/system/test_shared_account.py
@@ -72,7 +72,8 @@
         assert large.recv(4096).startswith(b'HTTP/1.1 503 ')
         # An evicted request is charged until the poller of its listener has refused it.
         wait_for(
-            lambda: 0 < gateway.read_metric('receive_bytes') < MAX_RECEIVE_BYTES, 'an account within its limit'
+            lambda: 0 < gateway.read_metric('receive_bytes') < MAX_RECEIVE_BYTES,
+            'an account within its limit',
         )
         assert gateway.read_metric('refused_requests_total{kind="memory",listener="gateway"}') == 1
     wait_for(
