Tell other gateways of a long request at once

Cause: gateways learned of each other's long requests with the totals only, 0.1 to 0.3 s later. Where many requests are long, some met at one upstream in that time and exceeded its memory. Change: a gateway announces a long request with its attempt; control hosts add it to that gateway's report and pass it on to the other gateways, 2,000 messages a second at most. Beyond the rate the totals tell it as before. Without a stated memory nothing is sent.

--- a/basilcove/gateway/attempts.py
+++ b/basilcove/gateway/attempts.py
@@ -30,6 +30,7 @@
     progress_fields,
 )
 from basilcove.gateway.pools import Choice, PooledUpstream
+from basilcove.gateway.sharing import announce_long
 
 
 def start_attempt(state: GatewayState, req: OpenRequest, ctx: Context) -> list[Effect]:
@@ -109,10 +110,12 @@
         last_event=req.last_event,
         measures_pauses=bool(registration.group) and req.named_route.route.target_pause_s is not None,
     )
-    log = Log('info', 'request sent', fields)
+    effects: list[Effect] = [start, Log('info', 'request sent', fields)]
+    if state.pools.is_long(req.service, req.tokens):
+        effects.extend(announce_long(state, registration.instance, req.tokens))
     if chosen.throttle.cold.is_cold(ctx.now):
-        return [start, log, Count('gateway_cold_requests')]
-    return [start, log]
+        effects.append(Count('gateway_cold_requests'))
+    return effects
 
 
 def release_upstream(state: GatewayState, req: OpenRequest) -> PooledUpstream | None:
--- a/basilcove/gateway/messages.py
+++ b/basilcove/gateway/messages.py
@@ -31,6 +31,18 @@
     tokens: dict[str, int] = field(default_factory=dict)
 
 
+@message('gateway.long_request', pb.LongRequest)
+@dataclass(frozen=True, slots=True)
+class LongRequest(Message):
+    """A long request was sent to an upstream; the next counts of its sender contain it.
+
+    Control hosts pass it on, so that other gateways learn of it before the next totals.
+    """
+
+    instance: InstanceId
+    tokens: int
+
+
 @message('gateway.slow_instances', pb.SlowInstances)
 @dataclass(frozen=True, slots=True)
 class SlowInstances(Message):
--- a/basilcove/gateway/pools.py
+++ b/basilcove/gateway/pools.py
@@ -224,6 +224,10 @@
         """Count an attempt at an upstream and the tokens that it holds there."""
         self._count_attempts(upstream, 1, tokens)
 
+    def is_long(self, service: ServiceName, tokens: int) -> bool:
+        """Return whether few requests with so many tokens fill the memory of an upstream of a service."""
+        return service in self.memory.sizes and self.memory.is_long(service, tokens)
+
     def end_attempt(self, upstream: PooledUpstream, tokens: int) -> None:
         """Subtract an attempt at an upstream and its tokens."""
         self._count_attempts(upstream, -1, -tokens)
--- a/basilcove/gateway/sharing.py
+++ b/basilcove/gateway/sharing.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator
 
 from basilcove.core.events import Effect, PeerFound, PeerLost, Received, Send, Tick
-from basilcove.core.ids import NodeId, Role, Zone
+from basilcove.core.ids import InstanceId, NodeId, Role, Zone
 from basilcove.core.reducer import Context, handles, handles_message
-from basilcove.gateway.messages import OpenAttempts, OtherAttempts
+from basilcove.gateway.messages import LongRequest, OpenAttempts, OtherAttempts
 from basilcove.gateway.models import GatewayState
 
 
@@ -33,6 +33,14 @@
     return []
 
 
+@handles_message(LongRequest, GatewayState)
+def _on_long_request(state: GatewayState, event: Received, ctx: Context) -> list[Effect]:
+    msg = event.message
+    if isinstance(msg, LongRequest) and event.peer.node == state.sharing.host:
+        state.pools.memory.add_long(msg.instance, msg.tokens)
+    return []
+
+
 @handles(Tick, GatewayState)
 def _on_tick(state: GatewayState, event: Tick, ctx: Context) -> Iterator[Effect]:
     counts, tokens = _own_counts(state), _own_tokens(state)
@@ -40,6 +48,12 @@
         yield from _send_to_all(state, counts, tokens)
 
 
+def announce_long(state: GatewayState, instance: InstanceId, tokens: int) -> Iterator[Effect]:
+    """Tell all linked control hosts of a long request at once; the next counts contain it."""
+    for node in state.sharing.hosts:
+        yield Send(node, LongRequest(instance, tokens))
+
+
 def choose_totals_host(hosts: dict[NodeId, Zone], zone: Zone) -> NodeId | None:
     """Return the linked control host to ask for totals: one in its own availability zone if possible."""
     ranked = sorted(hosts, key=lambda node: (hosts[node] != zone, node))
--- a/basilcove/gateway/totals.py
+++ b/basilcove/gateway/totals.py
@@ -1,21 +1,26 @@
 """Sums the open attempts of all gateways on a control host, and sends each gateway the sum of the others."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from basilcove.core.events import Effect, PeerLost, Received, Send, Tick
 from basilcove.core.ids import NodeId
 from basilcove.core.reducer import Context, handles, handles_message
-from basilcove.gateway.messages import OpenAttempts, OtherAttempts
+from basilcove.gateway.messages import LongRequest, OpenAttempts, OtherAttempts
+from basilcove.memory.notices import NoticeRate
 
 
 @dataclass(slots=True)
 class AttemptTotals:
-    """The last report of each linked gateway, and the totals last sent to those that want them."""
+    """The last report of each linked gateway, and the totals last sent to those that want them.
+
+    ``notices`` bounds the rate at which long requests are passed on.
+    """
 
     reported: dict[NodeId, OpenAttempts] = field(default_factory=dict)
     last_sent: dict[NodeId, OtherAttempts] = field(default_factory=dict)
     has_changed: bool = False
+    notices: NoticeRate = field(default_factory=NoticeRate)
 
     def totals(self) -> Counter[str]:
         """Return the sum of the open attempts of all linked gateways by instance."""
@@ -43,6 +48,26 @@
     return []
 
 
+@handles_message(LongRequest, AttemptTotals)
+def _on_long_request(state: AttemptTotals, event: Received, ctx: Context) -> list[Effect]:
+    """Count a long request, and pass it on to the other gateways if the rate allows it."""
+    msg = event.message
+    report = state.reported.get(event.peer.node)
+    if report is None or not isinstance(msg, LongRequest):
+        return []
+    tokens = {**report.tokens, msg.instance: report.tokens.get(msg.instance, 0) + msg.tokens}
+    state.reported[event.peer.node] = replace(report, tokens=tokens)
+    state.has_changed = True
+    wanting = {node for node, other in state.reported.items() if other.wants_totals}
+    receivers = sorted(wanting - {event.peer.node})
+    if not state.notices.spend(len(receivers), ctx.now):
+        return []
+    # The receivers add the request to the totals they have, so these are no longer the last ones sent.
+    for node in receivers:
+        state.last_sent.pop(node, None)
+    return [Send(receiver, msg) for receiver in receivers]
+
+
 @handles(PeerLost, AttemptTotals)
 def _on_peer_lost(state: AttemptTotals, event: PeerLost, ctx: Context) -> list[Effect]:
     state.last_sent.pop(event.peer.node, None)
--- a/basilcove/memory/const.py
+++ b/basilcove/memory/const.py
@@ -15,6 +15,10 @@
 # A request with more tokens than this fraction of the memory is long. Its upstream is drawn at random from
 # those with room: the one with the least load would attract the long requests of all gateways.
 LONG_SHARE: Final = 0.1
+# Messages a second in which a control host passes on long requests, and how many it may send at once.
+# A message has some 60 bytes; beyond the rate, requests are told with the totals only.
+MAX_NOTICES_PER_S: Final = 2_000
+MAX_NOTICE_BURST: Final = 1_000
 # Cost, as a fraction of slots, up to which an upstream is drawn: with a free slot, also in another zone, and
 # with few failures.
 MAX_DRAWN_COST: Final = 1.25
--- a/basilcove/memory/models.py
+++ b/basilcove/memory/models.py
@@ -36,6 +36,14 @@
             return own_bound(tokens, size, gateways)
         return total_bound(tokens, size)
 
+    def add_long(self, instance: str, tokens: int) -> None:
+        """Add a request of another gateway that the totals don't contain yet; the next totals replace them.
+
+        The cost grows with the number of upstreams.
+        """
+        if self.others is not None:
+            self.others = {**self.others, instance: self.others.get(instance, 0) + tokens}
+
     def is_long(self, service: ServiceName, tokens: int) -> bool:
         """Return whether few requests with so many tokens fill an upstream."""
         return tokens > LONG_SHARE * self.sizes[service]
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -7,7 +7,7 @@
 from basilcove.gateway.config import GatewayConfig
 from basilcove.gateway.events import AttemptResult, CallerLeft, MoveAttempt, Refuse
 from basilcove.gateway.headers import GatewayHeaders
-from basilcove.gateway.messages import OpenAttempts, SlowInstances
+from basilcove.gateway.messages import LongRequest, OpenAttempts, SlowInstances
 from basilcove.gateway.outcomes import NO_ROOM
 from basilcove.helpers.codec import encode
 from basilcove.http1.headers import HttpRequest
@@ -59,6 +59,20 @@
         assert first != second
         check_refusal(world.ask(tokens=60_000))
 
+    def test_long_requests_of_others_count_before_the_totals(self) -> None:
+        """Guards against a long prompt at an upstream that got one after the last totals."""
+        world = Sized('up-1')
+        long = LongRequest(InstanceId('up-1'), LONG)
+        world.apply(Received(CONTROL, long))
+        check_refusal(world.ask(tokens=LONG))
+        world.report_others({})
+        assert Send(CONTROL.node, long) in world.ask(tokens=LONG)
+
+    def test_short_requests_are_not_announced(self) -> None:
+        """Guards against a message to each gateway for each request."""
+        world = Sized('up-1')
+        assert not any(isinstance(effect, Send) for effect in world.ask(tokens=900))
+
     def test_request_beyond_every_memory_is_refused(self) -> None:
         """Guards against a request that crashes even an idle upstream, and a refusal of all that fit one."""
         world = Sized('up-1')
--- a/tests/gateway/test_totals.py
+++ b/tests/gateway/test_totals.py
@@ -1,9 +1,10 @@
 from basilcove.core.events import Effect, Peer, PeerFound, PeerLost, Received, Send, Tick
-from basilcove.core.ids import Incarnation, NodeId, Role, Zone
+from basilcove.core.ids import Incarnation, InstanceId, NodeId, Role, Zone
 from basilcove.core.reducer import Node, reduce
-from basilcove.gateway.messages import OpenAttempts, OtherAttempts
+from basilcove.gateway.messages import LongRequest, OpenAttempts, OtherAttempts
 from basilcove.gateway.sharing import choose_totals_host
 from basilcove.gateway.totals import AttemptTotals
+from basilcove.memory.const import MAX_NOTICE_BURST
 from tests.gateway.world import CONTROL, OTHER_CONTROL, World
 
 
@@ -46,6 +47,27 @@
         effects = [effect for event in (lost, Tick()) for effect in reduce(self.node, event, 0, 0)]
         assert effects == [Send(NodeId('g1'), OtherAttempts({}, {}))]
 
+    def test_long_request_is_passed_on_before_the_totals(self) -> None:
+        """Guards against long requests of two gateways that meet between two totals, and counts that stay."""
+        for name in ('g1', 'g2'):
+            self.run_tick(Received(gateway(name), OpenAttempts({}, True)))
+        long = LongRequest(InstanceId('up'), 40_000)
+        assert reduce(self.node, Received(gateway('g1'), long), 0, 0) == [Send(NodeId('g2'), long)]
+        # It has ended before the next totals, which g2 needs although they are those it was sent before.
+        assert self.run_tick(Received(gateway('g1'), OpenAttempts({}, True))) == {'g2': {}}
+        assert not self.run_tick()
+
+    def test_long_request_is_in_totals_beyond_the_rate(self) -> None:
+        """Guards against a flood of long requests that takes all messages, and ones that aren't counted."""
+        for name in ('g1', 'g2'):
+            self.run_tick(Received(gateway(name), OpenAttempts({}, True)))
+        long = Received(gateway('g1'), LongRequest(InstanceId('up'), 1))
+        sent = [reduce(self.node, long, 0, 0) for _ in range(MAX_NOTICE_BURST + 7)]
+        assert sum(map(len, sent)) == MAX_NOTICE_BURST
+        total = OtherAttempts({}, {'up': MAX_NOTICE_BURST + 7})
+        assert Send(NodeId('g2'), total) in reduce(self.node, Tick(), 0, 0)
+        assert reduce(self.node, long, 1, 1)
+
     def test_lost_gateway_no_longer_counts(self) -> None:
         """Guards against slots that a dead gateway occupies forever."""
         self.run_tick(
--- a/tests/memory/replay.py
+++ b/tests/memory/replay.py
@@ -36,7 +36,14 @@
     """
 
     def __init__(
-        self, ranks: int, rate: Callable[[float], float], draw: Draw, *, states_memory: bool, seed: int
+        self,
+        ranks: int,
+        rate: Callable[[float], float],
+        draw: Draw,
+        *,
+        states_memory: bool,
+        seed: int,
+        link_s: float = LINK_S,
     ) -> None:
         self.draw = draw
         self.service = {'memory_tokens': SIZE} if states_memory else {}
@@ -48,7 +55,7 @@
         self.sent: list[int] = []
         self.refused: list[int] = []
         group = Group('g', ranks, SLOTS, lambda load, now: PASS_S)
-        super().__init__([group], GATEWAYS, rate, link_s=LINK_S, seed=seed)
+        super().__init__([group], GATEWAYS, rate, link_s=link_s, seed=seed)
         for world in self.worlds:
             self._state_memory(world)
 
