Read only content of a known size in large pieces

Cause: after a cheap read, as that of a head, the next one of a connection could take 64 KiB. In tiny chunks that is 10 ms of work, and 349 connections kept an ordinary request waiting for a whole round of 3.6 s. Change: a read takes 64 KiB only of the rest of a sized body or chunk, else 4 KiB; no count of steps is needed.

--- a/basilcove/http/const.py
+++ b/basilcove/http/const.py
@@ -37,10 +37,9 @@
 RESERVED_DESCRIPTORS: Final = 256
 # Upper bound of one read from a connection, after which other connections are served.
 RECEIVE_BYTES: Final = 64 * KIBIBYTE
-# The bound for a connection before its first read, and if the last one took more than MAX_STEPS: a read in
-# chunks of one byte takes tens of ms per 64 KiB, in which no other connection is served.
+# The bound outside of content of a known size: 64 KiB of tiny chunks take 10 ms, in which no other connection
+# is served, and 349 such connections delayed an ordinary request by 3.6 s.
 SMALL_READ_BYTES: Final = 4 * KIBIBYTE
-MAX_STEPS: Final = 64
 # Interval at which deadlines of connections are checked.
 SWEEP_INTERVAL_S: Final = 0.25
 # Connections that are accepted between two rounds over all others.
--- a/basilcove/http/polling.py
+++ b/basilcove/http/polling.py
@@ -11,11 +11,8 @@
 from basilcove.http.const import (
     ACCEPTS,
     MAX_PIPELINED,
-    MAX_STEPS,
     MIN_WAIT_S,
-    RECEIVE_BYTES,
     RESUME_INTERVAL_S,
-    SMALL_READ_BYTES,
     SWEEP_INTERVAL_S,
 )
 from basilcove.http.pipelining import PipelinedRequests
@@ -151,7 +148,7 @@
         self._proceed(conn)
 
     def _receive(self, conn: Connection) -> None:
-        data = conn.socket.recv(conn.read_bytes)
+        data = conn.socket.recv(conn.receiver.read_bytes)
         receiver = conn.receiver
         if not data and not conn.is_evicted and not receiver.has_begun:
             conn.close()
@@ -161,7 +158,6 @@
             conn.begun_at = conn.active_at
         if data:
             receiver.feed(data)
-            conn.read_bytes = SMALL_READ_BYTES if receiver.steps > MAX_STEPS else RECEIVE_BYTES
         elif not conn.is_evicted:
             receiver.feed_end()
         if receiver.expects_continue and not receiver.is_ended:
--- a/basilcove/http/receiving.py
+++ b/basilcove/http/receiving.py
@@ -11,6 +11,8 @@
     HEADER_LINE_BYTES,
     MAX_CHUNK_LINE_BYTES,
     MAX_HEADER_BYTES,
+    RECEIVE_BYTES,
+    SMALL_READ_BYTES,
 )
 from basilcove.http.limits import ListenerLimits
 from basilcove.http1.refusals import RefusalKind
@@ -76,8 +78,6 @@
         self.body = ReceivedBody(bytearray())
         self.refusal: RefusalKind | None = None
         self.expects_continue = False
-        # Steps that the last bytes took: the number of their lines and chunks, roughly.
-        self.steps = 0
 
     @property
     def has_begun(self) -> bool:
@@ -89,6 +89,12 @@
         """Return whether the request is complete or refused."""
         return self.stage in (Stage.COMPLETE, Stage.REFUSED)
 
+    @property
+    def read_bytes(self) -> int:
+        """Return how many bytes to read at once: more than a few only if most of them are content."""
+        left = self._left_bytes if self.stage in (Stage.SIZED, Stage.CHUNK) else 0
+        return min(RECEIVE_BYTES, max(SMALL_READ_BYTES, left))
+
     @property
     def cost_bytes(self) -> int:
         """Return the memory that the request takes, with its parsed header lines."""
@@ -99,10 +105,8 @@
         """Add received bytes; those after the end of a complete request are kept for the next one."""
         self._pending += data
         self._parsed = 0
-        self.steps = 0
         is_advancing = True
         while is_advancing:
-            self.steps += 1
             is_advancing = not self.is_ended and self._advance()
         del self._pending[: self._parsed]
 
@@ -190,7 +194,6 @@
                 break
             content += pending[start:end]
             at = end + 2
-            self.steps += 1
             line = _PLAIN_CHUNK_LINE.match(pending, at)
         self._parsed = at
 
--- a/basilcove/http/requests.py
+++ b/basilcove/http/requests.py
@@ -11,7 +11,7 @@
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 
 from basilcove.http.bodies import ABORT_KEY
-from basilcove.http.const import RECEIVE_BYTES, SMALL_READ_BYTES
+from basilcove.http.const import RECEIVE_BYTES
 from basilcove.http.receiving import RequestReceiver
 from basilcove.http.refusals import REASONS, find_kind
 from basilcove.http.sending import AnswerWriter
@@ -112,7 +112,6 @@
         # Whether the present request had arrived completely before the previous one was answered.
         self.is_pipelined = False
         self.closes_when_sent = False
-        self.read_bytes = SMALL_READ_BYTES
         self.is_closed = False
         self._closing = threading.Lock()
         # Since when the client has been silent, and since when its present request arrives or answer waits.
--- a/tests/http/test_receiving.py
+++ b/tests/http/test_receiving.py
@@ -11,7 +11,7 @@
 
 from basilcove.http.config import AnnounceConfig, HttpConfig, StatusConfig
 from basilcove.http.connections import bound_connections
-from basilcove.http.const import MAX_HEADER_BYTES, MAX_LEADING_BYTES
+from basilcove.http.const import MAX_HEADER_BYTES, MAX_LEADING_BYTES, RECEIVE_BYTES, SMALL_READ_BYTES
 from basilcove.http.limits import ListenerLimits
 from basilcove.http.receiving import RequestReceiver, Stage
 from basilcove.http1.refusals import RefusalKind
@@ -67,6 +67,25 @@
         assert receiver.cost_bytes > 100 * 4 * 1000
 
 
+class TestReads:
+    def test_framing_is_read_in_small_pieces(self) -> None:
+        """Guards against reads full of tiny chunks or lines, which keep all other connections waiting."""
+        receiver = RequestReceiver(ListenerLimits())
+        for part in (b'', CHUNKED, b'1\r\na\r\n' * 5000, b'1'):
+            receiver.feed(part)
+            assert receiver.read_bytes == SMALL_READ_BYTES
+
+    @pytest.mark.parametrize(
+        'head', [b'POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n', CHUNKED + b'186a0\r\n']
+    )
+    def test_content_is_read_in_large_pieces(self, head: bytes) -> None:
+        """Guards against many reads for a large body or chunk, and reads beyond its end."""
+        receiver = feed(head + b'a' * 10_000, [], ListenerLimits())
+        assert receiver.read_bytes == RECEIVE_BYTES
+        receiver.feed(b'a' * 80_000)
+        assert receiver.read_bytes == 10_000
+
+
 class TestLimits:
     def test_head_without_end(self) -> None:
         """Guards against a head over the limit that is kept."""
