--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""The loss of two disks, while two other machines of the core are frozen, makes a configuration unreadable."""
+"""Two lost disks, while two other machines of the core are frozen, make a configuration unreadable."""
 
 import json
 import signal
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -84,9 +84,7 @@
         net = random.randrange(80, 250)
         self.control = [f'127.{net}.1.{number + 1}' for number in range(len(control_zones))]
         self.gateways = [f'127.{net}.2.{number + 1}' for number in range(len(gateway_zones))]
-        self.zones = dict(
-            zip([*self.control, *self.gateways], [*control_zones, *gateway_zones], strict=True)
-        )
+        self.zones = dict(zip([*self.control, *self.gateways], [*control_zones, *gateway_zones], strict=True))
         self.ports = free_ports([*self.control, *self.gateways])
         self.folder = Path(tempfile.mkdtemp(prefix='basilcove-case-'))
         self.bounds = bounds
