--- a/review/fleet.py
+++ b/review/fleet.py
@@ -350,6 +350,8 @@
 
 def run_case(main: Callable[[Record], int]) -> None:
     """Run a case and exit with its status: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    # The processes that were started are ended when the case is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(Path(sys.argv[0]).resolve().parent / 'record.txt')
     record.add(f'TROUBLE={int(HAS_TROUBLE)}')
     try:
--- a/review/7/group.py
+++ b/review/group.py
@@ -1,6 +1,8 @@
 """A stand-in group of model engines that advances in lock-step, with its orders, reports and heartbeats."""
 
 import asyncio
+import contextlib
+import itertools
 import json
 import time
 from collections import deque
@@ -18,11 +20,58 @@
 COPY_S = EXPERT_MB * 8 / BANDWIDTH_MBPS
 PASS_S = 0.08
 EVENTS = 12
-REPORT_LAG_S = 0.2
 # How long an engine keeps a connection whose order it leaves unanswered.
 SILENCE_S = 1.0
 HOT_SHARE, SELECTIONS = 0.6, 240
 
+# Clients abandon a stream after such a gap.
+GAP_S = 2.0
+KEY = 'k-1'
+NUMBERS = itertools.count(1)
+
+CONFIGURATION = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'safety-brief',
+            'hostname': 'hire.example',
+            'path_prefix': '/brief/',
+            'type': 'streaming',
+            'timeout_ms': 8000,
+            'target_latency_ms': 403,
+            'priority': 0,
+            'service': SERVICE,
+            'max_attempts': 2,
+            'resumable': True,
+            'sticky': True,
+        }
+    ],
+    'services': [
+        {
+            'name': SERVICE,
+            'health_path': '/healthz',
+            'max_connections': 408,
+            'engine': {
+                'slots': SLOTS,
+                'bandwidth_mbps': BANDWIDTH_MBPS,
+                'sets': SETS,
+                'experts': EXPERTS,
+                'placements': PLACES,
+                'spare': SPARE,
+                'expert_size_mb': EXPERT_MB,
+                'form_ms': 600.0,
+            },
+        }
+    ],
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 4194304,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15000,
+    },
+    'tenants': [{'name': 't-1', 'api_keys': [KEY]}],
+}
+
 Answer = tuple[int, Any]
 
 
@@ -49,6 +98,8 @@
 
 # Decides on an order: None to answer it, or the seconds after which it is carried out without an answer.
 Trouble = Callable[[Rank, dict[str, Any]], float | None]
+# The order is carried out without an answer when ``carry_out_waiting`` is called.
+WHEN_TOLD = -1.0
 
 
 class Group:
@@ -65,11 +116,14 @@
         self.split = ''
         self.orders = 0
         self.unanswered = 0
-        self.is_late: Callable[[Rank], bool] = lambda _: False
+        # The report of a rank lags by some hundred ms.
+        self.report_lag_s = 0.2
+        self.is_due: Callable[[Rank], bool] = is_heartbeat_due
         self._trouble = trouble
         self._born_ms = time.time_ns() // 1_000_000
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
+        self._waiting: list[tuple[Rank, dict[str, Any], str]] = []
         first = [[[expert for expert in range(EXPERTS) if expert % RANKS == rank] for rank in range(RANKS)]]
         for rank in self.ranks:
             rank.mapping = first * SETS
@@ -159,7 +213,7 @@
     def report(self, rank: Rank) -> Answer:
         """Return the state of some hundred ms ago."""
         self.note(rank)
-        until = time.monotonic() - REPORT_LAG_S
+        until = time.monotonic() - self.report_lag_s
         states = [state for at, state in rank.history if at <= until] or [rank.history[0][1]]
         return 200, {
             'phase': 'both',
@@ -195,13 +249,22 @@
             self.record.add(f'rank {rank.number}: {text}: {status}')
             return status, {}
         self.unanswered += 1
-        self.record.add(f'rank {rank.number}: {text}: no answer; is carried out after {late_s:g} s')
-        if late_s:
+        when = 'later' if late_s == WHEN_TOLD else f'after {late_s:g} s'
+        self.record.add(f'rank {rank.number}: {text}: no answer; is carried out {when}')
+        if late_s == WHEN_TOLD:
+            self._waiting.append((rank, content, text))
+        elif late_s:
             asyncio.get_running_loop().call_later(late_s, self._carry_out_late, rank, content, text)
         else:
             self.carry_out(rank, content)
         return None
 
+    def carry_out_waiting(self) -> None:
+        """Carry out the orders that wait for it."""
+        waiting, self._waiting = self._waiting, []
+        for rank, content, text in waiting:
+            self._carry_out_late(rank, content, text)
+
     def _carry_out_late(self, rank: Rank, content: dict[str, Any], text: str) -> None:
         status = self.carry_out(rank, content)
         self.record.add(f'rank {rank.number}: {text}: carried out late: {status}')
@@ -273,7 +336,7 @@
                 head = await reader.readuntil(b'\r\n\r\n')
                 method, path, headers = read_head(head)
                 body = await reader.readexactly(int(headers.get('content-length', 0)))
-                if not await self._respond(rank, method, path, headers, body, writer):
+                if not await self._respond(rank, method, path, headers, body, reader, writer):
                     return
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
@@ -288,6 +351,7 @@
         path: str,
         headers: dict[str, str],
         body: bytes,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
         if headers.get('x-basilcove-expect-instance', instance_of(rank)) != instance_of(rank):
@@ -306,16 +370,28 @@
         elif path == '/healthz':
             write_answer(writer, 200, {})
         else:
-            await self._stream(rank, headers, writer)
+            return await self._stream(rank, headers, reader, writer)
         return True
 
-    async def _stream(self, rank: Rank, headers: dict[str, str], writer: asyncio.StreamWriter) -> None:
+    async def _stream(
+        self,
+        rank: Rank,
+        headers: dict[str, str],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Run a request until its last event, or until its caller closes the connection."""
         request_id = headers.get('x-basilcove-attempt-id', '')
         events: asyncio.Queue[int] = asyncio.Queue()
         rank.requests.append(events)
+        closed = asyncio.ensure_future(reader.read(1))
         try:
             for number in range(EVENTS):
-                step = await events.get()
+                event = asyncio.ensure_future(events.get())
+                await asyncio.wait((event, closed), return_when=asyncio.FIRST_COMPLETED)
+                if not event.done():
+                    event.cancel()
+                    return False
                 if not number:
                     writer.write(
                         b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
@@ -323,20 +399,24 @@
                         + f'X-Basilcove-Attempt-Id: {request_id}\r\n'.encode()
                         + f'X-Basilcove-Server-Signature: {instance_of(rank)}.{request_id}\r\n\r\n'.encode()
                     )
-                event = f'id: {number + 1}\ndata: {request_id} step {step}\n\n'.encode()
-                writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+                text = f'id: {number + 1}\ndata: {request_id} step {event.result()}\n\n'.encode()
+                writer.write(b'%x\r\n%s\r\n' % (len(text), text))
                 await writer.drain()
             writer.write(b'0\r\n\r\n')
+            return True
         finally:
             rank.requests.remove(events)
+            closed.cancel()
+            with contextlib.suppress(asyncio.CancelledError, OSError):
+                await closed
 
     # Heartbeats.
 
     async def _announce(self, rank: Rank) -> None:
         while True:
-            if not self.is_late(rank):
+            if self.is_due(rank):
                 await self.announce(rank)
-            await asyncio.sleep(0.02 if self.is_late(rank) else HEARTBEAT_S)
+            await asyncio.sleep(POLL_S)
 
     async def announce(self, rank: Rank) -> None:
         """Send a heartbeat to one control host after another until one acknowledges it."""
@@ -363,6 +443,11 @@
                 return
 
 
+def is_heartbeat_due(rank: Rank) -> bool:
+    """Return whether the next heartbeat of a rank is due."""
+    return time.monotonic() - rank.announced_at >= HEARTBEAT_S
+
+
 def instance_of(rank: Rank) -> str:
     """Return the id of a rank's engine."""
     return f'i-rank-{rank.number}'
@@ -398,3 +483,42 @@
     finally:
         if writer is not None:
             writer.close()
+
+
+async def send_requests(fleet: Fleet, record: Record, is_open: asyncio.Event) -> None:
+    """Send one streaming request after another, as one client, while the event is set."""
+    while True:
+        await is_open.wait()
+        request_id = f'q{next(NUMBERS)}'
+        outcome = await send_request(fleet, request_id)
+        record.add(f'client {request_id}: {outcome}')
+        await asyncio.sleep(0.05 if outcome == 'complete' else 0.5)
+
+
+async def send_request(fleet: Fleet, request_id: str) -> str:
+    """Return how a request ended."""
+    (gateway,) = fleet.gateways
+    reader, writer = await asyncio.open_connection(gateway, fleet.ports['http'])
+    try:
+        writer.write(
+            b'POST /brief/x HTTP/1.1\r\nHost: hire.example\r\nContent-Length: 1\r\n'
+            + f'Authorization: Token {KEY}\r\nX-Basilcove-Attempt-Id: {request_id}\r\n'.encode()
+            + b'X-Basilcove-Deadline-Ms: 8000\r\n\r\nx'
+        )
+        received = b''
+        while not received.endswith(b'0\r\n\r\n'):
+            async with asyncio.timeout(GAP_S):
+                part = await reader.read(65536)
+            if not part:
+                return 'broken off'
+            received += part
+            status = received.split(b' ', 2)[1].decode() if b'\r\n' in received else ''
+            if status and status != '200':
+                return f'status {status}'
+        return 'complete'
+    except TimeoutError:
+        return 'abandoned after a gap'
+    except OSError as exc:
+        return str(exc)
+    finally:
+        writer.close()
