--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,12 +2,8 @@
 
 import json
 import signal
-import sys
 import threading
 import time
-from pathlib import Path
-
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from fleet import BROKEN, HAS_TROUBLE, HELD, Fleet, Record, call, run_case
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,11 +2,7 @@
 
 import itertools
 import signal
-import sys
 import time
-from pathlib import Path
-
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from fleet import (
     BROKEN,
