Keep as many voters as the promised losses need

Two of five control hosts stood still for 5 s; two others lost their disks right after a configuration was acknowledged. All five ran again, but no read or change was answered any more.

Cause: a leader removed each voter after 1 s of silence while a majority of the others was smaller, so five voters became three, of which two were lost. A silent host keeps its disk. After 8 s of silence voters were removed down to three in a group of any size.

The log now names the silence and the number of voters.

Change: consensus/removal.py. A voter is removed only from a group with more than 2 x fault_tolerance + 1 voters; members that have yet to catch up count for the tolerance. A group exceeds that number when a successor became a voter; the voter that was silent for longest goes then. The setting control.fault_tolerance is 2 where nothing is stated; the template passes on what the platform promises. With a tolerance of 3 a full group of seven takes a successor as the eighth voter.

Why it works: of the voters and those that are to vote again, at most fault_tolerance are lost, so a majority remains and one of it holds each acknowledged entry (docs/proofs.md, losses of an open group).

--- a/basilcove/consensus/const.py
+++ b/basilcove/consensus/const.py
@@ -23,11 +23,15 @@
 JOIN_AFTER_S: Final = 3.0
 # Long enough that a host which restarts or is cut off for a few seconds remains a member.
 LOST_AFTER_S: Final = 8.0
-# The same for a voter without which a smaller number of voters is a majority.
+# The same for a voter that would let the next losses stop a group which can do without it.
 SILENT_AFTER_S: Final = ELECTION_TIMEOUT_S
 
 MEMBER_COUNTS: Final = frozenset((0, 1, 3, 5, 7))
 MAX_MEMBERS: Final = 9
+MAX_VOTERS: Final = 7
+MIN_TOLERANT_VOTERS: Final = 3
+# Hosts that may be lost at once with their disks, in a group that is large enough for it.
+FAULT_TOLERANCE: Final = 2
 
 MAX_APPEND_BYTES: Final = 256 * 1024
 MAX_INFLIGHT_APPENDS: Final = 8
--- a/basilcove/consensus/membership.py
+++ b/basilcove/consensus/membership.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 
-from basilcove.consensus.const import LOST_AFTER_S, MAX_MEMBERS, SILENT_AFTER_S
+from basilcove.consensus.const import MAX_MEMBERS, SILENT_AFTER_S
 from basilcove.consensus.events import ChangeMembers, EntryAppended, EntryRefused
-from basilcove.consensus.models import NEVER, ConsensusState, Member, Members
+from basilcove.consensus.models import ConsensusState, Member, Members
+from basilcove.consensus.removal import find_removable, max_voters, silent_s
 from basilcove.consensus.replication import append_as_leader
 from basilcove.consensus.terms import become_follower
 from basilcove.core.events import Effect, Emit, Log
@@ -13,9 +14,6 @@
 from basilcove.storage.models import EntryKind
 
 _MIN_VOTERS = 2
-_MAX_VOTERS = 7
-# Lost voters are removed only while this many others remain, so that the group tolerates one more loss.
-_TARGET_VOTERS = 3
 
 
 def may_change(state: ConsensusState) -> bool:
@@ -47,13 +45,13 @@
 
 def promote_learner(state: ConsensusState, ctx: Context) -> list[Effect]:
     """Make a learner a voter once it has synced all committed entries."""
-    if not may_change(state) or len(state.members.voters()) >= _MAX_VOTERS:
+    if not may_change(state) or len(state.members.voters()) >= max_voters(state):
         return []
     for member in state.members.members:
         progress = state.leader_state.progress.get(member.member)
         if member.voter or progress is None or progress.match < state.commit:
             continue
-        if _silent_s(state, member, ctx.now) > SILENT_AFTER_S:
+        if silent_s(state, member, ctx.now) > SILENT_AFTER_S:
             continue
         log = Log('info', 'learner becomes a voter', (('member', member.member),))
         voter = Member(member.node, member.member, voter=True)
@@ -62,49 +60,23 @@
 
 
 def remove_lost(state: ConsensusState, ctx: Context) -> list[Effect]:
-    """Remove a member that has sent nothing for some time, if the group tolerates as many losses without it.
+    """Remove a member that has sent nothing for some time, if the group bears as many losses without it.
 
     Only in a group that admits every host: there a replaced host would remain a member for ever, and a host
     that was only cut off joins again.
     """
     if not state.admits_unknown or not may_change(state):
         return []
-    lost = _find_lost(state, ctx.now)
+    lost = find_removable(state, ctx.now)
     if lost is None:
         return []
     text = 'lost voter is removed' if lost.voter else 'lost learner is removed'
-    log = Log('warning', text, (('member', lost.member),))
+    silence = f'{silent_s(state, lost, ctx.now):.1f}'
+    voters = str(len(state.members.voters()))
+    log = Log('warning', text, (('member', lost.member), ('silent_s', silence), ('voters', voters)))
     return [log, *_append_members(state, state.members.replace_member(lost.node, None), ctx)]
 
 
-def _find_lost(state: ConsensusState, now: float) -> Member | None:
-    """Return the member to remove.
-
-    If a majority of the others is smaller, each voter that was silent for a short time is removed: the group
-    has successors of lost voters, or lost so many that it would bear no further loss.
-    """
-    voters = [member for member in state.members.members if member.voter]
-    silent = [member for member in voters if _silent_s(state, member, now) > SILENT_AFTER_S]
-    others = len(voters) - len(silent)
-    if silent and others >= _TARGET_VOTERS and others // 2 < len(voters) // 2:
-        return silent[0]
-    lost = [member for member in state.members.members if _silent_s(state, member, now) > LOST_AFTER_S]
-    remaining = [voter for voter in voters if voter not in lost]
-    for member in lost:
-        if not member.voter or len(remaining) >= _TARGET_VOTERS:
-            return member
-    return None
-
-
-def _silent_s(state: ConsensusState, member: Member, now: float) -> float:
-    """Return for how long this leader has heard nothing from a member."""
-    if member.member == state.member:
-        return 0
-    progress = state.leader_state.progress.get(member.member)
-    contact_at = progress.contact_at if progress is not None else NEVER
-    return now - max(contact_at, state.leader_state.elected_at)
-
-
 def step_down_if_removed(state: ConsensusState, now: float) -> list[Effect]:
     """Step down once a group without this member is committed."""
     if not state.is_leader or state.history[-1][0] > state.commit:
--- a/basilcove/consensus/models.py
+++ b/basilcove/consensus/models.py
@@ -6,7 +6,12 @@
 from typing import Self
 
 from basilcove.consensus import consensus_pb2 as pb
-from basilcove.consensus.const import KEPT_ENTRIES, LEADER_CONTACT_TIMEOUT_S, SNAPSHOT_AFTER_ENTRIES
+from basilcove.consensus.const import (
+    FAULT_TOLERANCE,
+    KEPT_ENTRIES,
+    LEADER_CONTACT_TIMEOUT_S,
+    SNAPSHOT_AFTER_ENTRIES,
+)
 from basilcove.consensus.log import Log
 from basilcove.core.events import Message
 from basilcove.core.ids import Incarnation, NodeId
@@ -197,6 +202,7 @@
     snapshot_after: int = SNAPSHOT_AFTER_ENTRIES
     kept_entries: int = KEPT_ENTRIES
     admits_unknown: bool = False
+    fault_tolerance: int = FAULT_TOLERANCE
     history: list[tuple[int, Members]] = field(default_factory=list)
     snapshot: Snapshot | None = None
     is_snapshot_pending: bool = False
--- a/basilcove/roles/control.py
+++ b/basilcove/roles/control.py
@@ -37,6 +37,7 @@
     consensus.snapshot_after = cfg.snapshot_after_entries
     consensus.kept_entries = cfg.kept_entries
     consensus.admits_unknown = cfg.admits_unknown
+    consensus.fault_tolerance = cfg.fault_tolerance
     node.add(consensus)
     assembly.readiness.append(lambda: f'storage failed: {consensus.failure}' if consensus.failure else None)
     assembly.metrics.gauge(
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -13,6 +13,7 @@
 from basilcove.catalog.control import ControlState
 from basilcove.catalog.events import Propose, Proposed, Query
 from basilcove.consensus import coordinator as _consensus  # noqa: F401
+from basilcove.consensus.const import FAULT_TOLERANCE
 from basilcove.consensus.events import EntriesCommitted
 from basilcove.consensus.models import ConsensusState, MemberState
 from basilcove.const import TICK_INTERVAL_S
@@ -53,11 +54,13 @@
         snapshot_after: int = 4096,
         kept: int = 512,
         admits_unknown: bool = False,
+        fault_tolerance: int = FAULT_TOLERANCE,
     ) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
         self.snapshot_after, self.kept = snapshot_after, kept
         self.admits_unknown = admits_unknown
+        self.fault_tolerance = fault_tolerance
         self.loss = 0.0
         self.duplication = 0.0
         self.delay = (0.001, 0.003)
@@ -95,6 +98,7 @@
         consensus = ConsensusState.from_recovered(name, incarnation, first, recovered)
         consensus.snapshot_after, consensus.kept_entries = self.snapshot_after, self.kept
         consensus.admits_unknown = self.admits_unknown
+        consensus.fault_tolerance = self.fault_tolerance
         node = Node(consensus, ControlState.from_recovered(name, recovered), *self.parts(name))
         host = Host(name, incarnation, node, self.disks[name])
         node.add(EventRecorder(lambda event: self._on_host_event(host, event)))
--- a/tests/consensus/test_open_group.py
+++ b/tests/consensus/test_open_group.py
@@ -1,7 +1,7 @@
 import pytest
 
 from basilcove.catalog.outcomes import ClaimGranted
-from basilcove.consensus.const import LOST_AFTER_S, MAX_MEMBERS
+from basilcove.consensus.const import FAULT_TOLERANCE, LOST_AFTER_S, MAX_MEMBERS
 from basilcove.core.ids import NodeId
 from tests.consensus.cluster import Cluster, claim
 
@@ -17,6 +17,25 @@
     return {member.node for member in leader.consensus.members.members if member.voter}
 
 
+def _freeze(cluster: Cluster, *names: NodeId) -> None:
+    for name in names:
+        cluster.hosts[name].is_frozen = True
+
+
+def _lose_disks(cluster: Cluster, *names: NodeId) -> None:
+    for name in names:
+        cluster.lose_disk(name)
+
+
+def _full_group(size: int, fault_tolerance: int = FAULT_TOLERANCE) -> Cluster:
+    """Return a group that has grown to its size; one of seven hosts began with all."""
+    cluster = Cluster(size if size == 7 else 3, admits_unknown=True, fault_tolerance=fault_tolerance)
+    for number in range(len(cluster.bootstrap), size):
+        cluster.add_host(NodeId(f'host-{number + 1}'))
+    cluster.run_until(lambda: len(voters(cluster)) == min(size, 7))
+    return cluster
+
+
 def _lose_learner(cluster: Cluster, name: NodeId) -> None:
     cluster.add_host(name)
     # It can't confirm what a voter must have on its disk.
@@ -78,6 +97,93 @@
             cluster.start(name)
         assert cluster.ask('two', claim(2)) == ClaimGranted()
 
+    @pytest.mark.parametrize('size', [5, 6, 8])
+    @pytest.mark.parametrize('frozen_s', [1.5, 3.5, LOST_AFTER_S + 2])
+    def test_two_disks_are_lost_while_two_others_are_frozen(self, size: int, frozen_s: float) -> None:
+        """Guards against a group that never has a leader again, as frozen hosts were removed from it."""
+        cluster = _full_group(size)
+        first, second, *others = sorted(cluster.hosts, key=lambda name: cluster.hosts[name].is_leader)
+        _freeze(cluster, first, second)
+        cluster.run(frozen_s)
+        assert cluster.ask('one', claim(1)) == ClaimGranted()
+        # The leader that acknowledged it is among those whose disks are lost.
+        lost = (others[-1], others[0])
+        _lose_disks(cluster, *lost)
+        cluster.thaw(first)
+        cluster.thaw(second)
+        cluster.run(2.0)
+        for name in lost:
+            cluster.start(name)
+        assert cluster.ask('two', claim(2)) == ClaimGranted()
+        assert cluster.ask('again', claim(1)) == ClaimGranted()
+        assert len(cluster.elect().catalog.claims[''].rows) == 2
+        cluster.run_until(lambda: len(voters(cluster)) == min(size, 7))
+
+    def test_two_disks_are_lost_in_turn_while_another_host_is_frozen(self) -> None:
+        """Guards against the removal of a frozen host while the successor of a lost disk doesn't vote yet."""
+        cluster = _full_group(5)
+        lost, frozen, *others = sorted(cluster.hosts, key=lambda name: cluster.hosts[name].is_leader)
+        _lose_disks(cluster, lost)
+        cluster.start(lost)
+        # It can't confirm what a voter must have on its disk.
+        cluster.disks[lost].sync_time = 3.0
+        cluster.run(0.5)
+        _freeze(cluster, frozen)
+        cluster.run(3.0)
+        cluster.disks[lost].sync_time = None
+        cluster.run(4.0)
+        assert cluster.ask('one', claim(1)) == ClaimGranted()
+        _lose_disks(cluster, *others[-2:])
+        cluster.thaw(frozen)
+        for name in others[-2:]:
+            cluster.start(name)
+        assert cluster.ask('two', claim(2)) == ClaimGranted()
+
+    def test_restart_of_all_while_two_hosts_are_frozen(self) -> None:
+        """Guards against a group that forgets in a loss of power which hosts hold its entries."""
+        cluster = _full_group(5)
+        first, second, *others = sorted(cluster.hosts, key=lambda name: cluster.hosts[name].is_leader)
+        _freeze(cluster, first, second)
+        cluster.run(3.0)
+        assert cluster.ask('one', claim(1)) == ClaimGranted()
+        for name in others:
+            cluster.kill(name)
+        _lose_disks(cluster, *others[:2])
+        for name in others:
+            cluster.start(name)
+        cluster.run(1.0)
+        cluster.thaw(first)
+        cluster.thaw(second)
+        assert cluster.ask('two', claim(2)) == ClaimGranted()
+        assert len(cluster.elect().catalog.claims[''].rows) == 2
+
+    def test_successor_replaces_the_host_that_is_gone_and_not_a_frozen_one(self) -> None:
+        """Guards against a group that drops the disk of a frozen host for that of one that is gone."""
+        cluster = _full_group(5)
+        gone, frozen, *others = sorted(cluster.hosts, key=lambda name: cluster.hosts[name].is_leader)
+        cluster.kill(gone)
+        cluster.run(0.5)
+        _freeze(cluster, frozen)
+        cluster.add_host(NEW)
+        cluster.run(LARGE_SETTLED_S)
+        assert voters(cluster) == {*others, frozen, NEW}
+        assert cluster.ask('one', claim(1)) == ClaimGranted()
+        _lose_disks(cluster, *others[-2:])
+        cluster.thaw(frozen)
+        for name in others[-2:]:
+            cluster.start(name)
+        assert cluster.ask('two', claim(2)) == ClaimGranted()
+
+    def test_lost_hosts_are_replaced_in_a_full_group(self) -> None:
+        """Guards against successors that never vote, as the group has all the voters that it may have."""
+        cluster = _full_group(7, fault_tolerance=3)
+        lost = sorted(cluster.hosts, key=lambda name: cluster.hosts[name].is_leader)[:3]
+        for number, name in enumerate(lost):
+            cluster.kill(name)
+            cluster.add_host(NodeId(f'host-2{number}'))
+        cluster.run_until(lambda: not voters(cluster).intersection(lost))
+        assert len(voters(cluster)) == 7
+
     def test_hosts_that_are_lost_as_learners(self) -> None:
         """Guards against a group that is full of hosts which were lost before they became voters."""
         cluster = Cluster(admits_unknown=True)
--- a/tests/harness/platform.py
+++ b/tests/harness/platform.py
@@ -79,6 +79,7 @@
                 'frontend': f'{address}:{self.ports["http"]}',
                 'readiness': f'{address}:{self.ports["ready"]}',
             },
+            'fault_tolerance': {'machines': 1, 'zones': 1, 'regions': 0},
             'bounds': self.bounds,
         }
         return render(ROOT / 'platform' / template, fields)
--- a/tests/harness/templates.py
+++ b/tests/harness/templates.py
@@ -10,7 +10,7 @@
 
 
 def render(template: Path, fields: dict[str, Any]) -> str:
-    """Return the rendered text of a template; sections without a field are omitted."""
+    """Return the rendered text of a template; sections and values without a field are empty."""
     text = _SECTION.sub(
         lambda match: _render_entries(match[2], _look_up(fields, match[1]) or []), template.read_text()
     )
@@ -28,9 +28,13 @@
 
 def _look_up(fields: Any, name: str) -> Any:
     for step in name.split('.'):
+        if fields is None:
+            return None
         fields = fields[int(step)] if isinstance(fields, list) else fields.get(step)
     return fields
 
 
 def _format_value(value: Any, as_json: bool) -> str:
+    if value is None:
+        return ''
     return json.dumps(value) if as_json else str(value)
