Begin no change without a number whose caller may have given up

Requests reached engines of a zone whose evacuation had been acknowledged seconds before, for good.

Cause: calls that evacuate or restore a zone have no number. A control host that was frozen read one from its socket when it woke and proposed it, though its caller had closed the connection, another host had acknowledged the same call, and the zone had been evacuated again since. A command applied to whatever was in effect when it was applied, so the same call in a link or in a leader's queue had the same effect.

Change: a change names the version of the zones that a majority confirmed while its caller waited, and has no effect on another (ZoneConflict); the host asks again while the caller waits. A call is not begun if its caller has closed the connection, also behind the call in the socket, or if the process stood still and the call may be from before (core/pauses.py); it is answered 503, as its caller may send it again. The same holds for departures of engines, and for changes by the operators' tool after a pause.

--- a/basilcove/catalog/apply.py
+++ b/basilcove/catalog/apply.py
@@ -24,7 +24,7 @@
 )
 from basilcove.catalog.messages import LoggedCommand
 from basilcove.catalog.models import AnswerRow, CatalogState
-from basilcove.catalog.outcomes import CommandRefused, MembersChanged
+from basilcove.catalog.outcomes import CommandRefused, MembersChanged, ZoneConflict
 from basilcove.catalog.registry import APPLIERS, applies
 from basilcove.consensus.models import Members
 from basilcove.core.events import Message
@@ -50,6 +50,9 @@
     if first_answer is not None:
         return first_answer
     result = _dispatch(state, command)
+    if isinstance(result, ZoneConflict):
+        # The request has not been decided: it is sent again for the present version.
+        return result
     state.requests[command.request_id] = AnswerRow(command.request_id, state.time, digest, *encode(result))
     return result
 
--- a/basilcove/catalog/commands.py
+++ b/basilcove/catalog/commands.py
@@ -189,21 +189,24 @@
     """Asks that no request be sent to the upstreams of an availability zone, whether it is known or not.
 
     Without a request id, a resend that arrives after the opposite change can't be told from a new command.
+    ``seen_version`` is the version of the zones that the sender saw; a newer one is not changed.
     """
 
     zone: Zone
     requester: str
     request_id: RequestId = NO_REQUEST_ID
+    seen_version: int | None = None
 
 
 @message('catalog.restore_zone', pb.RestoreZone)
 @dataclass(frozen=True, slots=True)
 class RestoreZone(Message):
-    """Reverts the evacuation of an availability zone."""
+    """Reverts the evacuation of an availability zone; the fields are those of ``EvacuateZone``."""
 
     zone: Zone
     requester: str
     request_id: RequestId = NO_REQUEST_ID
+    seen_version: int | None = None
 
 
 @message('catalog.read_document', pb.ReadDocument)
--- a/basilcove/catalog/evacuations.py
+++ b/basilcove/catalog/evacuations.py
@@ -2,11 +2,11 @@
 
 from basilcove.catalog.commands import EvacuateZone, RestoreZone
 from basilcove.catalog.models import CatalogState
-from basilcove.catalog.outcomes import CommandRefused, ZoneChanged
+from basilcove.catalog.outcomes import CommandRefused, ZoneChanged, ZoneConflict
 from basilcove.catalog.registry import applies
 from basilcove.core.events import Message
 from basilcove.zones.const import MAX_EVACUATED_ZONES, MAX_ZONE_LENGTH
-from basilcove.zones.models import Evacuation
+from basilcove.zones.models import Evacuation, Evacuations
 
 
 @applies(EvacuateZone)
@@ -16,11 +16,19 @@
     changed = state.evacuations.evacuate(Evacuation(command.zone, state.time, command.requester))
     if len(changed.rows) > MAX_EVACUATED_ZONES:
         return CommandRefused(f'{MAX_EVACUATED_ZONES} zones are evacuated already')
-    state.evacuations = changed
-    return ZoneChanged(changed.version)
+    return _change(state, changed, command.seen_version)
 
 
 @applies(RestoreZone)
 def _restore_zone(state: CatalogState, command: RestoreZone) -> Message:
-    state.evacuations = state.evacuations.restore(command.zone, state.time, command.requester)
-    return ZoneChanged(state.evacuations.version)
+    changed = state.evacuations.restore(command.zone, state.time, command.requester)
+    return _change(state, changed, command.seen_version)
+
+
+def _change(state: CatalogState, changed: Evacuations, seen_version: int | None) -> Message:
+    """Replace the set; a late change, whose sender didn't see the present one, has no effect."""
+    version = state.evacuations.version
+    if changed.version != version and seen_version not in {None, version}:
+        return ZoneConflict(version)
+    state.evacuations = changed
+    return ZoneChanged(changed.version)
--- a/basilcove/catalog/outcomes.py
+++ b/basilcove/catalog/outcomes.py
@@ -168,6 +168,14 @@
     version: int
 
 
+@message('catalog.zone_conflict', pb.ZoneConflict)
+@dataclass(frozen=True, slots=True)
+class ZoneConflict(Message):
+    """Nothing is changed: the evacuated zones have this version, not the one that the sender saw."""
+
+    version: int
+
+
 @message('catalog.evacuations_read', pb.EvacuationsRead)
 @dataclass(frozen=True, slots=True)
 class EvacuationsRead(Message):
--- a/basilcove/http1/connection.py
+++ b/basilcove/http1/connection.py
@@ -16,6 +16,7 @@
 )
 from basilcove.http1.handover import bind_to_loop
 from basilcove.http1.headers import Headers, HttpRequest, encode_answer_head, has_body
+from basilcove.http1.liveness import has_peer_closed
 from basilcove.http1.reading import RequestReader
 from basilcove.http1.refusals import RefusalKind
 from basilcove.http1.resets import reset
@@ -200,14 +201,14 @@
         if self._transport is not None:
             reset(self._transport)
 
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no request is being read, waits or is being answered."""
-        return self._current is None and not self._pipelined and not self._reader.is_reading
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed the connection, also if its end is not read yet."""
+        return self._transport is None or has_peer_closed(self._transport)
 
     def close_if_idle(self) -> None:
-        """Close the connection if it is idle."""
-        if self.is_idle and self._transport is not None:
+        """Close the connection if no request is being read, waits or is being answered."""
+        is_idle = self._current is None and not self._pipelined and not self._reader.is_reading
+        if is_idle and self._transport is not None:
             self._transport.close()
 
     def sweep(self, now: float, *, is_full: bool) -> None:
--- a/basilcove/roles/common.py
+++ b/basilcove/roles/common.py
@@ -1,6 +1,7 @@
 """States and drivers that every node has."""
 
 from basilcove.catalog.client import ClientState
+from basilcove.core.pauses import PauseState
 from basilcove.daemon import Assembly
 from basilcove.distribution import coordinator as _distribution  # noqa: F401
 from basilcove.distribution.config import DistributionConfig
@@ -36,6 +37,7 @@
     node.add(MembershipState(settings.node, assembly.identity.incarnation))
     if settings.addresses is not None:
         node.add(PeerAddresses(settings.node, settings.addresses.port))
+    node.add(PauseState())
     node.add(OperatorsState(assembly.identity, settings.environment, settings.stage))
     assembly.metrics.gauge('document_revision', 'Revision in effect.', lambda: documents.own.revision)
     assembly.metrics.gauge(
--- a/basilcove/wiring/operators.py
+++ b/basilcove/wiring/operators.py
@@ -30,6 +30,7 @@
 from basilcove.const import VERSION
 from basilcove.core.events import Effect, Emit, Message
 from basilcove.core.ids import EnvironmentName, NodeId, Revision, Stage, UpstreamName
+from basilcove.core.pauses import PauseState
 from basilcove.core.reducer import Context, handles
 from basilcove.distribution.models import DistributionState
 from basilcove.environment.models import Environment
@@ -40,6 +41,14 @@
 from basilcove.wiring.const import OPERATOR_TIMEOUT_S
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneChange:
+    """A change of a zone that waits for the version of the zones; ``deadline`` is monotonic."""
+
+    command: commands.EvacuateZone | commands.RestoreZone
+    deadline: float
+
+
 @dataclass
 class OperatorsState:
     """Calls of operators that wait for an answer, by proposal, query or upstream."""
@@ -48,6 +57,7 @@
     environment: EnvironmentName
     stage: Stage
     waiting: dict[str, list[tuple[rpc.CallId, type[Reply]]]] = field(default_factory=dict)
+    zone_changes: dict[str, ZoneChange] = field(default_factory=dict)
 
     def wait(self, name: str, call_id: rpc.CallId, reply: type[Reply]) -> None:
         """Answer this call when the named proposal, query or drain ends."""
@@ -62,13 +72,22 @@
 CallHandler = Callable[[OperatorsState, rpc.CallId, Any, Context], list[Effect]]
 
 _CALL_HANDLERS: dict[type, CallHandler] = {}
+# Replies of the calls that change something and state no revision, so that a late one may revert a newer one.
+_CHANGE_REPLIES: dict[type, type[Reply]] = {}
+
 
+def handles_call(
+    request: type[Message], *, change_reply: type[Reply] | None = None
+) -> Callable[[CallHandler], CallHandler]:
+    """Register the function that answers a type of call, or starts what the call waits for.
 
-def handles_call(request: type[Message]) -> Callable[[CallHandler], CallHandler]:
-    """Register the function that answers a type of call, or starts what the call waits for."""
+    A call with ``change_reply`` is refused with it where it may have waited through a pause of this process.
+    """
 
     def register(handler: CallHandler) -> CallHandler:
         _CALL_HANDLERS[request] = handler
+        if change_reply is not None:
+            _CHANGE_REPLIES[request] = change_reply
         return handler
 
     return register
@@ -80,6 +99,10 @@
     handler = _CALL_HANDLERS.get(type(event.message))
     if handler is None:
         return [rpc.Reply(event.call_id, ApplyReply(accepted=False, reasons=('not an operator call',)))]
+    change_reply = _CHANGE_REPLIES.get(type(event.message))
+    if change_reply is not None and ctx.node.part(PauseState).reads_late(ctx.now, ctx.wall_time):
+        reasons = ('the call may be late (not run)',)
+        return [rpc.Reply(event.call_id, _unavailable(change_reply, reasons))]
     return handler(state, event.call_id, event.message, ctx)
 
 
@@ -101,7 +124,7 @@
     return propose(state, call_id, PromoteReply, req.request_id, command, ctx)
 
 
-@handles_call(HostRequest)
+@handles_call(HostRequest, change_reply=HostReply)
 def _change_group(state: OperatorsState, call_id: rpc.CallId, req: HostRequest, ctx: Context) -> list[Effect]:
     change = commands.AdmitHost if req.admit else commands.RemoveHost
     return propose(state, call_id, HostReply, req.request_id, change(req.node, req.request_id), ctx)
@@ -130,6 +153,9 @@
     if isinstance(result, outcomes.ZoneChanged):
         changed = ZoneReply(accepted=True, version=result.version)
         return state.answer(event.proposal_id, lambda _: changed)
+    if isinstance(result, outcomes.ZoneConflict):
+        conflict = ('the zones have changed meanwhile (not run)',)
+        return state.answer(event.proposal_id, lambda reply: _unavailable(reply, conflict))
     accepted, revision, reasons = _describe(result)
     return state.answer(
         event.proposal_id,
@@ -188,6 +214,7 @@
 @handles(QueryFailed, OperatorsState)
 def on_query_failed(state: OperatorsState, event: QueryFailed, ctx: Context) -> list[Effect]:
     """Report that a read failed."""
+    state.zone_changes.pop(event.query_id, None)
     return state.answer(event.query_id, lambda reply: _unavailable(reply, (event.reason,)))
 
 
@@ -261,7 +288,7 @@
         )
 
 
-@handles_call(DrainRequest)
+@handles_call(DrainRequest, change_reply=DrainReply)
 def _drain(state: OperatorsState, call_id: rpc.CallId, req: DrainRequest, ctx: Context) -> list[Effect]:
     state.wait(_drain_name(req.upstream), call_id, DrainReply)
     return [Emit(membership.DrainRequested(req.upstream))]
--- a/tests/catalog/test_evacuations.py
+++ b/tests/catalog/test_evacuations.py
@@ -1,8 +1,12 @@
+from dataclasses import replace
+
+import pytest
+
 from basilcove.catalog import catalog_pb2 as pb
 from basilcove.catalog.apply import apply
 from basilcove.catalog.commands import EvacuateZone, RestoreZone
 from basilcove.catalog.models import CatalogState
-from basilcove.catalog.outcomes import CommandRefused, ZoneChanged
+from basilcove.catalog.outcomes import CommandRefused, ZoneChanged, ZoneConflict
 from basilcove.catalog.snapshot import decode_state, encode_state
 from basilcove.core.ids import RequestId, Zone
 from basilcove.zones.const import MAX_EVACUATED_ZONES, MAX_ZONE_LENGTH
@@ -42,6 +46,21 @@
         assert not state.evacuations.zones
         assert isinstance(apply(state, evacuate('b', request='1'), 1), CommandRefused)
 
+    @pytest.mark.parametrize('request_id', ['', '1'])
+    def test_late_change_of_an_older_version(self, request_id: str) -> None:
+        """Guards against a restore that waited in a link, and takes back the evacuation of after it."""
+        state = CatalogState()
+        for command in (evacuate(), restore(), evacuate()):
+            apply(state, command, 1)
+        late = replace(restore(request=request_id), seen_version=1)
+        assert apply(state, late, 1) == ZoneConflict(3)
+        assert state.evacuations.zones == {FAR}
+        # The same call is carried out for the present version.
+        assert apply(state, replace(late, seen_version=3), 1) == ZoneChanged(4)
+        # A late evacuation has no effect either.
+        assert apply(state, replace(evacuate(), seen_version=2), 1) == ZoneConflict(4)
+        assert apply(state, replace(restore(), seen_version=2), 1) == ZoneChanged(4)
+
     def test_number_and_names_are_bounded(self) -> None:
         """Guards against offers that grow without limit."""
         state = CatalogState()
--- a/tests/system/test_zones.py
+++ b/tests/system/test_zones.py
@@ -1,7 +1,10 @@
 import contextlib
 import json
+import os
+import signal
+import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import pytest
@@ -13,6 +16,8 @@
 from tests.harness.processes import wait_for
 
 REQUESTS = 20
+# For so long after a host wakes, what it does with the calls of before is watched.
+WOKEN_S = 3.0
 
 
 class ZoneDeployment(Deployment):
@@ -30,11 +35,11 @@
         self.announce_as('near', self.engine, 'a', sequence)
         self.announce_as('far', self.far_engine, 'b', sequence)
 
-    def change_zone(self, method: str, zone: str) -> int:
+    def change_zone(self, method: str, zone: str, hosts: Sequence[str] = CONTROL) -> int:
         """Send a call to one host after another as operators do; return the version."""
 
         def send() -> bytes | None:
-            for host in CONTROL:
+            for host in hosts:
                 status, body = self.call(host, method, f'/evacuations/{zone}')
                 assert not 400 <= status < 500
                 if status == 200:
@@ -68,6 +73,24 @@
         yield running
 
 
+class TestFrozenHost:
+    def test_call_that_waited_in_its_socket(self, deployment: ZoneDeployment) -> None:
+        """Guards against a host that wakes and carries out a restore of before the last evacuation."""
+        version = deployment.change_zone('POST', 'b')
+        frozen, *others = CONTROL
+        os.kill(deployment.processes[frozen].pid, signal.SIGSTOP)
+        with socket.create_connection((frozen, deployment.ports['api'])) as operator:
+            operator.sendall(b'DELETE /evacuations/b HTTP/1.1\r\nHost: c\r\n\r\n')
+            time.sleep(1)
+        for method in ('DELETE', 'POST'):
+            version = deployment.change_zone(method, 'b', others)
+        os.kill(deployment.processes[frozen].pid, signal.SIGCONT)
+        until = time.monotonic() + WOKEN_S
+        while time.monotonic() < until:
+            assert deployment.change_zone('POST', 'b', others) == version
+            time.sleep(0.1)
+
+
 class TestEvacuation:
     def test_evacuate_lose_the_leader_restart_and_restore(
         self, deployment: ZoneDeployment, capsys: pytest.CaptureFixture[str]
