Fail an attempt whose head has no valid status

What callers saw: an upstream's head with the status 000 made a gateway wait for the whole 5 s of the request, or gave the caller the bytes behind it as its answer. 600 and 999 were passed on with the upstream's signature. An agent took interim heads and 600 and 999 for answers.

Cause: each status under 200 counted as interim, and no upper end was checked. In the agent the library follows 100 only.

Change: a status outside 100 to 599 is no answer (RFC 9110, section 15), so the attempt has failed when the head is read, the connection is closed and nothing behind it is read. An agent fails a call for each status that isn't final.

Why it works: the fault is found where heads are parsed, for gateways and calls to ranks alike, and uses the path of an answer that can't be parsed.

--- a/basilcove/http/upstreams.py
+++ b/basilcove/http/upstreams.py
@@ -31,6 +31,7 @@
     READ_PAUSE_S,
 )
 from basilcove.http.sse import EventSplitter
+from basilcove.http1.answers import FINAL_STATUSES
 from basilcove.requests.messages import AnswerChunk, StartAttempt
 
 _PROGRESS_INTERVAL_S: Final = 0.25
@@ -169,9 +170,9 @@
         headers = {
             name: text for name, text in response.headers.items() if name.lower() not in _DROPPED_HEADERS
         }
-        request_id = call.effect.attempt.request_id
-        if response.headers.get(_REQUEST_ID_HEADER, request_id) != request_id:
-            self._fail(call, 'the upstream answered another request', sent=True)
+        fault = _find_head_fault(call, response)
+        if fault:
+            self._fail(call, fault, sent=True)
             return
         is_stream = response.headers.get('Content-Type', '').startswith(EVENT_STREAM)
         splitter = EventSplitter() if is_stream else None
@@ -278,6 +279,16 @@
     return length.isdecimal() and int(length) <= READ_CHUNK_BYTES
 
 
+def _find_head_fault(call: _Call, response: BaseHTTPResponse) -> str:
+    """Return why a head is not that of the answer to a call, or an empty text if it is."""
+    request_id = call.effect.attempt.request_id
+    if response.headers.get(_REQUEST_ID_HEADER, request_id) != request_id:
+        return 'the upstream answered another request'
+    if response.status not in FINAL_STATUSES:
+        return f'status {response.status} is that of no answer'
+    return ''
+
+
 def _find_end_fault(call: _Call, response: BaseHTTPResponse, splitter: EventSplitter | None) -> str:
     """Return why an answer that ended is incomplete, or an empty text if it is complete."""
     if call.is_cancelled:
--- a/basilcove/http1/answers.py
+++ b/basilcove/http1/answers.py
@@ -2,10 +2,17 @@
 
 import enum
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Final, Protocol
 
 from basilcove.http1.headers import Headers
 
+# RFC 9110, section 15: a final status follows an interim one, and any other is invalid.
+_FIRST_INTERIM: Final = 100
+_FIRST_FINAL: Final = 200
+_LAST_FINAL: Final = 599
+INTERIM_STATUSES: Final = range(_FIRST_INTERIM, _FIRST_FINAL)
+FINAL_STATUSES: Final = range(_FIRST_FINAL, _LAST_FINAL + 1)
+
 
 @dataclass(slots=True)
 class AnswerHead:
--- a/basilcove/http1/client.py
+++ b/basilcove/http1/client.py
@@ -5,17 +5,14 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final
 
 import httptools
 from loguru import logger
 
-from basilcove.http1.answers import AnswerHead, AnswerReader, Attribution
+from basilcove.http1.answers import FINAL_STATUSES, INTERIM_STATUSES, AnswerHead, AnswerReader, Attribution
 from basilcove.http1.const import MAX_ANSWER_OVERHEAD_BYTES, MAX_SKIPPED_BYTES, WRITE_BUFFER_BYTES
 from basilcove.http1.headers import Headers, find_header, has_body, parse_count
 
-_OK: Final = 200
-
 
 @dataclass(slots=True)
 class ClientConfig:
@@ -37,7 +34,7 @@
     """The answer that is being parsed.
 
     ``unread_bytes`` counts what arrived since the last part of a body. ``parts`` are those that the reader
-    hasn't been passed yet.
+    hasn't been passed yet. ``fault`` says why its head is none; nothing behind it on the connection is read.
     """
 
     reader: AnswerReader
@@ -49,6 +46,7 @@
     has_skipped: bool = False
     ends_with_connection: bool = False
     unread_bytes: int = 0
+    fault: str = ''
     parts: list[bytes] = field(default_factory=list)
 
     def pass_body(self) -> None:
@@ -110,7 +108,7 @@
             return
         pending.unread_bytes += len(chunk)
         try:
-            fault = self._parse(chunk)
+            fault = self._parse(chunk) or pending.fault
             if pending is self._pending:
                 pending.pass_body()
         except Exception as exc:
@@ -175,6 +173,8 @@
         if self._pending is None:
             self._is_unusable = True
             return
+        if self._pending.fault:
+            return
         self._pending.headers = []
         self._pending.reason = b''
         self._pending.head = None
@@ -192,12 +192,15 @@
     def on_headers_complete(self) -> None:
         """Pass on the head, unless the answer belongs to another request."""
         pending = self._pending
-        if pending is None or self._parser is None:
+        if pending is None or self._parser is None or pending.fault:
             return
         head = AnswerHead(self._parser.get_status_code(), pending.reason, pending.headers)
-        if head.status < _OK:
+        if head.status in INTERIM_STATUSES:
             pending.reader.on_interim(head)
             return
+        if head.status not in FINAL_STATUSES:
+            pending.fault = f'status {head.status} is that of no answer'
+            return
         pending.head = head
         head.size = parse_count(find_header(head.headers, b'content-length'))
         is_chunked = bool(find_header(head.headers, b'transfer-encoding'))
