Read the state of ranks only after the last fence and the lag of reports

A pass began with two maps. A new leader took a hold that had just ended for one that lasts, and armed the ranks under it.

Cause: the leader waits for the lag of reports after it fenced off former leaders, but counted from its first order. Where one rank answered the fence later than that, its report was read at once and showed the state of before.

Evidence: the record of the case has the former release, then the answer to the fence, then a report that still shows the hold.

Change: the wait counts from the last answer to the fence. The fake ranks of the tests can report late.

Why it works: once all ranks refuse former orders and the lag has passed, a report shows nothing that a former order may still change.

--- a/basilcove/experts/remote/models.py
+++ b/basilcove/experts/remote/models.py
@@ -91,6 +91,8 @@
     layout: ExpertLayout
     phase: Phase = Phase.FENCING
     since: float = 0
+    # When the last rank confirmed that it refuses the orders of former leaders.
+    fenced_at: float | None = None
     current: tuple[Layer, ...] = ()
     version: int = 0
     target: tuple[Layer, ...] = ()
--- a/basilcove/experts/remote/phases.py
+++ b/basilcove/experts/remote/phases.py
@@ -142,10 +142,14 @@
 @in_phase(Phase.FENCING)
 def _fence(change: GroupChange, now: float) -> Effects:
     if not change.calls:
-        change.since = now
         yield from call_all_ranks(change, DisarmMap(UNUSED_VERSION), now)
-    # Reports lag, so one that is read immediately may show the state before the fence.
-    elif is_complete(change) and now - change.since > REPORT_LAG_S:
+        return
+    if not is_complete(change):
+        return
+    if change.fenced_at is None:
+        change.fenced_at = now
+    # Reports lag, so one that is read sooner may show the state of before the last rank was fenced.
+    elif now - change.fenced_at > REPORT_LAG_S:
         yield from enter_phase(change, Phase.LEARNING, now)
         yield from call_all_ranks(change, ReadReport(), now)
 
--- a/tests/experts/remote/ranks.py
+++ b/tests/experts/remote/ranks.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from basilcove.core.ids import GroupName, InstanceId, Rank, ServiceName
 from basilcove.experts.remote.calls import enter_phase
@@ -32,6 +32,7 @@
 PASS_S = 0.08
 COPY_S = 0.1
 TICK_S = 0.1
+RECORD_S = 0.02
 
 
 @dataclass
@@ -58,6 +59,10 @@
     # Orders of these types always get no answer and take effect late.
     lost: tuple[type, ...] = ()
     fences_late_orders: bool = True
+    # Reports show the state of so long before.
+    report_lag_s: float = 0
+    # A group without requests begins no passes.
+    is_idle: bool = False
     # Number of ranks, and the time that the control host takes for each call, one call after the other.
     size: int = RANKS
     work_s: float = 0
@@ -77,7 +82,22 @@
         self.leaders: list[GroupChange] = []
         self._numbers = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._states: list[tuple[float, list[FakeRank]]] = []
         self._at(PASS_S, self._pass)
+        if self.report_lag_s:
+            self._at(0, self._record)
+
+    def _record(self) -> None:
+        self._states.append((self.now, [replace(rank) for rank in self.ranks]))
+        self._at(RECORD_S, self._record)
+
+    def _reported(self, number: Rank) -> FakeRank:
+        """Return the state that a report of a rank shows."""
+        if not self.report_lag_s:
+            return self.ranks[number]
+        until = self.now - self.report_lag_s
+        shown = [ranks[number] for at, ranks in self._states if at <= until or at == 0]
+        return shown[-1]
 
     # Leaders.
 
@@ -144,6 +164,7 @@
         rank = self.ranks[effect.rank]
         call = effect.call
         if isinstance(call, ReadReport):
+            rank = self._reported(effect.rank)
             prepared = rank.prepared if self.now >= rank.copied_at else None
             return RankReport(self.epoch, self.step, rank.version, prepared, rank.armed, rank.held)
         if isinstance(call, ReadLists):
@@ -197,6 +218,9 @@
 
     def _pass(self) -> None:
         following = self.step + 1
+        if self.is_idle:
+            self._at(PASS_S, self._pass)
+            return
         if any(rank.held == following for rank in self.ranks):
             self.stalled_s += PASS_S
         else:
