Let a planned stop wait until callers have read its answers

A gateway that was stopped as planned ended while the rest of whole answers was in its buffers; callers that read slowly got 400 to 500 of 600 kB.

Cause: an answer counted as ended when its last byte was handed to the event loop. What the loop holds for a caller was part of no check. An entry counted a collected answer as ended before it was written, and the adapter of a control host counted none.

Evidence: the gateway's log has "stopped" 3.2 s after the signal, without the warning of the time limit.

Change: a planned stop waits until no connection of a gateway's or adapter's listener has unsent bytes; an entry counts a collected answer until it is written. The time limit of a stop stays.

--- a/basilcove/http/callers.py
+++ b/basilcove/http/callers.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from basilcove.core.events import Event
-from basilcove.core.ids import Outcome
+from basilcove.core.ids import Outcome, RequestId
 from basilcove.environment.models import Environment
 from basilcove.helpers.metrics import Metrics
 from basilcove.helpers.traces import Tracing, trace_id_of, traceparent_of
@@ -23,7 +23,7 @@
     EVENT_STREAM,
     SPARE_THREADS,
 )
-from basilcove.http.exchanges import AnswerStream, Exchange
+from basilcove.http.exchanges import AnswerStream, CollectedAnswer, Exchange
 from basilcove.http.limits import ListenerLimits
 from basilcove.http.replies import StartResponse, refuse, status_line
 from basilcove.http.status import NotReady, StatusPages
@@ -55,6 +55,8 @@
         self._slots = threading.BoundedSemaphore(cfg.max_streams)
         self._post: Callable[[Event], object] | None = None
         self._pages = StatusPages(metrics)
+        # Collected answers that are being written; they are no longer in the table.
+        self._unwritten: set[RequestId] = set()
         self._server: Server | None = None
 
     @classmethod
@@ -97,8 +99,8 @@
 
     @property
     def open_answers(self) -> int:
-        """Return the number of requests whose answers have not ended."""
-        return len(self._answers)
+        """Return the number of requests whose answers have not ended or aren't written yet."""
+        return len(self._answers) + len(self._unwritten)
 
     def _serve(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         path = environ['PATH_INFO']
@@ -162,7 +164,20 @@
             start_response(status_line(first.status), [*headers, ('X-Basilcove-Request-Id', request_id)])
             return AnswerStream(exchange, self._slots.release)
         content, last = exchange.collect()
+        self._unwritten.add(request_id)
         exchange.close()
+        answer = self._build_whole(exchange, first, last, content, start_response)
+        return CollectedAnswer(answer, lambda: self._unwritten.discard(request_id))
+
+    def _build_whole(
+        self,
+        exchange: 'Exchange',
+        first: Part,
+        last: Part | None,
+        content: bytes,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        request_id = exchange.req.request_id
         trace_id = trace_id_of(exchange.req.traceparent)
         logger.bind(request_id=request_id, trace_id=trace_id).debug('request ended')
         if isinstance(first, Refused):
--- a/basilcove/http/exchanges.py
+++ b/basilcove/http/exchanges.py
@@ -2,7 +2,7 @@
 
 import queue
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 
 from basilcove.core.events import Event
@@ -96,6 +96,25 @@
             release()
 
 
+class CollectedAnswer:
+    """A whole answer, iterated and closed by cheroot."""
+
+    def __init__(self, parts: Iterable[bytes], release: Callable[[], None]) -> None:
+        """Pass on the parts; ``release`` is called once when they are written or can't be."""
+        self._parts = parts
+        self._release: Callable[[], None] | None = release
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the parts."""
+        yield from self._parts
+
+    def close(self) -> None:
+        """End the answer."""
+        release, self._release = self._release, None
+        if release is not None:
+            release()
+
+
 def _find_reason(part: Part) -> str:
     if isinstance(part, Broken):
         return part.reason
--- a/basilcove/http1/connection.py
+++ b/basilcove/http1/connection.py
@@ -16,7 +16,6 @@
 )
 from basilcove.http1.handover import bind_to_loop
 from basilcove.http1.headers import Headers, HttpRequest, encode_answer_head, has_body
-from basilcove.http1.liveness import has_peer_closed
 from basilcove.http1.reading import RequestReader
 from basilcove.http1.refusals import RefusalKind
 from basilcove.http1.resets import reset
@@ -40,7 +39,8 @@
     def __init__(self, server: 'HttpServer') -> None:
         """Parse requests for the handler of a server."""
         self._server = server
-        self._transport: asyncio.Transport | None = None
+        # None once the connection is lost.
+        self.transport: asyncio.Transport | None = None
         self._reader = RequestReader(
             server.cfg.max_leading_bytes, self._on_read, self._continue, self._refuse
         )
@@ -69,13 +69,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self.transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Give back what the connection was charged; notify the handler if a request is unanswered."""
-        self._transport = None
+        self.transport = None
         self._pipelined.clear()
         self._reader.drop()
         self._reading_share.close()
@@ -137,8 +137,8 @@
 
     def _continue(self) -> None:
         """Send 100 Continue, unless it would be written into an earlier answer."""
-        if self._transport is not None and self._current is None and not self._pipelined:
-            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        if self.transport is not None and self._current is None and not self._pipelined:
+            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     # Answers.
 
@@ -151,7 +151,7 @@
     def begin(self, status: int, headers: Headers, reason: bytes = b'', size: int | None = None) -> None:
         """Write the head of an answer; without ``size`` its body is sent in chunks."""
         request = self._current
-        if request is None or self._transport is None:
+        if request is None or self.transport is None:
             return
         framing: Headers = []
         self._has_begun = True
@@ -167,30 +167,30 @@
                 framing.append((b'Transfer-Encoding', b'chunked'))
         if self._closes_after:
             framing.append((b'Connection', b'close'))
-        self._transport.write(encode_answer_head(status, reason, [*headers, *framing]))
+        self.transport.write(encode_answer_head(status, reason, [*headers, *framing]))
 
     def write(self, part: bytes) -> None:
         """Write a part of the body."""
-        if not part or self._transport is None or self._current is None:
+        if not part or self.transport is None or self._current is None:
             return
         if self._current.method == b'HEAD':
             return
-        self._transport.write(b'%x\r\n%s\r\n' % (len(part), part) if self._is_chunked else part)
-        self._unsent.update(self._transport)
+        self.transport.write(b'%x\r\n%s\r\n' % (len(part), part) if self._is_chunked else part)
+        self._unsent.update(self.transport)
 
     def end(self) -> None:
         """End a complete answer."""
-        if self._transport is None or self._current is None:
+        if self.transport is None or self._current is None:
             return
         if self._is_chunked:
-            self._transport.write(b'0\r\n\r\n')
+            self.transport.write(b'0\r\n\r\n')
         self._current = None
         self._held_share.resize(0)
         # Reading was paused while too many requests were queued.
         self._activity.last_at = time.monotonic()
         self._activity.reading_since = self._activity.last_at
         if self._closes_after:
-            self._transport.close()
+            self.transport.close()
             return
         self._update_reading()
         self._dispatch_next()
@@ -198,25 +198,21 @@
     def abort(self) -> None:
         """Reset the connection, so that an answer in progress doesn't look complete."""
         self._current = None
-        if self._transport is not None:
-            reset(self._transport)
-
-    def has_caller_left(self) -> bool:
-        """Return whether the caller has closed the connection, also if its end is not read yet."""
-        return self._transport is None or has_peer_closed(self._transport)
+        if self.transport is not None:
+            reset(self.transport)
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is being read, waits or is being answered."""
         is_idle = self._current is None and not self._pipelined and not self._reader.is_reading
-        if is_idle and self._transport is not None:
-            self._transport.close()
+        if is_idle and self.transport is not None:
+            self.transport.close()
 
     def sweep(self, now: float, *, is_full: bool) -> None:
         """Apply the timeouts for idle connections, the arrival of requests and callers that don't read.
 
         ``is_full`` states that other connections wait to be accepted.
         """
-        transport = self._transport
+        transport = self.transport
         if transport is None:
             return
         self._unsent.update(transport)
@@ -247,19 +243,19 @@
             self._update_reading()
 
     def _update_reading(self) -> None:
-        if self._transport is None:
+        if self.transport is None:
             return
         is_blocked = self._is_refused and self._current is not None
         if is_blocked or self._is_throttled or len(self._pipelined) > MAX_PIPELINED:
-            self._transport.pause_reading()
+            self.transport.pause_reading()
         else:
-            self._transport.resume_reading()
+            self.transport.resume_reading()
 
     def _dispatch_next(self) -> None:
         # While a caller doesn't read its answers, no others are made for it.
         if self._current is not None or not self._pipelined or not self.is_writable:
             return
-        if self._transport is None or self._transport.is_closing():
+        if self.transport is None or self.transport.is_closing():
             return
         if self._dispatched >= MAX_PIPELINED:
             self._throttle()
@@ -295,17 +291,17 @@
         self._reading_share.resize(0)
 
     def _evict_unsent(self) -> None:
-        if self._transport is None:
+        if self.transport is None:
             return
-        self._unsent.update(self._transport)
+        self._unsent.update(self.transport)
         if self._unsent.is_evicted:
             self._server.refusals.add(RefusalKind.UNREAD, 'too many bytes of answers that are not read')
-            reset(self._transport)
+            reset(self.transport)
 
     def _refuse(
         self, status: HTTPStatus, kind: RefusalKind, reason: str, headers: Headers | None = None
     ) -> None:
-        if self._is_refused or self._transport is None:
+        if self._is_refused or self.transport is None:
             return
         self._is_refused = True
         self._activity.refused_at = time.monotonic()
@@ -318,15 +314,15 @@
             return
         body = reason.encode()
         framing = [(b'Content-Length', b'%d' % len(body)), (b'Connection', b'close')]
-        self._transport.write(encode_answer_head(status.value, b'', [*(headers or []), *framing]) + body)
+        self.transport.write(encode_answer_head(status.value, b'', [*(headers or []), *framing]) + body)
         # Closing a connection with unread bytes resets it, and the caller would lose this answer. Further
         # bytes are dropped until the caller closes the connection, or until REFUSED_LINGER_S has passed.
         if self._server.may_linger(self):
-            self._transport.write_eof()
+            self.transport.write_eof()
             self._is_throttled = False
             self._update_reading()
         else:
-            self._transport.close()
+            self.transport.close()
 
 
 def _do_nothing() -> None:
--- a/basilcove/http1/server.py
+++ b/basilcove/http1/server.py
@@ -72,6 +72,11 @@
         for conn in tuple(self.connections):
             conn.close_if_idle()
 
+    def has_unsent(self) -> bool:
+        """Return whether bytes of answers wait for their callers; looks at all connections."""
+        transports = (conn.transport for conn in self.connections)
+        return any(each is not None and each.get_write_buffer_size() > 0 for each in transports)
+
     async def unload(self) -> None:
         """Stop listening and close all idle connections."""
         if self._sweeper is not None:
--- a/basilcove/roles/gateway.py
+++ b/basilcove/roles/gateway.py
@@ -10,7 +10,7 @@
 from basilcove.http1.refusals import Refusals
 from basilcove.roles.common import add_common
 from basilcove.wiring.limits import CallerLimits
-from basilcove.wiring.listeners import add_gauges
+from basilcove.wiring.listeners import add_listener
 
 
 @builds(Role.GATEWAY)
@@ -38,7 +38,7 @@
     assembly.metrics.gauge('gateway_cold_upstreams', 'Cold.', lambda: state.count_cold(time.monotonic()))
     assembly.metrics.gauge('gateway_connections_opened', 'To upstreams.', lambda: driver.upstreams.opened)
     assembly.metrics.gauge('gateway_held_bytes', 'Held of incomplete answers.', lambda: driver.held_bytes)
-    add_gauges(assembly.metrics, 'gateway', driver.server)
+    add_listener(assembly, 'gateway', driver.server)
     assembly.readiness.append(lambda: None if state.table is not None else 'no document is in effect')
     assembly.idle_checks.append(lambda: driver.open_exchanges == 0)
     assembly.setups.append(driver.server.setup)
--- a/basilcove/wiring/current_calls.py
+++ b/basilcove/wiring/current_calls.py
@@ -6,6 +6,7 @@
 from basilcove.core.pauses import PauseState
 from basilcove.core.runtime import Runtime
 from basilcove.http1.connection import CallerConnection
+from basilcove.http1.liveness import has_peer_closed
 
 IsCurrent = Callable[[], bool]
 
@@ -20,4 +21,6 @@
     def is_current(self, conn: CallerConnection) -> bool:
         """Tell whether a caller is connected and its call can't have waited through a pause."""
         pauses = self._node.part(PauseState)
-        return not (pauses.reads_late(time.monotonic(), time.time()) or conn.has_caller_left())
+        if conn.transport is None or pauses.reads_late(time.monotonic(), time.time()):
+            return False
+        return not has_peer_closed(conn.transport)
--- a/basilcove/wiring/listeners.py
+++ b/basilcove/wiring/listeners.py
@@ -1,14 +1,14 @@
 """Listeners of gateways and adapters on the event loop, with the account and the metrics of their process."""
 
 from basilcove.daemon import Assembly
-from basilcove.helpers.metrics import Metrics
 from basilcove.http1.refusals import Refusals
 from basilcove.http1.server import HttpServer, RequestHandler
 
 
-def add_gauges(metrics: Metrics, listener: str, server: HttpServer) -> None:
-    """Show the number of connections of a listener."""
-    metrics.gauge(f'{listener}_connections', 'From callers.', lambda: len(server.connections))
+def add_listener(assembly: Assembly, name: str, server: HttpServer) -> None:
+    """Show the connections of a listener, and let a planned stop wait until callers have read its answers."""
+    assembly.metrics.gauge(f'{name}_connections', 'From callers.', lambda: len(server.connections))
+    assembly.idle_checks.append(lambda: not server.has_unsent())
 
 
 def build_server(assembly: Assembly, listen: str, handler: RequestHandler) -> HttpServer:
@@ -16,5 +16,5 @@
     cfg = assembly.settings.adapter
     refusals = Refusals('adapter', assembly.metrics)
     server = HttpServer(listen, handler, assembly.account, refusals, cfg.receive if cfg is not None else None)
-    add_gauges(assembly.metrics, 'adapter', server)
+    add_listener(assembly, 'adapter', server)
     return server
--- a/tests/http/test_streams.py
+++ b/tests/http/test_streams.py
@@ -31,6 +31,7 @@
 PART: Final = Body(b'data: %s\n\n' % (b'a' * 65536))
 # More than the sockets' buffers hold, which take some MB.
 UNREAD_PARTS: Final = 400
+UNREAD_BYTES: Final = 16 * 1024 * 1024
 STREAM: Final = Head(200, {'Content-Type': EVENT_STREAM})
 REQUEST: Final = (
     b'POST /services/carts/book HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n'
@@ -41,9 +42,9 @@
 class Entry:
     """A running entry with one thread for streams, whose upstream is the test."""
 
-    def __init__(self) -> None:
+    def __init__(self, account_bytes: int = ACCOUNT_BYTES) -> None:
         """Start to serve."""
-        self.account = ReceiveAccount(ACCOUNT_BYTES)
+        self.account = ReceiveAccount(account_bytes)
         self.answers = AnswerTable(self.account)
         self.metrics = Metrics()
         self.events: list[Event] = []
@@ -92,6 +93,14 @@
     running.server.unload()
 
 
+@pytest.fixture
+def roomy_entry() -> Iterator[Entry]:
+    """Yield an entry that may hold a large answer."""
+    running = Entry(4 * UNREAD_BYTES)
+    yield running
+    running.server.unload()
+
+
 def read_until(conn: socket.socket, ending: bytes) -> bytes:
     """Return what is received up to some bytes, or up to the end of the connection."""
     received = b''
@@ -134,6 +143,26 @@
             assert b'[DONE]' in read_until(conn, b'[DONE]')
         assert not entry.account.evictions
 
+    def test_collected_answer_that_is_read_slowly(self, roomy_entry: Entry) -> None:
+        """Guards against a planned stop that cuts off an answer which its caller is still reading."""
+        entry, content = roomy_entry, b'a' * UNREAD_BYTES
+        with entry.ask(Head(200, {})) as (conn, request_id):
+            entry.answers.put(request_id, Body(content))
+            entry.answers.put(request_id, Complete())
+            wait_for(lambda: not len(entry.answers), 'a collected answer')
+            assert entry.server.open_answers == 1
+            received = len(conn.recv(1024 * 1024))
+            while received < len(content):
+                part = conn.recv(1024 * 1024)
+                assert part
+                received += len(part)
+            wait_for(lambda: not entry.server.open_answers, 'a written answer')
+        with entry.ask(Head(200, {})) as (_, request_id):
+            entry.answers.put(request_id, Body(content))
+            entry.answers.put(request_id, Complete())
+            wait_for(lambda: not len(entry.answers), 'a collected answer')
+        wait_for(lambda: not entry.server.open_answers, 'an answer whose caller has left')
+
     def test_collected_answer(self, entry: Entry) -> None:
         """Guards against an uncharged answer, and one that is cut off though its caller isn't waited for."""
         with entry.ask(Head(200, {})) as (conn, request_id):
