Keep a change of a map through silence, and fence off all former orders

A pass began with two maps, or a group waited at a step for an answer that never came.

Cause: a group with one late heartbeat lost its change, and the next one had the same fencing token, the leader's term. A release that the former change had sent ended the hold under which the new one armed the ranks.

Evidence: in the record of the case the release is carried out after the arming orders, with their token.

Change: a silent rank doesn't end a change; none begins until it is heard. A group that is taken over again has a newer token, which counts the takeovers of a term, and answers to calls under former tokens are ignored.

Why it works: each takeover refuses everything that was sent before it, and nothing but a later order of the same change ends what a report shows.

--- a/basilcove/experts/remote/calls.py
+++ b/basilcove/experts/remote/calls.py
@@ -4,10 +4,10 @@
 
 from basilcove.core.events import Effect, Log
 from basilcove.core.ids import Rank
-from basilcove.experts.remote.const import RESEND_PER_CALL_S, RESEND_S
+from basilcove.experts.remote.const import REPORT_LAG_S, RESEND_PER_CALL_S, RESEND_S
 from basilcove.experts.remote.events import CallRank
 from basilcove.experts.remote.models import GroupChange, PendingCall, Phase
-from basilcove.experts.remote.orders import Order, RankQuery
+from basilcove.experts.remote.orders import ArmMap, HoldStep, Order, RankQuery, RankReport, ReadReport
 
 Effects = Iterator[Effect]
 
@@ -45,7 +45,11 @@
 
 
 def send_due(change: GroupChange, now: float) -> Effects:
-    """Retry calls that have no answer."""
+    """Retry calls that have no answer.
+
+    An order may have been carried out without one, so once a report would show its effect, one is asked for
+    between two retries.
+    """
     resend_s = RESEND_S + RESEND_PER_CALL_S * len(change.calls)
     for rank, pending in tuple(change.pending_calls.items()):
         if now - pending.sent_at >= resend_s:
@@ -53,12 +57,30 @@
             yield _call(change, rank, now)
 
 
+def is_in_effect(order: Order | RankQuery, report: RankReport) -> bool:
+    """Return whether a report shows the effect of an order that only a later order of its change ends."""
+    if isinstance(order, HoldStep):
+        return report.held == order.step
+    if isinstance(order, ArmMap):
+        return report.armed == (order.version, order.step)
+    return False
+
+
 def _call(change: GroupChange, rank: Rank, now: float) -> Effect:
     change.last_call_number += 1
     number = change.last_call_number
-    former = change.pending_calls.get(rank)
-    first_number = former.first_number if former is not None else number
-    change.pending_calls[rank] = PendingCall(first_number, number, now)
+    call = change.calls[rank]
+    pending = change.pending_calls.get(rank)
+    if pending is None:
+        pending = PendingCall(number, number, now, now)
+        change.pending_calls[rank] = pending
+    elif pending.is_report_due:
+        call = ReadReport()
+    pending.number, pending.sent_at = number, now
+    is_confirmable = isinstance(change.calls[rank], HoldStep | ArmMap)
+    pending.is_report_due = (
+        is_confirmable and not pending.is_report_due and now - pending.began_at >= REPORT_LAG_S
+    )
     rank_address, identity = change.ranks[rank], change.identity
     return CallRank(
         identity.name,
@@ -68,7 +90,7 @@
         rank_address.address,
         identity.epoch,
         change.token,
-        change.calls[rank],
+        call,
     )
 
 
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -8,7 +8,6 @@
 from basilcove.concurrency.models import ConcurrencyState
 from basilcove.consensus.models import ConsensusState
 from basilcove.core.events import Effect, Log, Send, Tick
-from basilcove.core.ids import GroupName
 from basilcove.core.reducer import Context, handles
 from basilcove.environment.events import EnvironmentChanged
 from basilcove.experts.remote.calls import enter_phase, is_complete
@@ -29,6 +28,7 @@
     GroupIdentity,
     Phase,
     RankAddress,
+    RemoteGroup,
     RemoteGroups,
 )
 from basilcove.experts.remote.orders import ReadCounts
@@ -67,6 +67,7 @@
         return
     if consensus.term != state.term:
         state.term = consensus.term
+        state.takeovers = 0
         state.reset()
     _sync_with_registry(state, ctx.node.part(RegistryState))
     for change in tuple(state.changes.values()):
@@ -80,7 +81,8 @@
 @handles(RankAnswered, RemoteGroups)
 def _on_answered(state: RemoteGroups, event: RankAnswered, ctx: Context) -> Iterator[Effect]:
     change = state.changes.get(event.group)
-    if change is None or change.identity.epoch != event.epoch:
+    if change is None or (change.identity.epoch, change.token) != (event.epoch, event.token):
+        # The call is one of a former change.
         return
     yield from handle_answer(change, event, ctx.now)
     if change.is_fenced:
@@ -96,34 +98,43 @@
 
 
 def _sync_with_registry(state: RemoteGroups, registry: RegistryState) -> None:
-    """Drop groups that are no longer complete; start over with each new epoch of a group."""
-    complete = dict(_complete_groups(state, registry))
+    """Drop groups that are no longer complete; start over with each new epoch of a group.
+
+    A rank that is only silent may be sound, and orders to it may still take effect. So a change that has
+    begun goes on without its heartbeats, and none begins.
+    """
+    complete = {group.identity.name: group for group in _complete_groups(state, registry)}
     for name in state.changes.keys() - complete.keys():
         state.changes.pop(name)
         state.notified_slow.pop(name, None)
-    for name, change in complete.items():
-        existing = state.changes.get(name)
-        if existing is None or existing.identity != change.identity:
-            state.changes[name] = change
-        else:
-            existing.layout = change.layout
-            existing.ranks = change.ranks
-
-
-def _complete_groups(state: RemoteGroups, registry: RegistryState) -> Iterator[tuple[GroupName, GroupChange]]:
+    for name, group in complete.items():
+        change = state.changes.get(name)
+        if change is not None and change.identity == group.identity:
+            change.layout = group.layout
+            change.ranks = group.ranks
+            change.is_heard = group.is_heard
+        elif group.is_heard:
+            state.take_over(group)
+        elif change is not None:
+            state.changes.pop(name)
+
+
+def _complete_groups(state: RemoteGroups, registry: RegistryState) -> Iterator[RemoteGroup]:
     members: dict[GroupIdentity, list[Registration]] = defaultdict(list)
+    silent: set[GroupIdentity] = set()
     for row in registry.rows.values():
         member = row.registration
-        is_usable = (
-            member.standing is not RegistrationState.GONE and not row.is_silent and member.is_group_open
-        )
+        is_usable = member.standing is not RegistrationState.GONE and member.is_group_open
         if is_usable and member.group and member.service in state.layouts:
-            members[GroupIdentity(member.group, member.service, member.epoch)].append(member)
+            identity = GroupIdentity(member.group, member.service, member.epoch)
+            members[identity].append(member)
+            if row.is_silent:
+                silent.add(identity)
     for identity, group_members in members.items():
         ranks = {member.rank: RankAddress(member.instance, member.address) for member in group_members}
         if len(ranks) == len(group_members) == group_members[0].group_size:
             layout = state.layouts[identity.service]
-            yield identity.name, GroupChange(identity, state.term, ranks, layout)
+            yield RemoteGroup(identity, ranks, layout, is_heard=identity not in silent)
 
 
 def _prepare_plan(state: RemoteGroups, change: GroupChange, ctx: Context) -> Iterator[Effect]:
@@ -162,6 +173,8 @@
 
 
 def _is_due(change: GroupChange, now: float) -> bool:
+    if not change.is_heard:
+        return False
     if not any(change.popularity):
         interval_s = FIRST_COUNTS_INTERVAL_S
     elif _max_copies(change) is None:
--- a/basilcove/experts/remote/driver.py
+++ b/basilcove/experts/remote/driver.py
@@ -136,7 +136,9 @@
         if time.monotonic() >= self._held_until.get(effect.instance, 0):
             async with self._slots:
                 reply = await self._send(effect)
-        answered = RankAnswered(effect.group, effect.rank, effect.number, effect.epoch, effect.call, reply)
+        answered = RankAnswered(
+            effect.group, effect.rank, effect.number, effect.epoch, effect.token, effect.call, reply
+        )
         self._apply(answered)
 
     async def _send(self, effect: CallRank) -> Reply:
--- a/basilcove/experts/remote/events.py
+++ b/basilcove/experts/remote/events.py
@@ -23,11 +23,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RankAnswered(Event):
-    """A call to a rank ended."""
+    """A call to a rank ended; the fields are those of ``CallRank``."""
 
     group: GroupName
     rank: Rank
     number: int
     epoch: int
+    token: int
     call: Order | RankQuery
     reply: Reply
--- a/basilcove/experts/remote/models.py
+++ b/basilcove/experts/remote/models.py
@@ -5,7 +5,7 @@
 
 from basilcove.core.ids import GroupName, InstanceId, Rank, ServiceName
 from basilcove.experts.models import Layer
-from basilcove.experts.remote.const import MAX_SLOW_SHARE, RELIEF_SPEED
+from basilcove.experts.remote.const import MAX_SLOW_SHARE, RELIEF_SPEED, TOKENS_PER_TERM
 from basilcove.experts.remote.orders import Order, RankLists, RankQuery, RankReport
 from basilcove.experts.remote.planning import Draft
 
@@ -65,13 +65,29 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class RemoteGroup:
+    """A group whose ranks are all known; ``is_heard`` if none of them is silent."""
+
+    identity: GroupIdentity
+    ranks: dict[Rank, RankAddress]
+    layout: ExpertLayout
+    is_heard: bool = True
+
+
 @dataclass(slots=True)
 class PendingCall:
-    """A call that has no answer yet; it was sent under the numbers from ``first_number`` to ``number``."""
+    """A call that has no answer yet; it was sent under the numbers from ``first_number`` to ``number``.
+
+    ``began_at`` is when it was first sent. With ``is_report_due`` a report is asked for next, in place of
+    sending the call once more.
+    """
 
     first_number: int
     number: int
     sent_at: float
+    began_at: float
+    is_report_due: bool = False
 
 
 @dataclass(slots=True)
@@ -89,6 +105,7 @@
     token: int
     ranks: dict[Rank, RankAddress]
     layout: ExpertLayout
+    is_heard: bool = True
     phase: Phase = Phase.FENCING
     since: float = 0
     # When the last rank confirmed that it refuses the orders of former leaders.
@@ -146,11 +163,25 @@
     layouts: dict[ServiceName, ExpertLayout] = field(default_factory=dict)
     changes: dict[GroupName, GroupChange] = field(default_factory=dict)
     term: int = 0
+    # How often a group was taken over in this term.
+    takeovers: int = 0
     # Slow ranks of each group in the last notification of the gateways.
     notified_slow: dict[GroupName, tuple[InstanceId, ...]] = field(default_factory=dict)
     # The term in which a rank refused an order because of a newer leader's fencing token.
     fenced_term: int = 0
 
+    def take_over(self, group: RemoteGroup) -> None:
+        """Manage the map of a group, with a fencing token that is newer than all earlier ones of any leader.
+
+        So orders that were sent for a former change of the same leader are refused as well. A leader that has
+        no token left in its term manages no further group.
+        """
+        if self.takeovers + 1 >= TOKENS_PER_TERM:
+            return
+        self.takeovers += 1
+        token = self.term * TOKENS_PER_TERM + self.takeovers
+        self.changes[group.identity.name] = GroupChange(group.identity, token, group.ranks, group.layout)
+
     def reset(self) -> None:
         """Drop all changes, which another leader takes over."""
         self.changes.clear()
--- a/basilcove/experts/remote/phases.py
+++ b/basilcove/experts/remote/phases.py
@@ -18,6 +18,7 @@
     enter_phase,
     fields_of,
     is_complete,
+    is_in_effect,
     send_due,
 )
 from basilcove.experts.remote.const import (
@@ -46,8 +47,10 @@
     ArmMap,
     DisarmMap,
     HoldStep,
+    Order,
     OrderResult,
     PrepareMap,
+    RankReport,
     ReadCounts,
     ReadLists,
     ReadReport,
@@ -118,6 +121,12 @@
     if reply is OrderResult.FENCED:
         change.is_fenced = True
         return
+    call = change.calls[event.rank]
+    if isinstance(reply, RankReport) and isinstance(call, Order):
+        record_reply(change, event.rank, reply, now)
+        if not is_in_effect(call, reply):
+            return
+        reply = OrderResult.ACCEPTED
     # The first sending of a repeated order may have prepared the map; the report that follows tells.
     may_be_prepared = change.phase is Phase.PREPARING and pending.first_number != pending.number
     if reply is OrderResult.CONFLICT and not may_be_prepared:
@@ -340,7 +349,9 @@
 
 @in_phase(Phase.RELEASING)
 def _await_release(change: GroupChange, now: float) -> Effects:
-    if change.holder in change.completed or change.holder in change.refused_at:
+    is_answered = change.holder in change.completed or change.holder in change.refused_at
+    # Without an answer the report tells whether the hold has ended.
+    if is_answered or now - change.called_at >= REPORT_INTERVAL_S:
         yield from enter_phase(change, Phase.WATCHING, now)
         yield from call_ranks(change, (change.holder,), ReadReport(), now)
 
--- a/tests/experts/remote/ranks.py
+++ b/tests/experts/remote/ranks.py
@@ -101,13 +101,17 @@
 
     # Leaders.
 
+    @property
+    def identity(self) -> GroupIdentity:
+        """Identity of the group in its present epoch."""
+        return GroupIdentity(GroupName('g'), ServiceName('s'), self.epoch)
+
     def lead(self, token: int) -> GroupChange:
         """Add a leader; earlier ones stay active."""
         addresses = {
             Rank(rank): RankAddress(InstanceId(f'i-{rank}'), f'h:{rank}') for rank in range(self.size)
         }
-        identity = GroupIdentity(GroupName('g'), ServiceName('s'), self.epoch)
-        change = GroupChange(identity, token, addresses, self.layout)
+        change = GroupChange(self.identity, token, addresses, self.layout)
         self.leaders.append(change)
         self._at(0, lambda: self._tick(change))
         return change
@@ -155,7 +159,9 @@
     def _answer(self, change: GroupChange, effect: CallRank, reply: Reply) -> None:
         if change not in self.leaders:
             return
-        event = RankAnswered(effect.group, effect.rank, effect.number, effect.epoch, effect.call, reply)
+        event = RankAnswered(
+            effect.group, effect.rank, effect.number, effect.epoch, effect.token, effect.call, reply
+        )
         self._carry_out(change, list(handle_answer(change, event, self.now)))
 
     # Ranks.
--- a/tests/experts/remote/test_coordinator.py
+++ b/tests/experts/remote/test_coordinator.py
@@ -11,7 +11,7 @@
 from basilcove.experts.remote import coordinator as _remote  # noqa: F401
 from basilcove.experts.remote.const import COUNTS_INTERVAL_S
 from basilcove.experts.remote.events import CallRank, RankAnswered
-from basilcove.experts.remote.models import ExpertLayout, RemoteGroups
+from basilcove.experts.remote.models import ExpertLayout, GroupChange, RemoteGroups
 from basilcove.experts.remote.orders import (
     OrderResult,
     PrepareMap,
@@ -63,6 +63,7 @@
         self.prepared_at: list[float] = []
         self.notified: list[tuple[InstanceId, ...]] = []
         self.now = 100.0
+        self.is_answering = True
         self._counted = itertools.count(1)
 
     def run(self, seconds: float, *, used_slots: int = SLOTS) -> None:
@@ -81,12 +82,30 @@
             if isinstance(effect, Send) and isinstance(effect.message, SlowInstances):
                 assert effect.node == GATEWAY
                 self.notified.append(effect.message.instances)
-            if isinstance(effect, CallRank):
+            if isinstance(effect, CallRank) and self.is_answering:
                 reply = self._reply(effect)
                 self._apply(
-                    RankAnswered(effect.group, effect.rank, effect.number, effect.epoch, effect.call, reply)
+                    RankAnswered(
+                        effect.group,
+                        effect.rank,
+                        effect.number,
+                        effect.epoch,
+                        effect.token,
+                        effect.call,
+                        reply,
+                    )
                 )
 
+    def answer_all(self, change: GroupChange, token: int) -> None:
+        """Accept the calls of a change, as answers to calls that were sent under a token."""
+        identity = change.identity
+        for rank, pending in tuple(change.pending_calls.items()):
+            call = change.calls[rank]
+            answer = RankAnswered(
+                identity.name, rank, pending.number, identity.epoch, token, call, OrderResult.ACCEPTED
+            )
+            self._apply(answer)
+
     def _reply(self, effect: CallRank) -> Reply:
         if isinstance(effect.call, ReadReport):
             step = int(10 * self.now)
@@ -201,3 +220,47 @@
             leader.prepared_at[0] - max(at for at in leader.read_at if at <= leader.prepared_at[0])
             < TICK_S / 2
         )
+
+
+class TestIncompleteGroup:
+    def test_change_goes_on_while_a_rank_is_silent(self) -> None:
+        """Guards against a hold and orders that nobody knows of after one late heartbeat."""
+        leader = Leader()
+        leader.run(2)
+        former = leader.groups.changes[GroupName('g')]
+        row = leader.node.part(RegistryState).rows[InstanceId('i-0')]
+        row.is_silent = True
+        leader.run(TICK_S)
+        readings = len(leader.read_at)
+        leader.run(2 * COUNTS_INTERVAL_S)
+        assert leader.groups.changes[GroupName('g')] is former
+        assert len(leader.read_at) <= readings + RANKS
+        row.is_silent = False
+        leader.run(2 * COUNTS_INTERVAL_S)
+        assert leader.groups.changes[GroupName('g')] is former
+        assert len(leader.read_at) > readings
+
+    def test_group_with_a_silent_rank_is_not_taken_over(self) -> None:
+        leader = Leader()
+        leader.node.part(RegistryState).rows[InstanceId('i-0')].is_silent = True
+        leader.run(2)
+        assert not leader.groups.changes
+
+    def test_group_is_taken_over_again(self) -> None:
+        """Guards against late orders and answers of a change that the leader has dropped since."""
+        leader = Leader()
+        leader.run(2)
+        former = leader.groups.changes[GroupName('g')]
+        rows = leader.node.part(RegistryState).rows
+        row = rows.pop(InstanceId('i-0'))
+        leader.run(TICK_S)
+        assert not leader.groups.changes
+        rows[InstanceId('i-0')] = row
+        leader.is_answering = False
+        leader.run(TICK_S)
+        change = leader.groups.changes[GroupName('g')]
+        assert change.token > former.token
+        assert change.pending_calls
+        for token in (former.token, change.token):
+            leader.answer_all(change, token)
+            assert bool(change.completed) is (token == change.token)
--- a/tests/experts/remote/test_phases.py
+++ b/tests/experts/remote/test_phases.py
@@ -1,7 +1,8 @@
 import pytest
 
-from basilcove.experts.remote.models import Phase
-from basilcove.experts.remote.orders import ArmMap, HoldStep, PrepareMap
+from basilcove.experts.remote.events import CallRank
+from basilcove.experts.remote.models import GroupChange, Phase
+from basilcove.experts.remote.orders import ArmMap, HoldStep, OrderResult, PrepareMap, ReleaseStep
 from basilcove.experts.remote.phases import start_change
 from basilcove.experts.remote.popularity import sampled_ranks
 from tests.experts.remote.ranks import FakeGroup
@@ -13,6 +14,17 @@
 SEEDS = range(25)
 
 
+class SilentGroup(FakeGroup):
+    """A group whose ranks carry out some types of orders at once and don't answer them."""
+
+    def _send(self, change: GroupChange, effect: CallRank) -> None:
+        if isinstance(effect.call, self.lost):
+            self._apply(effect, None)
+            self._at(0.4, lambda: self._answer(change, effect, OrderResult.UNKNOWN))
+        else:
+            super()._send(change, effect)
+
+
 class TestChanges:
     def test_maps_change_without_a_stall(self) -> None:
         """Guards against a group that waits at the step of the switch, and one whose map never changes."""
@@ -135,6 +147,23 @@
             group.restart()
         assert not group.is_split
 
+    @pytest.mark.parametrize('lost', [HoldStep, ArmMap])
+    def test_orders_that_are_carried_out_without_an_answer(self, lost: type) -> None:
+        """Guards against a group that waits for an answer though the reports show what it would tell."""
+        group = SilentGroup(seed=1, lost=(lost,), report_lag_s=0.4)
+        leader = group.lead(token=1)
+        group.run(30)
+        assert not group.is_split
+        assert leader.changes > 1
+
+    def test_releases_are_never_answered(self) -> None:
+        """Guards against a leader that asks for an answer to a release for ever."""
+        group = FakeGroup(seed=1, lost=(ReleaseStep,))
+        leader = group.lead(token=1)
+        group.run(60)
+        assert not group.is_split
+        assert leader.changes > 1
+
     def test_late_hold_is_released(self) -> None:
         """Guards against a group that is held forever by an aborted change."""
         group = FakeGroup(seed=1, lost=(HoldStep,))
--- a/tests/experts/remote/test_takeover.py
+++ b/tests/experts/remote/test_takeover.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 
 from basilcove.core.ids import Rank
+from basilcove.experts.remote.const import TOKENS_PER_TERM
 from basilcove.experts.remote.events import CallRank
-from basilcove.experts.remote.models import GroupChange, Phase
+from basilcove.experts.remote.models import GroupChange, Phase, RemoteGroup, RemoteGroups
 from basilcove.experts.remote.orders import ArmMap, DisarmMap, OrderResult, ReleaseStep
 from tests.experts.remote.ranks import FakeGroup
 
@@ -71,3 +72,28 @@
         former = group.hold(token=1)
         group.take_over(token=former.token + 1)
         assert not group.is_split
+
+
+class TestSameLeader:
+    def test_release_of_the_former_change(self) -> None:
+        """Guards against a release of before that ends the hold under which the same leader arms ranks."""
+        group = HeldGroup(seed=1, report_lag_s=0.4)
+        groups = RemoteGroups(term=1)
+        tokens = []
+        for _ in range(2):
+            groups.take_over(RemoteGroup(group.identity, {}, group.layout))
+            tokens.append(groups.changes[group.identity.name].token)
+        group.hold(tokens[0])
+        group.take_over(tokens[1])
+        assert not group.is_split
+
+    def test_tokens_of_terms(self) -> None:
+        """Guards against a leader of a later term that is fenced off by many takeovers of a former one."""
+        group = HeldGroup(seed=1)
+        groups = RemoteGroups(term=1)
+        for _ in range(2 * TOKENS_PER_TERM):
+            groups.take_over(RemoteGroup(group.identity, {}, group.layout))
+        last = groups.changes[group.identity.name].token
+        later = RemoteGroups(term=2)
+        later.take_over(RemoteGroup(group.identity, {}, group.layout))
+        assert later.changes[group.identity.name].token > last
