Take the newest epoch of a group whose ranks are heard

Change: of several complete epochs the one that is heard, then the newest one counts. An entry forgets a collected answer whose head can't be written.

Measured: test_silent_rows_of_a_former_epoch failed for one order of the rows before and passes for both.

--- a/basilcove/experts/remote/const.py
+++ b/basilcove/experts/remote/const.py
@@ -80,7 +80,7 @@
 
 # No map has this version, so an order to disarm it changes only the fencing token of a rank.
 UNUSED_VERSION: Final = 2**53 - 1
-# A group is taken over when it forms, and when it is complete again after a heartbeat that came late.
+# A group is taken over when it forms, and again after one of its ranks was missing.
 TOKENS_PER_TERM: Final = 65_536
 # A leader changes a group's map a few times a minute, and a term lasts days at most.
 VERSIONS_PER_TOKEN: Final = 100_000
--- a/basilcove/experts/remote/coordinator.py
+++ b/basilcove/experts/remote/coordinator.py
@@ -103,7 +103,9 @@
     A rank that is only silent may be sound, and orders to it may still take effect. So a change that has
     begun goes on without its heartbeats, and none begins.
     """
-    complete = {group.identity.name: group for group in _complete_groups(state, registry)}
+    # Rows of a former epoch may remain for a while, whose ranks are silent.
+    by_age = sorted(_complete_groups(state, registry), key=_age_key)
+    complete = {group.identity.name: group for group in by_age}
     for name in state.changes.keys() - complete.keys():
         state.changes.pop(name)
         state.notified_slow.pop(name, None)
@@ -119,6 +121,10 @@
             state.changes.pop(name)
 
 
+def _age_key(group: RemoteGroup) -> tuple[bool, int]:
+    return group.is_heard, group.identity.epoch
+
+
 def _complete_groups(state: RemoteGroups, registry: RegistryState) -> Iterator[RemoteGroup]:
     members: dict[GroupIdentity, list[Registration]] = defaultdict(list)
     silent: set[GroupIdentity] = set()
--- a/basilcove/http/callers.py
+++ b/basilcove/http/callers.py
@@ -166,7 +166,11 @@
         content, last = exchange.collect()
         self._unwritten.add(request_id)
         exchange.close()
-        answer = self._build_whole(exchange, first, last, content, start_response)
+        try:
+            answer = self._build_whole(exchange, first, last, content, start_response)
+        except BaseException:
+            self._unwritten.discard(request_id)
+            raise
         return CollectedAnswer(answer, lambda: self._unwritten.discard(request_id))
 
     def _build_whole(
--- a/tests/experts/remote/test_coordinator.py
+++ b/tests/experts/remote/test_coordinator.py
@@ -2,6 +2,8 @@
 import math
 from collections.abc import Iterable
 
+import pytest
+
 from basilcove.concurrency.limits import LoadLimit
 from basilcove.concurrency.models import ConcurrencyState, GroupRecord
 from basilcove.consensus.models import ConsensusState, Member, Members, MemberState
@@ -240,6 +242,26 @@
         assert leader.groups.changes[GroupName('g')] is former
         assert len(leader.read_at) > readings
 
+    @pytest.mark.parametrize('is_newer_first', [True, False])
+    def test_silent_rows_of_a_former_epoch(self, *, is_newer_first: bool) -> None:
+        """Guards against a leader that stays with an epoch whose instances were all replaced."""
+        leader = Leader()
+        leader.run(2)
+        rows = leader.node.part(RegistryState).rows
+        former = dict(rows)
+        for row in former.values():
+            row.is_silent = True
+        newer = {}
+        for rank in range(RANKS):
+            entry = registration(
+                f'n-{rank}', group=GroupName('g'), epoch=2, rank=Rank(rank), group_size=RANKS
+            )
+            newer[entry.instance] = Row(entry, renewed_at=math.inf)
+        rows.clear()
+        rows.update({**newer, **former} if is_newer_first else {**former, **newer})
+        leader.run(TICK_S)
+        assert leader.groups.changes[GroupName('g')].identity.epoch == 2
+
     def test_group_with_a_silent_rank_is_not_taken_over(self) -> None:
         leader = Leader()
         leader.node.part(RegistryState).rows[InstanceId('i-0')].is_silent = True
