--- a/basilcove/http/callers.py
+++ b/basilcove/http/callers.py
@@ -102,6 +102,10 @@
         """Return the number of requests whose answers have not ended or aren't written yet."""
         return len(self._answers) + len(self._unwritten)
 
+    def has_unsent(self) -> bool:
+        """Return whether bytes of written answers wait for their callers."""
+        return self._server is not None and self._server.has_unsent()
+
     def _serve(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         path = environ['PATH_INFO']
         page = self._pages.answer(path, start_response)
--- a/basilcove/http/connections.py
+++ b/basilcove/http/connections.py
@@ -35,6 +35,10 @@
         self._connections.close()
         self._connections = Poller(self, bound_connections(self.limits))
 
+    def has_unsent(self) -> bool:
+        """Return whether bytes of answers wait for their clients."""
+        return bool(self._connections.has_unsent())
+
     def forget(self, conn: Connection) -> None:
         """Count a closed connection no longer."""
         self._connections.forget(conn)
--- a/basilcove/http/polling.py
+++ b/basilcove/http/polling.py
@@ -58,6 +58,10 @@
         """Return whether an answered connection stays open, which it doesn't at the limit."""
         return len(self._open) < self._max_connections
 
+    def has_unsent(self) -> bool:
+        """Return whether bytes of answers wait for their clients; on any thread, looks at all connections."""
+        return any(conn.wfile.unsent for conn in tuple(self._open))
+
     def forget(self, conn: Connection) -> None:
         """Count a connection no longer; called once it is closed, on any thread."""
         self._open.pop(conn, None)
--- a/basilcove/roles/entry.py
+++ b/basilcove/roles/entry.py
@@ -45,6 +45,6 @@
     assembly.metrics.gauge('upstreams', 'Upstreams known.', lambda: len(membership.upstreams))
     assembly.metrics.gauge('requests_open', 'Requests not ended.', lambda: len(requests.requests))
     assembly.readiness.append(lambda: None if requests.is_ready else 'no document is in effect or stopping')
-    assembly.idle_checks.append(lambda: server.open_answers == 0)
+    assembly.idle_checks.append(lambda: not (server.open_answers or server.has_unsent()))
     assembly.setups.append(lambda: server.setup(runtime.post, assembly.not_ready))
     assembly.unloads.append(server.unload)
--- a/tests/http/test_streams.py
+++ b/tests/http/test_streams.py
@@ -28,6 +28,7 @@
 KEY: Final = 'k'
 ACCOUNT_BYTES: Final = 2 * 1024 * 1024
 RECEIVE_TIMEOUT_S: Final = 1.0
+PATIENT_TIMEOUT_S: Final = 30.0
 PART: Final = Body(b'data: %s\n\n' % (b'a' * 65536))
 # More than the sockets' buffers hold, which take some MB.
 UNREAD_PARTS: Final = 400
@@ -42,13 +43,15 @@
 class Entry:
     """A running entry with one thread for streams, whose upstream is the test."""
 
-    def __init__(self, account_bytes: int = ACCOUNT_BYTES) -> None:
+    def __init__(
+        self, account_bytes: int = ACCOUNT_BYTES, receive_timeout_s: float = RECEIVE_TIMEOUT_S
+    ) -> None:
         """Start to serve."""
         self.account = ReceiveAccount(account_bytes)
         self.answers = AnswerTable(self.account)
         self.metrics = Metrics()
         self.events: list[Event] = []
-        self.cfg = HttpConfig(listen=free_address(), max_streams=1, receive_timeout_s=RECEIVE_TIMEOUT_S)
+        self.cfg = HttpConfig(listen=free_address(), max_streams=1, receive_timeout_s=receive_timeout_s)
         self.server = CallerServer.from_config(
             self.cfg, self.answers, self.metrics, Tracing(TraceConfig(), 'e0'), self.account
         )
@@ -95,8 +98,8 @@
 
 @pytest.fixture
 def roomy_entry() -> Iterator[Entry]:
-    """Yield an entry that may hold a large answer."""
-    running = Entry(4 * UNREAD_BYTES)
+    """Yield an entry that may hold a large answer, and lets its caller take long to read it."""
+    running = Entry(4 * UNREAD_BYTES, PATIENT_TIMEOUT_S)
     yield running
     running.server.unload()
 
@@ -150,18 +153,20 @@
             entry.answers.put(request_id, Body(content))
             entry.answers.put(request_id, Complete())
             wait_for(lambda: not len(entry.answers), 'a collected answer')
-            assert entry.server.open_answers == 1
+            # The thread that answers doesn't wait for the caller, but a stop does.
+            wait_for(lambda: not entry.server.open_answers, 'a written answer')
+            assert entry.server.has_unsent()
             received = len(conn.recv(1024 * 1024))
             while received < len(content):
                 part = conn.recv(1024 * 1024)
                 assert part
                 received += len(part)
-            wait_for(lambda: not entry.server.open_answers, 'a written answer')
+            wait_for(lambda: not entry.server.has_unsent(), 'an answer that was read')
         with entry.ask(Head(200, {})) as (_, request_id):
             entry.answers.put(request_id, Body(content))
             entry.answers.put(request_id, Complete())
             wait_for(lambda: not len(entry.answers), 'a collected answer')
-        wait_for(lambda: not entry.server.open_answers, 'an answer whose caller has left')
+        wait_for(lambda: not entry.server.has_unsent(), 'an answer whose caller has left')
 
     def test_collected_answer(self, entry: Entry) -> None:
         """Guards against an uncharged answer, and one that is cut off though its caller isn't waited for."""
