--- a/review/12/case.py
+++ b/review/12/case.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(FOLDER))
 
 from loopback import BROKEN, HELD, Engine, World, configuration, main, route, send, wait_for  # noqa: E402
 
