Store only documents that each host can read back

Cause: the translation checked the document in memory and stored its canonical text, in which half a character is an escape of JSON that the hosts' reader refuses. The check that encoded this text always passed. The logs of all hosts name the refused escape; nothing read the text back before it was acknowledged.

Change: write_stored reads the text back as a host does; the adapter and the tool use it, and the leader reads each document that it stores or promotes. The operator's text is read strictly (half characters, numbers beyond doubles, keys given twice: 400; names that are no text: 400 instead of 500). A host that holds a revision it can't read says so in its offers; a node that starts takes the newest document that can be read. GET /config returns the source of a document that this build can't read, and status names its revision.

It works for each way in, as what is checked is the stored text.

--- a/basilcove/catalog/coordinator.py
+++ b/basilcove/catalog/coordinator.py
@@ -5,14 +5,14 @@
 from basilcove.catalog import evidence
 from basilcove.catalog import stopping as _stopping  # noqa: F401
 from basilcove.catalog.apply import apply_logged, apply_members, compute_digest, find_first_answer
-from basilcove.catalog.commands import AdmitHost, ApplyDocument, PromoteDocument, RefuseHostChange, RemoveHost
+from basilcove.catalog.commands import AdmitHost, RefuseHostChange, RemoveHost
 from basilcove.catalog.const import ATTEMPT_RETENTION_S, COMMAND_LIFETIME_S
 from basilcove.catalog.control import ControlState, PendingAnswer
 from basilcove.catalog.delivery import deliver
 from basilcove.catalog.events import DocumentAccepted, EvacuationsCommitted
 from basilcove.catalog.messages import Answer, Ask, LoggedCommand
 from basilcove.catalog.models import DocumentKey, DocumentRow
-from basilcove.catalog.outcomes import CommandRefused, MembersChanged
+from basilcove.catalog.outcomes import CommandRefused, DocumentRefused, MembersChanged
 from basilcove.catalog.reads import answer_read
 from basilcove.catalog.snapshot import decode_state, encode_state
 from basilcove.consensus.events import (
@@ -90,13 +90,10 @@
         return [_answer(state, pending, CommandRefused(str(exc)))]
     if isinstance(command, AdmitHost | RemoveHost):
         return _change_members(state, pending, command)
+    prepared = evidence.prepare_command(state, command)
+    if isinstance(prepared, DocumentRefused):
+        return [_answer(state, pending, prepared)]
     state.pending_proposals[ask.proposal_id] = pending
-    prepared = command
-    if isinstance(command, ApplyDocument | PromoteDocument):
-        prepared = evidence.prepare_command(state, command)
-        if not isinstance(prepared, ApplyDocument | PromoteDocument):
-            state.pending_proposals.pop(ask.proposal_id)
-            return [_answer(state, pending, prepared)]
     return [_log_command(ask, prepared)]
 
 
--- a/basilcove/catalog/evidence.py
+++ b/basilcove/catalog/evidence.py
@@ -1,15 +1,14 @@
 """Evidence that entries report for a trial document, and the checks before a proposal."""
 
-from pydantic import ValidationError
-
-from basilcove.catalog.commands import ApplyDocument, PromoteDocument, TrialEvidence
+from basilcove.catalog.commands import ApplyDocument, PromoteDocument, PutDocument, TrialEvidence
 from basilcove.catalog.control import ControlState
 from basilcove.catalog.messages import TrialReport
 from basilcove.catalog.outcomes import DocumentRefused
 from basilcove.core.events import Effect, Message, Received
 from basilcove.core.ids import EnvironmentName, Revision, Stage
 from basilcove.core.reducer import Context, handles_message
-from basilcove.environment.models import Environment
+from basilcove.environment.exceptions import DocumentError
+from basilcove.environment.storing import read_stored
 
 
 @handles_message(TrialReport, ControlState)
@@ -30,24 +29,28 @@
 
 
 def prepare_command(state: ControlState, command: Message) -> Message:
-    """Return the command to propose, or the refusal of a document with faults."""
+    """Return the command to propose, or the refusal of a document that no host could read."""
+    text = _find_document(state, command)
+    if text is not None:
+        try:
+            read_stored(text)
+        except DocumentError as exc:
+            return DocumentRefused(exc.faults)
     if isinstance(command, PromoteDocument):
         evidence = _sum_reports(state, command.environment)
         return PromoteDocument(command.environment, command.expected_revision, command.request_id, evidence)
-    if isinstance(command, ApplyDocument):
-        return _check_document(command)
     return command
 
 
-def _check_document(command: ApplyDocument) -> Message:
-    try:
-        Environment.model_validate_json(command.document)
-    except ValidationError as exc:
-        faults = tuple(
-            f'{".".join(str(part) for part in fault["loc"])}: {fault["msg"]}' for fault in exc.errors()
-        )
-        return DocumentRefused(faults)
-    return command
+def _find_document(state: ControlState, command: Message) -> str | None:
+    """Return the document that a command would store; None if it would store none."""
+    if isinstance(command, PromoteDocument):
+        trial = state.catalog.documents.get((command.environment, Stage.TRIAL))
+        return None if trial is None else trial.text
+    if isinstance(command, PutDocument):
+        current = state.catalog.documents.get((command.environment, command.stage))
+        return None if current is not None and command.revision <= current.revision else command.document
+    return command.document if isinstance(command, ApplyDocument) else None
 
 
 def _sum_reports(state: ControlState, environment: EnvironmentName) -> TrialEvidence:
--- a/basilcove/cli/tool.py
+++ b/basilcove/cli/tool.py
@@ -26,9 +26,11 @@
 from basilcove.cli.zones import Zones
 from basilcove.const import VERSION
 from basilcove.core.ids import EnvironmentName, NodeId, Revision, Stage, UpstreamName
-from basilcove.environment.canonical import canonical, digest
+from basilcove.environment.canonical import digest
+from basilcove.environment.exceptions import DocumentError
 from basilcove.environment.faults import DocumentFaults
 from basilcove.environment.models import Environment
+from basilcove.environment.storing import write_stored
 
 
 class Tool:
@@ -93,7 +95,7 @@
             file: Document in YAML.
         """
         environment = _load(file)
-        text = canonical(environment)
+        text = _write(environment)
         counts = f'{len(environment.teams)} teams, {len(environment.upstreams)} upstreams'
         summary = {
             'accepted': True,
@@ -119,7 +121,7 @@
         request = ApplyRequest(
             EnvironmentName(environment.name),
             target_stage,
-            canonical(environment),
+            _write(environment),
             _revision(expected_revision),
             self._session.request_id(request_id),
         )
@@ -222,6 +224,13 @@
     return environment
 
 
+def _write(environment: Environment) -> str:
+    try:
+        return write_stored(environment)
+    except DocumentError as exc:
+        raise RefusedError(exc.faults) from exc
+
+
 def _stage(name: str) -> Stage:
     try:
         return Stage(name)
--- a/basilcove/distribution/coordinator.py
+++ b/basilcove/distribution/coordinator.py
@@ -1,7 +1,6 @@
 """Handlers that track peers and offer documents to them."""
 
 import dataclasses
-import json
 from collections.abc import Iterator
 
 from basilcove.catalog.events import DocumentAccepted, EvacuationsCommitted
@@ -13,6 +12,7 @@
     IDLE_OFFER_INTERVAL_S,
     MAX_KEYS_PER_PEER,
     MAX_OFFER_JITTER,
+    NO_REVISION,
 )
 from basilcove.distribution.events import (
     ControlMembersChanged,
@@ -27,10 +27,12 @@
     activate_if_ready,
     apply_evacuations,
     compute_digest,
+    mark_unreadable,
     report_breach,
     store_document,
 )
-from basilcove.environment.canonical import canonical_json
+from basilcove.environment.exceptions import DocumentError
+from basilcove.environment.storing import normalise_stored
 from basilcove.helpers.hashing import stable_fraction
 from basilcove.zones.models import Evacuations
 
@@ -104,9 +106,12 @@
         yield Log('error', 'a node without the control role may not introduce a document', fields)
         return
     try:
-        text = canonical_json(json.loads(event.document))
-    except ValueError as exc:
-        yield Log('error', f'the accepted document is not JSON: {exc}', fields)
+        text = normalise_stored(event.document)
+    except DocumentError as exc:
+        if key == state.key:
+            yield from mark_unreadable(state, event.revision, event.document, exc)
+        else:
+            yield Log('error', str(exc), fields)
         return
     local = state.documents.setdefault(key, LocalDocument())
     digest = compute_digest(text)
@@ -190,14 +195,19 @@
 
 def _record_offer(view: PeerView, key: Key, offer: Offer) -> None:
     # The revision of a process never decreases, so a lower offer is a late one. `caught_up` may change in
-    # both directions; if a late offer sets it wrongly, the next offer corrects it.
+    # both directions; if a late offer sets it wrongly, the next offer corrects it. What the peer can't read
+    # only grows.
     previous = view.offers.get(key)
     if previous is None:
         if len(view.offers) < MAX_KEYS_PER_PEER:
             view.offers[key] = offer
         return
     newer = offer if offer.revision >= previous.revision else previous
-    view.offers[key] = dataclasses.replace(newer, caught_up=offer.caught_up)
+    view.offers[key] = dataclasses.replace(
+        newer,
+        caught_up=offer.caught_up,
+        unreadable_revision=max(offer.unreadable_revision, previous.unreadable_revision),
+    )
 
 
 def _offer_to_all(state: DistributionState, ctx: Context) -> Iterator[Effect]:
@@ -254,4 +264,5 @@
         voters,
         state.evacuations.version,
         state.evacuations if is_lacking_evacuations else None,
+        state.unreadable_revision if state.is_control and key == state.key else NO_REVISION,
     )
--- a/basilcove/distribution/messages.py
+++ b/basilcove/distribution/messages.py
@@ -18,6 +18,7 @@
     that the sender knows were in effect. A control replica that has caught up adds the list in
     ``voters`` for a peer with an older one. ``evacuations_version`` is that of the evacuated zones that
     the sender has; ``evacuations`` holds them for a peer that isn't known to have that version.
+    ``unreadable_revision`` is the newest accepted revision that a control replica has and can't read.
     """
 
     environment: EnvironmentName
@@ -30,6 +31,7 @@
     voters: tuple[NodeId, ...] = ()
     evacuations_version: int = 0
     evacuations: Evacuations | None = None
+    unreadable_revision: Revision = Revision(0)
 
 
 @message('distribution.want', pb.Want)
--- a/basilcove/distribution/models.py
+++ b/basilcove/distribution/models.py
@@ -170,6 +170,8 @@
     pull: Pull = field(default_factory=Pull)
     # Digests of documents that this version can't read, and (source, digest) of breaches already reported.
     unreadable_digests: set[bytes] = field(default_factory=set)
+    # Newest revision of the own key that this version can't read; 0 if it could read each.
+    unreadable_revision: Revision = NO_REVISION
     breaches: set[tuple[NodeId, bytes]] = field(default_factory=set)
     started_at: float | None = None
     caught_up: bool = False
@@ -208,6 +210,11 @@
         """Return the change from a document to a newer one; none if this node sends no deltas."""
         return local.make_step(revision, digest, text) if self.deltas else ()
 
+    @property
+    def has_unreadable(self) -> bool:
+        """Tell whether a revision that can't be read is newer than the node's own document."""
+        return self.unreadable_revision > self.own.revision
+
     @property
     def own(self) -> LocalDocument:
         """Return the document of the node's own environment and stage."""
--- a/basilcove/distribution/taking.py
+++ b/basilcove/distribution/taking.py
@@ -33,9 +33,7 @@
         try:
             environment = load_accepted(text)
         except DocumentError as exc:
-            add_bounded(state.unreadable_digests, compute_digest(text))
-            yield Count('documents_unreadable')
-            yield Log('error', str(exc), _fields(key, revision))
+            yield from mark_unreadable(state, revision, text, exc)
             return
     local.replace(revision, text, steps)
     local.environment = environment
@@ -45,6 +43,16 @@
     yield Count('documents_taken')
 
 
+def mark_unreadable(
+    state: DistributionState, revision: Revision, text: str, exc: DocumentError
+) -> Iterator[Effect]:
+    """Remember that this version can't read a document of the node's own key, and report it."""
+    add_bounded(state.unreadable_digests, compute_digest(text))
+    state.unreadable_revision = max(state.unreadable_revision, revision)
+    yield Count('documents_unreadable')
+    yield Log('error', f'the document can not be read: {exc}', _fields(state.key, revision))
+
+
 def activate_if_ready(state: DistributionState, ctx: Context) -> Iterator[Effect]:
     """Emit once that the node is ready, and once each set of evacuated zones and document in effect.
 
--- a/basilcove/environment/exceptions.py
+++ b/basilcove/environment/exceptions.py
@@ -8,4 +8,9 @@
 
 
 class DocumentError(BasilcoveError):
-    """An accepted document can't be read by this version."""
+    """An accepted document can't be read by this version; lists its faults."""
+
+    def __init__(self, *faults: str) -> None:
+        """Describe each fault in a text."""
+        super().__init__('; '.join(faults))
+        self.faults = faults
--- a/basilcove/environment/loading.py
+++ b/basilcove/environment/loading.py
@@ -4,6 +4,7 @@
 from typing import Any, Final
 
 from pydantic import BaseModel, ValidationError
+from pydantic_core import ErrorDetails
 
 from basilcove.environment.checks import CHECKS, Draft
 from basilcove.environment.const import MAX_DOCUMENT_BYTES, MAX_FAULTS
@@ -55,7 +56,13 @@
     try:
         return Environment.model_validate_json(text)
     except ValidationError as exc:
-        raise DocumentError(f'unreadable document: {exc.errors()[0]["msg"]}') from exc
+        details = exc.errors(include_url=False, include_context=False, include_input=False)[:MAX_FAULTS]
+        raise DocumentError(*(_describe(detail) for detail in details)) from exc
+
+
+def _describe(detail: ErrorDetails) -> str:
+    path = '.'.join(str(part) for part in detail['loc'])
+    return f'{path or "document"}: {detail["msg"]}'
 
 
 def _validate(source: Source) -> Environment | None:
--- a/basilcove/wiring/document_gate.py
+++ b/basilcove/wiring/document_gate.py
@@ -2,7 +2,7 @@
 
 from basilcove.catalog.commands import PutDocument, ReadDocument
 from basilcove.catalog.control import ControlState
-from basilcove.catalog.outcomes import DocumentApplied, DocumentRead
+from basilcove.catalog.outcomes import DocumentApplied, DocumentRead, DocumentRefused
 from basilcove.core.ids import EnvironmentName, Revision, Stage
 from basilcove.core.runtime import Runtime
 from basilcove.wiring.catalog_gate import CatalogGate
@@ -22,12 +22,18 @@
         self._catalog = catalog
         self._key = (environment, stage)
 
-    async def put(self, revision: Revision, text: str) -> bool:
-        """Store a document; tell whether a majority is known to hold this or a higher revision durably."""
-        if revision <= self.committed_revision:
-            return True
+    async def put(self, revision: Revision, text: str) -> DocumentApplied | DocumentRefused | None:
+        """Store a document, and return the outcome; None if it isn't known in time.
+
+        It is applied once a majority is known to hold this or a higher revision durably, and refused if no
+        host could read it.
+        """
+        committed = self.committed_revision
+        if revision <= committed:
+            return DocumentApplied(committed)
         command = PutDocument(*self._key, revision, text)
-        return isinstance(await self._catalog.propose(command, DOCUMENT_TIMEOUT_S), DocumentApplied)
+        outcome = await self._catalog.propose(command, DOCUMENT_TIMEOUT_S)
+        return outcome if isinstance(outcome, DocumentApplied | DocumentRefused) else None
 
     async def read(self) -> tuple[Revision, str] | None:
         """Return the newest document, confirmed by a majority; None if it can't be confirmed now."""
--- a/basilcove/wiring/operators.py
+++ b/basilcove/wiring/operators.py
@@ -223,16 +223,21 @@
     documents = ctx.node.part(DistributionState)
     leader = ctx.node.part(ClientState).leader
     members: tuple[Member, ...] = ()
-    reasons: tuple[str, ...] = ()
+    failures: tuple[str, ...] = ()
     if ctx.node.has(ConsensusState):
         consensus = ctx.node.part(ConsensusState)
         leader = consensus.leader_node or leader
         members = consensus.members.members
         if consensus.failure:
-            reasons = (f'storage failed: {consensus.failure}',)
+            failures = (f'storage failed: {consensus.failure}',)
+    unreadable = (
+        (f'the document of revision {documents.unreadable_revision} can not be read',)
+        if documents.has_unreadable
+        else ()
+    )
     reply = StatusReply(
         accepted=True,
-        reasons=reasons,
+        reasons=(*failures, *unreadable),
         revision=documents.own.revision,
         node=state.identity.node,
         roles=state.identity.roles,
@@ -240,7 +245,7 @@
         version=VERSION,
         environment=state.environment,
         stage=state.stage,
-        ready=documents.ready and not reasons,
+        ready=documents.ready and not failures,
         leader=leader or NodeId(''),
         control_nodes=tuple(sorted(documents.control_nodes)),
         peers=tuple(sorted(documents.peers)),
--- a/tests/catalog/test_coordinator.py
+++ b/tests/catalog/test_coordinator.py
@@ -5,13 +5,16 @@
 
 from basilcove.catalog import coordinator as _catalog  # noqa: F401
 from basilcove.catalog import documents
-from basilcove.catalog.commands import PutDocument
+from basilcove.catalog.commands import ApplyDocument, PromoteDocument, PutDocument
 from basilcove.catalog.control import ControlState
 from basilcove.catalog.events import DocumentAccepted
+from basilcove.catalog.evidence import prepare_command
 from basilcove.catalog.messages import LoggedCommand
+from basilcove.catalog.models import DocumentRow
+from basilcove.catalog.outcomes import DocumentRefused
 from basilcove.consensus.events import EntriesCommitted
 from basilcove.core.events import Effect
-from basilcove.core.ids import EnvironmentName, NodeId, Revision, Stage
+from basilcove.core.ids import EnvironmentName, NodeId, RequestId, Revision, Stage
 from basilcove.core.reducer import Context, Node, handles, reduce
 from basilcove.helpers.codec import encode
 from basilcove.storage.models import EntryKind, LogEntry, Recovered
@@ -39,6 +42,32 @@
     return LogEntry(index, 1, 1, EntryKind.COMMAND, encode(logged)[1])
 
 
+class TestUnreadableDocument:
+    @pytest.mark.parametrize(
+        'text',
+        [r'{"annotations": {"note": "\ud83d"}, "name": "desk", "priorities": {}, "teams": {}}', '{', '{}'],
+    )
+    def test_leader_refuses_to_store_it(self, text: str) -> None:
+        """Guards against a document that a majority stores and acknowledges and no host can obey."""
+        state = ControlState.from_recovered(NodeId('c-1'), Recovered())
+        put = PutDocument(ENVIRONMENT, Stage.PRODUCTION, Revision(7), text)
+        apply = ApplyDocument(ENVIRONMENT, Stage.TRIAL, Revision(0), text, RequestId('r-1'))
+        assert isinstance(prepare_command(state, put), DocumentRefused)
+        assert isinstance(prepare_command(state, apply), DocumentRefused)
+        row = DocumentRow(ENVIRONMENT, Stage.TRIAL, Revision(1), text, 0, Revision(0))
+        state.catalog.documents[ENVIRONMENT, Stage.TRIAL] = row
+        promote = PromoteDocument(ENVIRONMENT, Revision(1), RequestId('r-2'))
+        assert isinstance(prepare_command(state, promote), DocumentRefused)
+
+    def test_late_repeat_is_not_refused(self) -> None:
+        """Guards against the refusal of a configuration whose number was acknowledged before."""
+        state = ControlState.from_recovered(NodeId('c-1'), Recovered())
+        row = DocumentRow(ENVIRONMENT, Stage.PRODUCTION, Revision(7), '{}', 0, Revision(0))
+        state.catalog.documents[ENVIRONMENT, Stage.PRODUCTION] = row
+        put = PutDocument(ENVIRONMENT, Stage.PRODUCTION, Revision(7), '{')
+        assert prepare_command(state, put) == put
+
+
 class TestRestart:
     def test_log_with_many_revisions(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Guards against a restart that reads each logged document and takes longer than an election."""
--- a/tests/distribution/fleet.py
+++ b/tests/distribution/fleet.py
@@ -139,8 +139,12 @@
 
     def accept(self, replicas: list[str], teams: int = 2) -> int:
         """Accept the next document; the given replicas, a majority of the group, apply it."""
+        return self.accept_text(make_document(len(self.accepted) + 1, teams), replicas)
+
+    def accept_text(self, text: str, replicas: list[str]) -> int:
+        """Accept a text as the next document, whether it can be read or not."""
         revision = len(self.accepted) + 1
-        self.accepted[revision] = make_document(revision, teams)
+        self.accepted[revision] = text
         for name in replicas:
             self.catch_up(name)
         return revision
--- a/tests/distribution/test_readiness.py
+++ b/tests/distribution/test_readiness.py
@@ -1,7 +1,7 @@
 import itertools
 
 from basilcove.core.events import Message
-from basilcove.core.ids import NodeId
+from basilcove.core.ids import NodeId, Revision
 from basilcove.distribution.messages import Chunk, Delta
 from tests.distribution.fleet import Fleet
 from tests.distribution.machine import corrupt
@@ -14,6 +14,35 @@
     return corrupt(message, 1) if is_second or isinstance(message, Delta) else None
 
 
+class TestUnreadableDocument:
+    def test_restarted_entry_takes_the_newest_document_that_can_be_read(self) -> None:
+        """Guards against an entry that is never ready, as the newest document can't be read."""
+        fleet = Fleet()
+        controls = ['control-1', 'control-2', 'control-3']
+        fleet.accept(controls)
+        fleet.net.run(3)
+        fleet.accept_text(r'{"name": "\ud83d"}', controls)
+        fleet.net.run(3)
+        fleet.start('entry-1', 'nobsa')
+        fleet.net.run(8)
+        assert fleet.in_effect('entry-1') == [(1, fleet.accepted[1])]
+        fleet.accept(controls)
+        fleet.net.run(3)
+        assert fleet.in_effect('entry-1')[-1] == (3, fleet.accepted[3])
+
+    def test_document_that_one_host_can_not_read(self) -> None:
+        """Guards against an entry that acts on an older document, as one host can't read the newest."""
+        fleet = Fleet()
+        fleet.accept(['control-1', 'control-2', 'control-3'])
+        fleet.net.run(3)
+        fleet.accept(['control-1', 'control-2'])
+        fleet.state('control-3').unreadable_revision = Revision(2)
+        fleet.net.run(3)
+        fleet.start('entry-1', 'nobsa')
+        fleet.net.run(8)
+        assert fleet.in_effect('entry-1') == [(2, fleet.accepted[2])]
+
+
 class TestCutOff:
     def test_cut_off_entry_is_not_ready_below_an_offer(self) -> None:
         """Guards against an entry that acts on an old document while it still fetches a newer one."""
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,7 +2,7 @@
 from typing import Any
 
 import pytest
-from adapter.documents import ConfigurationError, read_configuration, source_of
+from adapter.documents import ConfigurationError, read_configuration, read_content, read_source, source_of
 
 from basilcove.environment.loading import load_accepted
 from basilcove.environment.models import Environment, RouteKind
@@ -39,6 +39,58 @@
     return read_configuration('production', json.dumps(content), content)
 
 
+def place(content: dict[str, Any], path: tuple[Any, ...], text: Any) -> dict[str, Any]:
+    """Replace the text at a path of a configuration."""
+    *parents, last = path
+    target: Any = content
+    for step in parents:
+        target = target[step]
+    target[last] = text
+    return content
+
+
+class TestUnreadableText:
+    @pytest.mark.parametrize(
+        'path',
+        [
+            ('routes', 0, 'hostname'),
+            ('routes', 0, 'name'),
+            ('routes', 0, 'path_prefix'),
+            ('routes', 0, 'unknown'),
+            ('routes', 0, 'desk\ud83d'),
+            ('services', 0, 'name'),
+            ('services', 0, 'protocol'),
+            ('tenants', 0, 'name'),
+            ('tenants', 0, 'api_keys', 0),
+            ('unknown', 'to'),
+        ],
+    )
+    def test_half_of_a_character_is_refused(self, path: tuple[Any, ...]) -> None:
+        """Guards against an acknowledged configuration that no host can read or obey."""
+        body = json.dumps(place(configuration(), path, 'desk\ud83d.example')).encode()
+        with pytest.raises(ConfigurationError):
+            read_configuration('production', body.decode(), read_content(body))
+
+    @pytest.mark.parametrize('number', ['NaN', 'Infinity', '1e400', '9' * 5000])
+    def test_number_that_not_every_reader_takes_is_refused(self, number: str) -> None:
+        """Guards against a configuration that is acknowledged and can't be read back by its operator."""
+        body = json.dumps(configuration(unknown='N')).replace('"N"', number).encode()
+        with pytest.raises(ConfigurationError):
+            read_configuration('production', body.decode(), read_content(body))
+
+    def test_whole_character_is_accepted(self) -> None:
+        """Guards against the refusal of a character that is written as two escapes."""
+        body = json.dumps(place(configuration(), ('routes', 0, 'hostname'), 'desk😀.example')).encode()
+        text = read_configuration('production', body.decode(), read_content(body))
+        assert read_source(text).encode() == body
+
+    def test_source_of_a_document_that_this_version_can_not_read(self) -> None:
+        """Guards against 500 at an operator who reads back what another build has stored."""
+        stored = json.loads(translate(configuration()))
+        text = json.dumps({**stored, 'added': {'by': 'another build'}})
+        assert json.loads(read_source(text)) == configuration()
+
+
 class TestConfiguration:
     def test_cold_upstreams(self) -> None:
         """Guards against a limit for cold engines that is lost, or one for services that state none."""
@@ -111,6 +163,15 @@
         with pytest.raises(ConfigurationError):
             translate(configuration(**change))
 
+    @pytest.mark.parametrize('name', [None, 5, 1.5, True, ['r'], {}])
+    @pytest.mark.parametrize('section', ['routes', 'services', 'tenants'])
+    def test_name_that_is_no_text_is_refused(self, section: str, name: Any) -> None:
+        """Guards against 500, which makes the operator ask each host in turn, instead of a refusal."""
+        content = configuration()
+        content[section][0]['name'] = name
+        with pytest.raises(ConfigurationError):
+            translate(content)
+
     @pytest.mark.parametrize('content', [None, [], 'text', {}, {'routes': 1, 'services': []}])
     def test_malformed_configuration_is_refused(self, content: Any) -> None:
         """Guards against an exception that a configuration of another shape causes."""
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -27,6 +27,7 @@
         assert deployment.send_request() in {0, 503}
         assert deployment.put(configuration(3)) == 200
         assert deployment.put({**configuration(4), 'routes': None}) == 400
+        assert deployment.put({**configuration(4), 'unknown': 'half a character \ud83d'}) == 400
         deployment.announce(1)
         wait_for(lambda: deployment.send_request() == 200, 'a served request')
         assert deployment.send_request('/nowhere/') == 404
