Tell an empty list of tenants from a missing one

Cause: the translation took an empty list for no list and made all routes public; the stored document says so. The same cause on related paths, tried on the code before: tenants that are {}, "", 0, false or null, a public that is any text, a text as the list of keys, max_attempts 0, an empty list of backends.

Gateways close what documents of earlier builds open beyond their source, so a restart with a stored document, or a control host of the earlier build, opens nothing.

--- a/basilcove/distribution/models.py
+++ b/basilcove/distribution/models.py
@@ -3,7 +3,7 @@
 import hashlib
 import zlib
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
@@ -23,6 +23,7 @@
 from basilcove.zones.models import Evacuations
 
 Key: TypeAlias = tuple[EnvironmentName, Stage]
+Upgrade: TypeAlias = Callable[[Environment], Environment]
 
 
 @dataclass
@@ -154,6 +155,11 @@
         return tuple(index for index in range(self.total) if index not in self.chunks)
 
 
+def keep_document(document: Environment) -> Environment:
+    """Return a document as it is stored."""
+    return document
+
+
 @dataclass
 class DistributionState:
     """Documents of the node, and the state of its peers."""
@@ -186,6 +192,8 @@
     revision_in_effect: Revision = NO_REVISION
     deltas: bool = True
     min_interval_s: float = 0
+    # Turns the document that an earlier build stored into what it means to this one.
+    upgrade: Upgrade = keep_document
     # When a document was last received from a peer, in monotonic seconds.
     last_pull_at: float = float('-inf')
 
--- a/basilcove/distribution/taking.py
+++ b/basilcove/distribution/taking.py
@@ -31,7 +31,7 @@
     environment = None
     if key == state.key:
         try:
-            environment = load_accepted(text)
+            environment = state.upgrade(load_accepted(text))
         except DocumentError as exc:
             yield from mark_unreadable(state, revision, text, exc)
             return
--- a/basilcove/roles/common.py
+++ b/basilcove/roles/common.py
@@ -1,5 +1,7 @@
 """States and drivers that every node has."""
 
+import importlib
+
 from basilcove.catalog.client import ClientState
 from basilcove.core.pauses import PauseState
 from basilcove.daemon import Assembly
@@ -31,6 +33,8 @@
         min_interval_s=settings.documents.min_interval_s,
     )
     documents = DistributionState.from_config(cfg, settings.node, settings.zone, settings.roles)
+    if settings.documents.upgrade_module:
+        documents.upgrade = importlib.import_module(settings.documents.upgrade_module).upgrade_document
     node.add(documents)
     node.add(ClientState(settings.node))
     node.add(Confirmation(settings.node, assembly.identity.incarnation))
--- a/basilcove/settings.py
+++ b/basilcove/settings.py
@@ -44,12 +44,17 @@
 
 
 class DocumentConfig(BaseModel):
-    """Distribution of documents to this node; see ``DistributionConfig``."""
+    """Distribution of documents to this node; see ``DistributionConfig``.
+
+    ``upgrade_module`` names a module whose ``upgrade_document(environment)`` returns what a document that an
+    earlier build stored means to this one.
+    """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
     deltas: bool = True
     min_interval_s: float = Field(default=0, ge=0)
+    upgrade_module: str = ''
 
 
 class AdapterConfig(BaseModel):
--- a/tests/distribution/test_readiness.py
+++ b/tests/distribution/test_readiness.py
@@ -1,4 +1,5 @@
 import itertools
+import json
 
 from basilcove.core.events import Message
 from basilcove.core.ids import NodeId, Revision
@@ -43,6 +44,20 @@
         assert fleet.in_effect('entry-1') == [(2, fleet.accepted[2])]
 
 
+class TestUpgrade:
+    def test_document_is_upgraded_before_it_comes_into_effect(self) -> None:
+        """Guards against routes that an earlier build opened, at an entry that starts with its document."""
+        fleet = Fleet()
+        fleet.accept(['control-1', 'control-2', 'control-3'])
+        fleet.net.run(3)
+        fleet.start('entry-1', 'nobsa')
+        fleet.state('entry-1').upgrade = lambda document: document.model_copy(update={'teams': {}})
+        fleet.net.run(8)
+        assert [revision for revision, _ in fleet.in_effect('entry-1')] == [1]
+        assert not json.loads(fleet.in_effect('entry-1')[0][1])['teams']
+        assert fleet.state('entry-1').own.text == fleet.accepted[1]
+
+
 class TestCutOff:
     def test_cut_off_entry_is_not_ready_below_an_offer(self) -> None:
         """Guards against an entry that acts on an old document while it still fetches a newer one."""
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -35,6 +35,11 @@
         deployment.put(configuration(5, key='k-2'))
         wait_for(lambda: deployment.send_request() == 401, 'a revoked key')
         assert deployment.send_request(key='k-2') == 200
+        deployment.put({**configuration(6), 'tenants': []})
+        wait_for(lambda: deployment.send_request(key='k-2') == 401, 'a revoked key')
+        assert deployment.send_request(key='other') == 401
+        deployment.put(configuration(7, key='k-2'))
+        wait_for(lambda: deployment.send_request(key='k-2') == 200, 'a key that is back')
         deployment.announce(2, state='draining')
         wait_for(lambda: deployment.send_request(key='k-2') == 503, 'a drained engine')
 
