Read the body of a request that offers another protocol

Cause: the parser takes what follows such a head for the other protocol and reports the request as complete; the reader passed it on before it learned of the offer. CONNECT took the same way. The reader alone shows it.

Change: a request that offers another protocol isn't passed on at the end of its head. The head is read once more without the offer, and then the body. CONNECT gets 400 before anything is passed on.

Before: two of the new tests of the reader fail, whatever the cuts. It works as the second reading is that of a request without the offer, framing included; each byte is read once more at most.

--- a/basilcove/http1/reading.py
+++ b/basilcove/http1/reading.py
@@ -42,6 +42,7 @@
         self._limits = ConnectionLimits()
         self._is_dropped = False
         self._is_in_head = False
+        self._offers_upgrade = False
         self._target = b''
         self._headers: Headers = []
         self._head_bytes = 0
@@ -80,9 +81,7 @@
         # A head that begins in this segment may follow a long body, so counting starts with the next segment.
         self._overhead_bytes = self._overhead_bytes + len(segment) if self.is_reading else 0
         try:
-            self._parser.feed_data(segment)
-        except httptools.HttpParserUpgrade:
-            self._fail(HTTPStatus.BAD_REQUEST, RefusalKind.MALFORMED, 'no other protocol is spoken')
+            self._parse(segment)
         except httptools.HttpParserError as exc:
             self._fail(HTTPStatus.BAD_REQUEST, RefusalKind.MALFORMED, str(exc))
         if self.is_reading and self._overhead_bytes > limits.max_header_bytes:
@@ -96,6 +95,34 @@
             self._fail(HTTPStatus.BAD_REQUEST, RefusalKind.LEADING_BYTES, reason)
         return False
 
+    def _parse(self, segment: memoryview) -> None:
+        """Parse bytes; a request that offers another protocol is read as if it didn't.
+
+        The parser takes the bytes after the head of such a request for those of the other protocol.
+        """
+        rest = segment
+        while True:
+            try:
+                self._parser.feed_data(rest)
+            except httptools.HttpParserUpgrade as exc:
+                if self._is_dropped:
+                    return
+                rest = rest[exc.args[0] :]
+                head = self._encode_plain_head()
+                self._parser = httptools.HttpRequestParser(self)
+                self._parser.feed_data(head)
+            else:
+                return
+
+    def _encode_plain_head(self) -> bytes:
+        """Return the head that was read last, without its offers."""
+        version = self._parser.get_http_version().encode()
+        lines = [b'%s %s HTTP/%s' % (self._parser.get_method(), self._target, version)]
+        for name, content in self._headers:
+            if name.lower() != b'upgrade':
+                lines.append(b'%s: %s' % (name, content))
+        return b'\r\n'.join(lines) + b'\r\n\r\n'
+
     def drop(self) -> None:
         """Drop the unfinished request."""
         self._is_dropped = True
@@ -130,6 +157,12 @@
         if len(self._target) + self._head_bytes > self._limits.max_header_bytes:
             self._fail_head()
             return
+        if self._parser.get_method() == b'CONNECT':
+            self._fail(HTTPStatus.BAD_REQUEST, RefusalKind.MALFORMED, 'no tunnels are opened')
+            return
+        self._offers_upgrade = self._parser.should_upgrade()
+        if self._offers_upgrade:
+            return
         if not self._is_dropped and any(name.lower() == b'expect' for name, _ in self._headers):
             self._pass_continue()
 
@@ -148,8 +181,11 @@
 
     def on_message_complete(self) -> None:
         """Pass on the request."""
-        self.is_reading = False
         self.parts += REQUEST_PARTS
+        if self._offers_upgrade:
+            # The head is read again without the offer, and then its body.
+            return
+        self.is_reading = False
         if self._is_dropped:
             return
         request = HttpRequest(
--- a/tests/http1/test_reading.py
+++ b/tests/http1/test_reading.py
@@ -139,3 +139,48 @@
             assert not server.connections
 
         asyncio.run(check())
+
+
+OFFERS = st.sampled_from(
+    (
+        b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n',
+        b'Upgrade: websocket\r\nconnection: keep-alive, upgrade\r\nSec-WebSocket-Key: x\r\n',
+        b'Expect: 100-continue\r\nConnection: upgrade\r\nUPGRADE: TLS/1.0\r\nUpgrade: h2c\r\n',
+    )
+)
+
+
+class TestOffers:
+    """Requests that offer another protocol, which is not spoken."""
+
+    @given(OFFERS, CHUNKS, st.booleans(), st.lists(st.integers(0, 5000), max_size=20))
+    def test_body_is_read(self, offer: bytes, parts: list[bytes], is_chunked: bool, cuts: list[int]) -> None:
+        """Guards against a request that runs without its body, which is taken for the other protocol."""
+        body = b''.join(parts)[: LIMITS.max_body_bytes]
+        framing = b'Transfer-Encoding: chunked' if is_chunked else b'Content-Length: %d' % len(body)
+        chunks = [chunk(body), chunk(b'')] if body else [chunk(b'')]
+        sent = b''.join(chunks) if is_chunked else body
+        reading = Reading()
+        reading.feed((HEAD + offer + framing + b'\r\n\r\n' + sent) * 2, cuts)
+        assert not reading.faults
+        assert [request.body for request in reading.requests] == [body, body]
+        assert all(request.keeps_alive for request in reading.requests)
+        assert reading.expectations == 2 * offer.startswith(b'Expect')
+        assert not reading.reader.is_reading
+
+    @given(st.lists(st.integers(0, 200), max_size=5))
+    def test_tunnel_is_refused(self, cuts: list[int]) -> None:
+        """Guards against a CONNECT that runs as a request without a body, and against what follows it."""
+        reading = Reading()
+        reading.feed(b'CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\nGET /x HTTP/1.1\r\n\r\n', cuts)
+        assert (reading.faults, reading.requests) == ([RefusalKind.MALFORMED], [])
+
+    def test_framing_is_checked(self) -> None:
+        """Guards against a request that is smuggled in by a second length beside an offer."""
+        for lines in (
+            b'Content-Length: 3\r\nContent-Length: 4',
+            b'Content-Length: 3\r\nTransfer-Encoding: chunked',
+        ):
+            reading = Reading()
+            reading.feed(HEAD + b'Connection: upgrade\r\nUpgrade: h2c\r\n' + lines + b'\r\n\r\nabcd', [])
+            assert (reading.faults, reading.requests) == ([RefusalKind.MALFORMED], [])
