Count the characters of a path with a text of its own type

The linter refuses a subclass of a built-in type. The test's bound is the same, and the test still fails on the code before the look-up was changed.

--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -1,4 +1,4 @@
-from collections import Counter
+from collections import Counter, UserString
 from typing import Any
 
 import pytest
@@ -46,14 +46,16 @@
         assert table.find('other.example', '/a/') is None
 
 
-class CountedPath(str):
+class CountedPath(UserString):
     """A path that counts the characters which are copied of it."""
 
-    copied = 0
+    def __init__(self, path: str) -> None:
+        super().__init__(path)
+        self.copied = 0
 
-    def __getitem__(self, key: Any) -> str:
+    def __getitem__(self, key: Any) -> Any:
         """Count the part."""
-        part = super().__getitem__(key)
+        part = self.data[key]
         self.copied += len(part)
         return part
 
@@ -64,7 +66,7 @@
         """Guards against a path of slashes whose look-up keeps the gateway from answering all others."""
         table = table_of('/book/', '/look/', '/look/at/')
         path = CountedPath('/' + pattern * (MAX_TARGET_BYTES // len(pattern)))
-        assert table.find(HOST, path) is None
+        assert table.find(HOST, path) is None  # type: ignore[arg-type]
         assert path.copied <= len('/look/at/') + len('/look/')
 
 
