Take an answer that states a length for whole only at that length

Cause: numbers of more than 15 digits weren't read, and an answer without a readable length was taken for one that ends with its connection.

Change: leading zeros don't count, and a stated length is never overridden by the end of the connection. Before: three of the four lengths of the new test fail. After: they pass.

--- a/basilcove/http1/client.py
+++ b/basilcove/http1/client.py
@@ -202,10 +202,11 @@
             pending.fault = f'status {head.status} is that of no answer'
             return
         pending.head = head
-        head.size = parse_count(find_header(head.headers, b'content-length'))
+        stated_size = find_header(head.headers, b'content-length')
+        head.size = parse_count(stated_size)
         is_chunked = bool(find_header(head.headers, b'transfer-encoding'))
         answer_has_body = has_body(pending.method, head.status)
-        head.ends_with_connection = answer_has_body and head.size is None and not is_chunked
+        head.ends_with_connection = answer_has_body and not stated_size and not is_chunked
         self._update_keep_alive(head, is_framed=answer_has_body and not head.ends_with_connection)
         attribution = pending.reader.attribute(head)
         if attribution is not Attribution.OWN:
--- a/basilcove/http1/headers.py
+++ b/basilcove/http1/headers.py
@@ -68,9 +68,10 @@
 def parse_count(text: str) -> int | None:
     """Return the number that ASCII digits state; None for any other text, and for a number beyond 2^53."""
     digits = text.strip()
-    if not digits.isascii() or not digits.isdecimal() or len(digits) > _MAX_DIGITS:
+    if not digits.isascii() or not digits.isdecimal():
         return None
-    return int(digits)
+    significant = digits.lstrip('0')
+    return int(significant or '0') if len(significant) <= _MAX_DIGITS else None
 
 
 def remove_hop_by_hop(headers: Headers, excluded: Collection[bytes] = ()) -> Headers:
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -147,6 +147,37 @@
         run(check, Upstream([stop]))
 
 
+class TestOddLength:
+    @pytest.mark.parametrize(
+        'length', ['0000000000000050', '50', '1000000000000000000', '00000000000000000000050']
+    )
+    def test_answer_that_is_cut_off(self, length: str) -> None:
+        """Guards against a cut answer that is delivered as whole, since its length has many digits."""
+
+        async def stop(call: UpstreamCall) -> None:
+            await call.send(f'HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: {length}\r\n\r\n'.encode())
+            await call.send(b'12345')
+            call.writer.close()
+
+        async def check(gateway: Gateway) -> None:
+            assert (await gateway.ask('/book/x')).status == HTTPStatus.BAD_GATEWAY
+
+        run(check, Upstream([stop]))
+
+    def test_padded_length(self) -> None:
+        """Guards against a sound answer that is refused or cut off because of leading zeros."""
+
+        async def answer(call: UpstreamCall) -> None:
+            await call.send(
+                b'HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 0000000000000005\r\n\r\n12345'
+            )
+
+        async def check(gateway: Gateway) -> None:
+            assert (await gateway.ask('/book/x')).body == b'12345'
+
+        run(check, Upstream([answer]))
+
+
 class TestUnframedStream:
     def test_stream_without_length_is_whole(self) -> None:
         """Guards against a stream that is broken off because its connection ended it."""
