Weigh each part once for a report of a crash

What operators would see: a control host that is busy for each report while crashes and prompts with many parts come together.

Cause: each part of each suspect was weighed by a look at all crashes, though requests share parts and most crashes have others.

Change: a report weighs each part once, crashes are found by part, and their suspects are kept until the evidence changes. What is blamed stays the same. The new test, which counts the weighed parts, fails before.

--- a/basilcove/quarantine/answers.py
+++ b/basilcove/quarantine/answers.py
@@ -33,6 +33,8 @@
     """
 
     max_parts: int
+    # How often anything has changed.
+    changes: int = 0
     _by_part: dict[PartId, tuple[SoundAnswer, ...]] = field(default_factory=dict)
 
     def __len__(self) -> int:
@@ -41,6 +43,7 @@
 
     def note(self, part: PartId, answer: SoundAnswer) -> None:
         """Note an answer with a part, and forget the part with the oldest note if there are too many."""
+        self.changes += 1
         known = self._by_part.pop(part, ())
         if not any(other.covers(answer) for other in known):
             kept = (other for other in known if not answer.covers(other))
@@ -62,6 +65,7 @@
         """Forget the answers that were seen before a time."""
         for part, answers in tuple(self._by_part.items()):
             kept = _since(answers, oldest)
+            self.changes += len(kept) < len(answers)
             if kept:
                 self._by_part[part] = kept
             else:
--- a/basilcove/quarantine/messages.py
+++ b/basilcove/quarantine/messages.py
@@ -24,6 +24,11 @@
     has_event: bool = False
     reach_s: float = 0
 
+    @property
+    def names(self) -> frozenset[PartId]:
+        """Return its parts and its digest, if it has one."""
+        return frozenset(self.parts if self.digest == NO_PART else (*self.parts, self.digest))
+
     @property
     def is_fresh(self) -> bool:
         """Return whether the upstream crashed when it began to answer the request."""
--- a/basilcove/quarantine/models.py
+++ b/basilcove/quarantine/models.py
@@ -1,6 +1,7 @@
 """Evidence of a control host against parts of prompts, and the parts that it has quarantined."""
 
-from collections.abc import Iterator
+import functools
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from basilcove.core.ids import NO_PART, InstanceId, NodeId, PartId
@@ -23,6 +24,7 @@
 from basilcove.quarantine.messages import CrashReport, LostRequest, QuarantinedPart
 
 CrashKey = tuple[InstanceId, int]
+Weigh = Callable[[PartId], int]
 
 
 @dataclass(slots=True)
@@ -32,6 +34,9 @@
     crashed_at: float
     incident: int
     requests: list[LostRequest] = field(default_factory=list)
+    # The requests that may be to blame, and the evidence by which they were found.
+    suspects: list[LostRequest] = field(default_factory=list)
+    evidence: tuple[int, int] = (0, 0)
 
     def sound_reach_s(self, part: PartId) -> float:
         """Return how far an answer with a part has to get, in seconds, to be past this crash."""
@@ -63,6 +68,8 @@
 
     gateways: set[NodeId] = field(default_factory=set)
     crashes: dict[CrashKey, Crash] = field(default_factory=dict)
+    # Crashes by the parts and digests of the requests that were lost in them, oldest first.
+    crash_keys: dict[PartId, dict[CrashKey, None]] = field(default_factory=dict)
     answers: SoundAnswers = field(default_factory=lambda: SoundAnswers(MAX_PARTS))
     records: dict[PartId, PartRecord] = field(default_factory=dict)
     incidents: int = 0
@@ -76,6 +83,8 @@
             crash = self._open_crash(key, now)
         if len(crash.requests) < MAX_REQUESTS_PER_CRASH:
             crash.requests.append(report.request)
+            for name in report.request.names:
+                self.crash_keys.setdefault(name, {})[key] = None
         return self._blame_for(crash, now)
 
     def add_answer(self, part: PartId, answered_at: float, now: float, reach_s: float = 0) -> list[PartId]:
@@ -109,7 +118,7 @@
         oldest = now - EVIDENCE_LIFETIME_S
         for key, crash in tuple(self.crashes.items()):
             if crash.crashed_at < oldest:
-                del self.crashes[key]
+                self._forget_crash(key)
         self.answers.drop_before(oldest)
         for name, record in tuple(self.records.items()):
             if record.refused_until + RECORD_LIFETIME_S < now:
@@ -120,15 +129,30 @@
             self.incidents += 1
             self.incident_at = now
         if len(self.crashes) >= MAX_CRASHES:
-            del self.crashes[next(iter(self.crashes))]
+            self._forget_crash(next(iter(self.crashes)))
         crash = Crash(now, self.incidents)
         self.crashes[key] = crash
         return crash
 
+    def _forget_crash(self, key: CrashKey) -> None:
+        for req in self.crashes.pop(key).requests:
+            for name in req.names:
+                keys = self.crash_keys.get(name, {})
+                keys.pop(key, None)
+                if not keys:
+                    self.crash_keys.pop(name, None)
+
+    def _crashes_with(self, part: PartId) -> Iterator[Crash]:
+        """Yield the crashes in which a request with a part, or with this digest, was lost."""
+        for key in self.crash_keys.get(part, ()):
+            yield self.crashes[key]
+
     def _blame_for(self, crash: Crash, now: float) -> list[PartId]:
         blamed = []
+        # Requests share parts, and the weight of a part takes a look at all crashes.
+        weigh = functools.cache(self._weigh)
         for req in self._find_suspects(crash):
-            for part in self._find_causes(req):
+            for part in self._find_causes(req, weigh):
                 if self._blame(part, crash, now):
                     blamed.append(part)
         return blamed
@@ -145,31 +169,35 @@
 
         A request may have crashed it unless answers with all of its parts have got past the crash.
         """
-        fresh = [req for req in crash.requests if req.is_fresh and self._find_unknown(req)]
-        return fresh or crash.requests
+        evidence = (len(crash.requests), self.answers.changes)
+        if crash.evidence != evidence:
+            crash.evidence = evidence
+            fresh = [req for req in crash.requests if req.is_fresh and self._find_unknown(req)]
+            crash.suspects = fresh or list(crash.requests)
+        return crash.suspects
 
     def _find_unknown(self, req: LostRequest) -> list[PartId]:
         """Return the parts of a lost request that no answer has got past the crash with."""
         return [part for part in req.parts if self.answers.last_at(part, req.sound_reach_s) is None]
 
-    def _find_causes(self, req: LostRequest) -> Iterator[PartId]:
+    def _find_causes(self, req: LostRequest, weigh: Weigh) -> Iterator[PartId]:
         """Yield the digest of a request that crashed an upstream, and the part that others may crash with.
 
         An answer to another request with a shared part tells nothing about this request.
         """
         is_identified = req.has_answer_head and req.digest != NO_PART
-        if is_identified and self._weigh(req.digest) >= SUSPICION_WEIGHT:
+        if is_identified and weigh(req.digest) >= SUSPICION_WEIGHT:
             yield req.digest
-        part = self._find_part(req)
+        part = self._find_part(req, weigh)
         if part is not None:
             yield part
 
-    def _find_part(self, req: LostRequest) -> PartId | None:
+    def _find_part(self, req: LostRequest, weigh: Weigh) -> PartId | None:
         """Return the part of a lost request that is to blame; None if nothing tells.
 
         Where the evidence is the same, the last part is blamed: the parts before it are in more requests.
         """
-        weights = {part: self._weigh(part) for part in req.parts}
+        weights = {part: weigh(part) for part in req.parts}
         confirmed = [part for part in req.parts if weights[part] >= CONFIRMING_WEIGHT]
         if confirmed:
             heaviest = max(weights[part] for part in confirmed)
@@ -187,7 +215,7 @@
         """
         weights: dict[int, int] = {}
         counted: set[PartId] = set()
-        for crash in self.crashes.values():
+        for crash in self._crashes_with(part):
             sound_at = self.answers.last_at(part, crash.sound_reach_s(part))
             if sound_at is not None and crash.crashed_at <= sound_at:
                 continue
--- a/tests/quarantine/test_models.py
+++ b/tests/quarantine/test_models.py
@@ -226,6 +226,28 @@
         evidence.state.drop_expired(evidence.now)
         state = evidence.state
         assert (state.crashes, len(state.answers), state.records) == ({}, 0, {})
+        assert not state.crash_keys
+
+
+class TestWork:
+    def test_requests_with_many_parts(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a crash report that keeps a control host busy, as its requests have many parts."""
+        weighed: list[PartId] = []
+        weigh = QuarantineState._weigh
+
+        def count(state: QuarantineState, part: PartId) -> int:
+            weighed.append(part)
+            return weigh(state, part)
+
+        monkeypatch.setattr(QuarantineState, '_weigh', count)
+        evidence = Evidence()
+        parts = tuple(PartId(f'part-{number}') for number in range(64))
+        for number in range(30):
+            evidence.crash(*parts, reach_s=4)
+            for other in range(5):
+                weighed.clear()
+                evidence.report(*parts, digest=PartId(f'request-{number}-{other}'), reach_s=4)
+                assert len(weighed) <= len(parts) + other + 1
 
 
 class TestIdenticalRequests:
